--- /dev/null
+++ b/apps/tamarackctl/command_table.cpp
@@ -0,0 +1,58 @@
+// The table, and small helpers of all commands.
+#include "command_table.h"
+
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <vector>
+
+namespace tamarack::ctl {
+
+namespace {
+
+    constexpr std::array<command, 7> table { {
+        { "check", "FILE...", "check operators' texts, or with --node-settings nodes' settings", runCheck },
+        { "diff", "FILE", "show what a text would change in the configuration in force", runDiff },
+        { "publish", "FILE", "publish a text as the next version, unless somebody else did meanwhile", runPublish },
+        { "status", "", "show each node: instance, zone, configuration, log, leases, targets, open orders", runStatus },
+        { "drain", "", "let the node stop gracefully", runDrain },
+        { "trace", "TRACE-ID FILE...", "print one request's trace as a tree, from span files", runTrace },
+        { "end-order", "TARGET ORDER", "declare that an open order's deliverer has ended for good", runEndOrder },
+    } };
+
+}
+
+std::span<const command> commands()
+{
+    return table;
+}
+
+std::string operand(const arguments& given, std::size_t index)
+{
+    if (!given.count("operands"))
+        return {};
+    const auto& all = given["operands"].as<std::vector<std::string>>();
+    return index < all.size() ? all[index] : std::string();
+}
+
+int complain(int code, const std::string& message)
+{
+    std::cerr << "tamarackctl: " << message << "\n";
+    return code;
+}
+
+bool readFile(const std::string& name, std::string& text)
+{
+    std::ifstream stream(name);
+    if (!stream) {
+        complain(exitUsage, name + " cannot be read");
+        return false;
+    }
+    std::stringstream buffer;
+    buffer << stream.rdbuf();
+    text = buffer.str();
+    return true;
+}
+
+}
--- /dev/null
+++ b/apps/tamarackrelay/main.cpp
@@ -0,0 +1,109 @@
+// The node program: the same on every entry VM.
+#include "base/clock.h"
+#include "node/node.h"
+
+#include <QCoreApplication>
+#include <QSocketNotifier>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace {
+
+namespace options = boost::program_options;
+
+enum exit_code { exitOk = 0,
+    exitUsage = 2,
+    exitSettings = 3,
+    exitStart = 4 };
+
+int printErrors(const tamarack::setting_errors& errors)
+{
+    for (const auto& error : errors)
+        std::cerr << tamarack::toString(error) << "\n";
+    std::cerr << "tamarackrelay: " << errors.size() << " error(s) in the settings; mend them and start again\n";
+    return exitSettings;
+}
+
+/// SIGTERM and SIGINT as a readable descriptor, so that the event loop sees them.
+int openSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigprocmask(SIG_BLOCK, &signals, nullptr);
+    return signalfd(-1, &signals, SFD_CLOEXEC);
+}
+
+int run(int argc, char** argv, tamarack::node_settings settings)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    QCoreApplication application(argc, argv);
+    const auto incarnation = static_cast<std::uint64_t>(tamarack::wallMilliseconds());
+    tamarack::node node(std::move(settings), incarnation, [] { QCoreApplication::quit(); });
+    const auto failure = node.start();
+    if (!failure.empty()) {
+        std::cerr << "tamarackrelay: " << failure << "; is another process using it?\n";
+        return exitStart;
+    }
+    const int signals = openSignals();
+    QSocketNotifier notifier(signals, QSocketNotifier::Read);
+    QObject::connect(&notifier, &QSocketNotifier::activated, [&] {
+        signalfd_siginfo info;
+        if (read(signals, &info, sizeof info) == sizeof info)
+            node.drain();
+    });
+    return QCoreApplication::exec();
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    options::options_description description("tamarackrelay: one node of the serving system\n\nOptions");
+    description.add_options()("help,h", "print this and exit")("version,v", "print the version and exit")(
+        "settings,s", options::value<std::string>(), "the node's settings, JSON with comments")(
+        "check", "check the settings and exit");
+    options::variables_map given;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), given);
+    } catch (const options::error& error) {
+        std::cerr << "tamarackrelay: " << error.what() << "; see --help\n";
+        return exitUsage;
+    }
+    if (given.count("help")) {
+        std::cout << description
+                  << "\nSIGTERM and SIGINT begin a graceful stop.\n"
+                     "Exit codes: 0 stopped as planned, 2 usage, 3 settings, 4 cannot start.\n";
+        return exitOk;
+    }
+    if (given.count("version")) {
+        std::cout << "tamarackrelay " << TAMARACK_VERSION << "\n";
+        return exitOk;
+    }
+    if (!given.count("settings")) {
+        std::cerr << "tamarackrelay: --settings FILE is missing; see --help\n";
+        return exitUsage;
+    }
+    const auto file = given["settings"].as<std::string>();
+    std::ifstream stream(file);
+    if (!stream) {
+        std::cerr << "tamarackrelay: " << file << " cannot be read\n";
+        return exitSettings;
+    }
+    std::stringstream text;
+    text << stream.rdbuf();
+    auto read = tamarack::readNodeSettings(text.str(), file);
+    if (const auto* errors = std::get_if<tamarack::setting_errors>(&read))
+        return printErrors(*errors);
+    if (given.count("check")) {
+        std::cout << file << ": ok\n";
+        return exitOk;
+    }
+    return run(argc, argv, std::move(std::get<tamarack::node_settings>(read)));
+}
--- /dev/null
+++ b/libs/base/src/hash.cpp
@@ -0,0 +1,39 @@
+// Stable hashes by xxHash, and the text form of an instance.
+#include "base/hash.h"
+#include "base/ids.h"
+
+#include <charconv>
+#include <xxhash.h>
+
+namespace tamarack {
+
+std::uint64_t stableHash(std::string_view bytes, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+}
+
+std::uint64_t rendezvousWeight(std::string_view chooser, std::string_view item)
+{
+    return stableHash(item, stableHash(chooser));
+}
+
+std::string toString(const instance_id& id)
+{
+    return id.node + "@" + std::to_string(id.incarnation);
+}
+
+instance_id parseInstance(const std::string& text)
+{
+    const auto at = text.rfind('@');
+    if (at == std::string::npos || at == 0)
+        return {};
+    instance_id id { text.substr(0, at), 0 };
+    const char* first = text.data() + at + 1;
+    const char* last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(first, last, id.incarnation);
+    if (error != std::errc() || end != last || first == last)
+        return {};
+    return id;
+}
+
+}
--- /dev/null
+++ b/libs/decide/include/decide/router.h
@@ -0,0 +1,67 @@
+// Chooses the target for a request: a bounded subset for each node, two random choices, and the prefix's usual place.
+#pragma once
+
+#include "decide/random_source.h"
+#include "decide/target_table.h"
+#include "decide/traffic.h"
+
+#include <string>
+#include <vector>
+
+namespace tamarack {
+
+/// How a baseline differs from the router; the default is what ships. docs/POLICY.md has the measurements.
+enum class routing_rule : unsigned char {
+    two_choices,
+    round_robin,
+    least_in_flight,
+    prefix_only
+};
+
+/// What routing has to know of a request.
+struct routing_need {
+    request_shape shape;
+    request_stage stage = request_stage::whole;
+    target_id avoid; ///< failed just now; taken only if there is no other
+    bool isAged = false; ///< has waited so long that it may use the urgent share
+};
+
+/// Looks at no more than maxSubset targets a choice, whatever the fleet.
+class router {
+public:
+    static constexpr std::size_t maxSubset = 24;
+
+    router(std::string vm, std::string availabilityZone, std::uint64_t seed, routing_rule rule = {});
+
+    /// Chooses this node's targets of each service anew.
+    void assign(const deployment& config, const target_table& targets);
+    /// A target that may take the request now, or an invalid id.
+    target_id pick(const routing_need& need, const deployment& config, const target_table& targets, instant now);
+    /// Rows this node may use for a service.
+    const std::vector<std::uint32_t>& subset(service_id service) const;
+    /// Whether the service's engines are split by role now, both roles being able to work.
+    bool isSplit(service_id service, const target_table& targets, instant now) const;
+    /// Requests of this kind that the target may hold at a time.
+    static int slotLimit(const service_entry& service, const policy_entry& policy, const routing_need& need);
+
+private:
+    bool isAdmissible(target_id id, const routing_need& need, const service_entry& service, int limit,
+        const target_table& targets, instant now) const;
+    double cost(target_id id, const routing_need& need, const service_entry& service, const target_table& targets,
+        instant now) const;
+    target_id choose(const routing_need& need, const deployment& config, const target_table& targets, instant now);
+    target_id cheaperOfTwo(const routing_need& need, const service_entry& service, const target_table& targets,
+        instant now);
+    target_id usualPlace(const routing_need& need, const target_table& targets) const;
+
+    std::string m_vm;
+    std::string m_zoneName;
+    std::int32_t m_zone = -1;
+    random_source m_random;
+    routing_rule m_rule;
+    std::vector<std::vector<std::uint32_t>> m_subsets; // by service
+    std::vector<std::uint32_t> m_candidates; // kept between calls to avoid allocation
+    std::uint64_t m_turn = 0;
+};
+
+}
--- /dev/null
+++ b/libs/decide/src/control_system.cpp
@@ -0,0 +1,302 @@
+// The control decisions of one node.
+#include "decide/control_system.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+
+namespace tamarack {
+
+control_system::control_system(control_identity self, control_settings settings, instant now)
+    : m_self(std::move(self))
+    , m_settings(settings)
+    , m_follower([this](const log_record& record, verdict v) { onRecord(record, v); })
+    , m_leases(m_self.instance, settings.lease)
+    , m_orders(m_self.instance, settings.orders)
+    , m_members(m_self.instance.node, settings.members, stableHash(toString(m_self.instance)))
+    , m_ready(settings.ready, now)
+{
+}
+
+void control_system::onRecord(const log_record& record, verdict v)
+{
+    m_leases.recordSeen(record, v, m_now);
+    m_orders.recordSeen(record, v, m_now);
+    if (std::holds_alternative<snapshot_record>(record.body)) {
+        m_lastSnapshot = record.offset;
+        m_nextSnapshot = m_now + m_settings.snapshotInterval;
+    }
+}
+
+void control_system::pageRead(const decoded_page& page, instant now)
+{
+    m_now = now;
+    const auto before = agreed().next();
+    const bool hadGap = m_follower.hasGap();
+    m_follower.take(page);
+    if (hadGap && !m_follower.hasGap() && agreed().next() > before)
+        m_orders.restored(agreed(), now);
+    m_ready.logAnswered(m_follower.hasReachedEnd(), now);
+}
+
+void control_system::peerHeard(const peer_state& state, instant now)
+{
+    m_members.heard(state, now);
+    m_ready.peerHeard(state.configurationVersion, now);
+    m_orders.incarnationSeen(state.instance, now);
+}
+
+void control_system::incarnationHeard(const instance_id& instance, instant now)
+{
+    m_orders.incarnationSeen(instance, now);
+}
+
+void control_system::stateOffered(const agreed_data& data, instant now)
+{
+    m_now = now;
+    if (m_follower.adopt(data))
+        m_orders.restored(agreed(), now);
+}
+
+void control_system::vmsListed(const std::vector<listed_vm>& vms, instant now)
+{
+    m_members.listed(vms, now);
+}
+
+void control_system::targetSeen(const std::string& target, const target_view& view)
+{
+    m_views[target] = view;
+    m_orders.targetSeen(target, view);
+}
+
+void control_system::orderAnswered(log_offset order, delivery_result result)
+{
+    m_orders.orderAnswered(order, result);
+}
+
+void control_system::demandSeen(const std::string& service, const role_demand& demand)
+{
+    m_demand[service] = demand;
+}
+
+void control_system::stop()
+{
+    m_isStopping = true;
+    m_ready.setStopping();
+}
+
+std::string control_system::leaseName(const std::string& service) const
+{
+    return m_self.region + "/" + service;
+}
+
+bool control_system::holdsLease(const std::string& service, instant now) const
+{
+    return m_leases.holds(leaseName(service), agreed(), now);
+}
+
+bool control_system::hasReleased(instant now) const
+{
+    if (!m_configuration)
+        return true;
+    return std::none_of(m_configuration->services.begin(), m_configuration->services.end(),
+        [&](const auto& service) { return holdsLease(service.name, now); });
+}
+
+void control_system::takeConfiguration(instant now, control_output& out)
+{
+    const auto& agreedConfiguration = agreed().configuration();
+    if (agreedConfiguration.version <= m_triedVersion)
+        return;
+    m_triedVersion = agreedConfiguration.version;
+    auto read = readDeployment(agreedConfiguration.text, "version " + std::to_string(m_triedVersion));
+    m_ready.versionInForce(m_triedVersion, now);
+    if (const auto* errors = std::get_if<setting_errors>(&read)) {
+        // An invalid text cannot be undone, only followed by a better one. The last valid text stays in use.
+        m_configurationError = toString(errors->front());
+        return;
+    }
+    m_configurationError.clear();
+    m_servedVersion = m_triedVersion;
+    m_configuration = std::make_shared<deployment>(std::move(std::get<deployment>(read)));
+    for (auto& [name, planner] : m_planners)
+        planner.setPolicy(m_configuration->policy);
+    out.configuration = m_configuration;
+}
+
+void control_system::assignLeases(instant now)
+{
+    if (!m_configuration)
+        return;
+    // Rank among the living nodes spreads leases over nodes and makes the likely successor the first to try.
+    const auto alive = m_members.alive(now);
+    std::map<std::string, int> ranks;
+    for (const auto& service : m_configuration->services) {
+        if (!service.isEngine())
+            continue;
+        const auto lease = leaseName(service.name);
+        const auto mine = rendezvousWeight(m_self.instance.node, lease);
+        int rank = 0;
+        for (const auto* peer : alive)
+            rank += peer->isReady && !peer->isStopping && rendezvousWeight(peer->instance.node, lease) > mine;
+        ranks[lease] = rank;
+    }
+    m_leases.setLeases(ranks);
+}
+
+std::vector<planned_engine> control_system::enginesOf(const service_entry& service) const
+{
+    std::vector<planned_engine> engines;
+    for (const auto& target : service.targets) {
+        planned_engine engine { target.name, target.availabilityZone, engine_role::mixed, false, false };
+        const auto found = m_views.find(target.name);
+        if (found != m_views.end() && found->second.isKnown) {
+            engine.isAvailable = true;
+            engine.isChanging = found->second.isChanging || agreed().orders(target.name).isOpen;
+            const auto role = found->second.settings.find(order_kind::role);
+            bool isRole = false;
+            if (role != found->second.settings.end())
+                engine.role = parseRole(role->second, isRole);
+        }
+        engines.push_back(std::move(engine));
+    }
+    return engines;
+}
+
+bool control_system::planVersion(const service_entry& service, const std::vector<planned_engine>& engines)
+{
+    if (service.version.empty())
+        return false;
+    for (const auto& engine : engines) {
+        const auto found = m_views.find(engine.name);
+        if (found == m_views.end() || !engine.isAvailable || engine.isChanging)
+            continue;
+        const auto present = found->second.settings.find(order_kind::version);
+        if (present == found->second.settings.end() || present->second == service.version)
+            continue;
+        makeWish(service, engine.name, { order_kind::version, service.version });
+        return true;
+    }
+    return false;
+}
+
+void control_system::planRoles(
+    const service_entry& service, const std::vector<planned_engine>& engines, instant now)
+{
+    if (service.prefillTargets == 0)
+        return;
+    const auto wish = [&](const planned_engine& engine, engine_role role) {
+        makeWish(service, engine.name, { order_kind::role, std::string(toString(role)) });
+    };
+    // First the split that the text starts with; from then on the planner moves it.
+    int prefill = 0;
+    for (const auto& engine : engines)
+        prefill += engine.role == engine_role::prefill;
+    for (const auto& engine : engines) {
+        if (engine.isAvailable && engine.role == engine_role::mixed)
+            return wish(engine, prefill < service.prefillTargets ? engine_role::prefill : engine_role::decode);
+    }
+    if (!m_configuration->policy.planRoles)
+        return;
+    auto& planner = m_planners.try_emplace(service.name, m_configuration->policy).first->second;
+    if (const auto change = planner.plan(engines, m_demand[service.name], now)) {
+        const auto isIt = [&](const auto& engine) { return engine.name == change->target; };
+        wish(*std::find_if(engines.begin(), engines.end(), isIt), change->role);
+    }
+}
+
+void control_system::makeWish(const service_entry& service, const std::string& target, target_order order)
+{
+    m_orders.want(target, leaseName(service.name), service.checksFencing, order);
+    m_wishes[service.name] = { target, std::move(order) };
+}
+
+bool control_system::isWishUnderWay(const std::string& service)
+{
+    const auto wished = m_wishes.find(service);
+    if (wished == m_wishes.end())
+        return false;
+    const auto& [target, order] = wished->second;
+    const auto view = m_views.find(target);
+    const bool isKnown = view != m_views.end() && view->second.isKnown;
+    const auto present = isKnown ? view->second.settings.find(order.kind) : std::map<order_kind, std::string>::const_iterator();
+    const bool isDone = isKnown && present != view->second.settings.end() && present->second == order.value;
+    if (isKnown && (!isDone || agreed().orders(target).isOpen))
+        return true;
+    m_orders.forget(target);
+    m_wishes.erase(wished);
+    return false;
+}
+
+void control_system::planService(const service_entry& service, instant now)
+{
+    if (isWishUnderWay(service.name))
+        return;
+    const auto engines = enginesOf(service);
+    const bool isChanging = std::any_of(engines.begin(), engines.end(), [](const auto& e) { return e.isChanging; });
+    if (isChanging)
+        return;
+    if (!planVersion(service, engines))
+        planRoles(service, engines, now);
+}
+
+void control_system::wantSnapshot(instant now, control_output& out)
+{
+    if (now < m_nextSnapshot || agreed().next().value == 0 || !m_configuration)
+        return;
+    const auto holder = std::find_if(m_configuration->services.begin(), m_configuration->services.end(),
+        [](const auto& service) { return service.isEngine(); });
+    if (holder == m_configuration->services.end() || !holdsLease(holder->name, now))
+        return;
+    m_nextSnapshot = now + m_settings.snapshotInterval;
+    out.appends.push_back(snapshot_record { agreed().data() });
+}
+
+control_output control_system::tick(instant now)
+{
+    control_output out;
+    m_ready.setOthersKnown(m_members.knownCount() > 0);
+    takeConfiguration(now, out);
+    assignLeases(now);
+    if (m_isStopping && !m_orders.hasUndelivered())
+        m_leases.releaseAll();
+    const bool mayClaim = m_ready.takesWork(now) && m_follower.hasReachedEnd();
+    for (auto& wanted : m_leases.step(agreed(), now, mayClaim))
+        out.appends.push_back(std::move(wanted.body));
+    if (m_configuration && !m_isStopping) {
+        for (const auto& service : m_configuration->services) {
+            if (service.isEngine() && holdsLease(service.name, now))
+                planService(service, now);
+        }
+    }
+    auto orders = m_orders.step(agreed(), m_leases, now);
+    for (auto& wanted : orders.appends)
+        out.appends.push_back(std::move(wanted.body));
+    out.deliveries = std::move(orders.deliveries);
+    wantSnapshot(now, out);
+    return out;
+}
+
+void control_system::appendSent(const record_body& body, std::uint64_t sequence, instant now)
+{
+    m_leases.appendSent(body, sequence, now);
+}
+
+std::vector<alarm> control_system::alarms(instant now) const
+{
+    std::vector<alarm> raised;
+    if (!m_ready.isLogReachable(now))
+        raised.push_back({ "log_unreachable", "the platform's log has not answered lately" });
+    if (m_follower.hasGap())
+        raised.push_back({ "log_gap", "records expired before this node read them, and no snapshot bridges the gap" });
+    if (!m_configurationError.empty())
+        raised.push_back({ "configuration_invalid", m_configurationError });
+    const auto state = m_ready.state(now);
+    if (state == readiness_state::behind || state == readiness_state::cut_off)
+        raised.push_back({ "not_ready", std::string(toString(state)) });
+    for (const auto& target : m_orders.waitingForProof())
+        raised.push_back({ "order_waits_for_proof", target });
+    return raised;
+}
+
+}
--- /dev/null
+++ b/libs/decide/src/role_planner.cpp
@@ -0,0 +1,145 @@
+// Role changes.
+#include "decide/role_planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarack {
+
+namespace {
+
+    constexpr double levelSeconds = 5; // time constant of the demand's average
+    constexpr double trendSeconds = 20;
+    constexpr double lookAheadSeconds = 10;
+    constexpr double settleSeconds = 2; // a wish must last this long
+
+    double shareFor(double elapsed, double constant)
+    {
+        return 1 - std::exp(-elapsed / constant);
+    }
+
+}
+
+role_planner::role_planner(policy_entry policy, planning_rule rule)
+    : m_policy(std::move(policy))
+    , m_rule(rule)
+{
+}
+
+double role_planner::served(int prefillEngines, int decodeEngines, const role_demand& demand)
+{
+    // Requests need both halves, so the scarcer one bounds all of them.
+    const double prefillShare = demand.prefillEngines > 0 ? prefillEngines / demand.prefillEngines : 1;
+    const double decodeShare = demand.decodeEngines > 0 ? decodeEngines / demand.decodeEngines : 1;
+    const double share = std::min({ 1.0, prefillShare, decodeShare });
+    return share * (demand.prefillEngines + demand.decodeEngines);
+}
+
+void role_planner::follow(smoothed& value, double sample, double elapsed) const
+{
+    if (!value.isSet) {
+        value = { sample, 0, true };
+        return;
+    }
+    const double former = value.level;
+    value.level += shareFor(elapsed, levelSeconds) * (sample - value.level);
+    if (elapsed > 0)
+        value.trend += shareFor(elapsed, trendSeconds) * ((value.level - former) / elapsed - value.trend);
+}
+
+role_demand role_planner::forecast() const
+{
+    const auto ahead = [](const smoothed& value) { return std::max(0.0, value.level + value.trend * lookAheadSeconds); };
+    return { ahead(m_prefill), ahead(m_decode) };
+}
+
+bool role_planner::dwelled(const std::string& name, instant now) const
+{
+    const auto found = m_changedAt.find(name);
+    return found == m_changedAt.end() || now >= found->second + fromSeconds(m_policy.roleDwell);
+}
+
+bool role_planner::leavesZoneCover(const std::vector<planned_engine>& engines, const planned_engine& moved) const
+{
+    // After the change, the loss of any one zone must still leave an engine of the role that gives one up.
+    std::map<std::string, int> byZone;
+    int total = 0;
+    for (const auto& engine : engines) {
+        if (engine.role != moved.role || !engine.isAvailable || engine.name == moved.name)
+            continue;
+        ++byZone[engine.availabilityZone];
+        ++total;
+    }
+    return std::all_of(byZone.begin(), byZone.end(), [&](const auto& zone) { return total - zone.second >= 1; })
+        && total >= 1;
+}
+
+const planned_engine* role_planner::choose(
+    const std::vector<planned_engine>& engines, engine_role from, instant now) const
+{
+    const bool isCareful = m_rule == planning_rule::gain_over_horizon;
+    std::map<std::string, int> perZone;
+    for (const auto& engine : engines)
+        perZone[engine.availabilityZone] += engine.role == from ? 1 : 0;
+    const planned_engine* best = nullptr;
+    for (const auto& engine : engines) {
+        if (engine.role != from || !engine.isAvailable || engine.isChanging)
+            continue;
+        if (isCareful && (!dwelled(engine.name, now) || !leavesZoneCover(engines, engine)))
+            continue;
+        // Take it from the zone that has most, so that roles stay spread.
+        if (!best || perZone[engine.availabilityZone] > perZone[best->availabilityZone])
+            best = &engine;
+    }
+    return best;
+}
+
+std::optional<role_change> role_planner::plan(
+    const std::vector<planned_engine>& engines, const role_demand& demand, instant now)
+{
+    const double elapsed = m_hasPlanned ? seconds(now - m_lastPlan) : 0;
+    m_lastPlan = now;
+    m_hasPlanned = true;
+    follow(m_prefill, demand.prefillEngines, elapsed);
+    follow(m_decode, demand.decodeEngines, elapsed);
+    if (m_rule == planning_rule::fixed)
+        return std::nullopt;
+
+    int prefill = 0;
+    int decode = 0;
+    bool isChanging = false;
+    for (const auto& engine : engines) {
+        prefill += engine.isAvailable && engine.role == engine_role::prefill;
+        decode += engine.isAvailable && engine.role == engine_role::decode;
+        isChanging |= engine.isChanging;
+    }
+    if (isChanging || prefill + decode < 2)
+        return std::nullopt;
+
+    const bool isCareful = m_rule == planning_rule::gain_over_horizon;
+    const role_demand expected = isCareful ? forecast() : demand;
+    const double now0 = served(prefill, decode, expected);
+    const double more = prefill + 1 <= prefill + decode - 1 ? served(prefill + 1, decode - 1, expected) : 0;
+    const double fewer = prefill > 1 ? served(prefill - 1, decode + 1, expected) : 0;
+    const int direction = more > now0 && more >= fewer ? 1 : fewer > now0 ? -1 : 0;
+    if (direction != m_pressure) {
+        m_pressure = direction;
+        m_pressureSince = now;
+    }
+    if (direction == 0)
+        return std::nullopt;
+    if (isCareful) {
+        const double gain = (std::max(more, fewer) - now0) * m_policy.roleHorizon;
+        const double loss = m_policy.roleChangeSeconds * m_policy.roleChangeWeight;
+        if (gain <= loss || now < m_pressureSince + fromSeconds(settleSeconds))
+            return std::nullopt;
+    }
+    const auto from = direction > 0 ? engine_role::decode : engine_role::prefill;
+    const planned_engine* engine = choose(engines, from, now);
+    if (!engine)
+        return std::nullopt;
+    m_changedAt[engine->name] = now;
+    return role_change { engine->name, direction > 0 ? engine_role::prefill : engine_role::decode };
+}
+
+}
--- /dev/null
+++ b/libs/http/src/event_stream.cpp
@@ -0,0 +1,55 @@
+// Server-sent events, as far as a relay has to understand them.
+#include "http/event_stream.h"
+
+#include "http/http_message.h"
+
+namespace tamarack {
+
+namespace {
+
+    std::string_view valueOf(std::string_view line, std::string_view field)
+    {
+        line.remove_prefix(field.size());
+        if (!line.empty() && line.front() == ' ')
+            line.remove_prefix(1);
+        return line;
+    }
+
+    stream_event parseEvent(std::string_view bytes)
+    {
+        stream_event event;
+        event.bytes = bytes;
+        event.isComment = true;
+        std::string_view rest = bytes;
+        while (!rest.empty()) {
+            const auto end = rest.find('\n');
+            const auto line = rest.substr(0, end);
+            rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+            if (line.starts_with("id:"))
+                event.id = parseNumber(valueOf(line, "id:"));
+            if (line.starts_with("data:")) {
+                event.data = valueOf(line, "data:");
+                event.isComment = false;
+            }
+        }
+        return event;
+    }
+
+}
+
+void event_splitter::feed(std::string_view bytes, const std::function<void(const stream_event&)>& onEvent)
+{
+    m_pending += bytes;
+    std::size_t start = 0;
+    for (;;) {
+        const auto end = m_pending.find("\n\n", start);
+        if (end == std::string::npos)
+            break;
+        const auto length = end + 2 - start;
+        onEvent(parseEvent(std::string_view(m_pending).substr(start, length)));
+        start += length;
+    }
+    m_pending.erase(0, start);
+}
+
+}
--- /dev/null
+++ b/libs/http/src/http_message.cpp
@@ -0,0 +1,57 @@
+// Header look-ups and small text helpers.
+#include "http/http_message.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace tamarack {
+
+bool equalsIgnoreCase(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
+        return std::tolower(x) == std::tolower(y);
+    });
+}
+
+std::string_view header_list::find(std::string_view name) const
+{
+    for (const auto& entry : entries) {
+        if (equalsIgnoreCase(entry.name, name))
+            return entry.value;
+    }
+    return {};
+}
+
+bool header_list::has(std::string_view name) const
+{
+    return std::any_of(entries.begin(), entries.end(), [&](const auto& e) { return equalsIgnoreCase(e.name, name); });
+}
+
+void header_list::set(std::string name, std::string value)
+{
+    for (auto& entry : entries) {
+        if (equalsIgnoreCase(entry.name, name)) {
+            entry.value = std::move(value);
+            return;
+        }
+    }
+    entries.push_back({ std::move(name), std::move(value) });
+}
+
+std::string_view http_request::path() const
+{
+    const std::string_view whole = target;
+    return whole.substr(0, whole.find('?'));
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+}
--- /dev/null
+++ b/libs/node/src/caller_api.h
@@ -0,0 +1,53 @@
+// What callers can ask: the addresses to use, completions, and calls to plain services.
+#pragma once
+
+#include "completion_request.h"
+#include "key_desk.h"
+#include "relay.h"
+
+#include "decide/control_system.h"
+#include "http/http_server.h"
+#include "settings/node_settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace tamarack {
+
+/// Takes a request on; the hook, if any, hears how it ended.
+using request_submitter
+    = std::function<void(relay_input, std::shared_ptr<response_writer>, std::function<void(const relay::outcome&)>)>;
+/// Why new work is refused now, if it is.
+using admission_check = std::function<std::optional<error_kind>()>;
+
+class caller_api {
+public:
+    caller_api(const node_settings& settings, const control_system& control, const traffic_system& traffic,
+        key_desk& keys, metrics& counters, request_submitter submit, admission_check refusal);
+
+    void handle(http_request request, std::shared_ptr<response_writer> caller);
+    /// The answer to input that is no request.
+    http_response refusal(error_kind kind, std::string_view detail);
+
+private:
+    using caller_ptr = std::shared_ptr<response_writer>;
+
+    void entries(const http_request& request, const caller_ptr& caller);
+    void completion(http_request request, bool isChat, const caller_ptr& caller);
+    void plainCall(http_request request, const caller_ptr& caller);
+    void refuse(const caller_ptr& caller, error_kind kind, std::string_view detail);
+    /// Fills in what the headers say; false if one of them is wrong, which the caller was told.
+    bool readHeaders(const http_request& request, const service_entry& service, relay_input& input,
+        const caller_ptr& caller);
+    bool isNonIdempotent(const service_entry& service, const std::string& method, std::string_view path) const;
+
+    const node_settings& m_settings;
+    const control_system& m_control;
+    const traffic_system& m_traffic;
+    key_desk& m_keys;
+    metrics& m_counters;
+    request_submitter m_submit;
+    admission_check m_refusal;
+};
+
+}
--- /dev/null
+++ b/libs/node/src/control_plane.cpp
@@ -0,0 +1,387 @@
+// Timers, sockets and clients around the control decisions.
+#include "control_plane.h"
+
+#include "base/hash.h"
+#include "platform/record_codec.h"
+
+namespace tamarack {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr duration platformTimeout = 2s;
+    constexpr duration statusTimeout = 1s;
+    constexpr duration pullTimeout = 2s;
+    constexpr duration tickInterval = 50ms;
+    constexpr std::size_t loadsPerHeartbeat = 60;
+    constexpr std::size_t digestPerHeartbeat = 6;
+    constexpr int silencesUntilBlocked = 2;
+    constexpr duration silentTargetBlock = 1s;
+    constexpr duration demandLife = 10s;
+
+    int milliseconds(duration d)
+    {
+        return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+    }
+
+    decoded_page decode(const log_page& page)
+    {
+        decoded_page decoded;
+        decoded.first = { page.first };
+        decoded.end = { page.end };
+        for (const auto& entry : page.entries)
+            decoded.items.push_back({ { entry.offset }, decodeRecord({ entry.offset }, entry.data) });
+        return decoded;
+    }
+
+    std::uint32_t shortHash(const std::string& name)
+    {
+        return static_cast<std::uint32_t>(stableHash(name));
+    }
+
+}
+
+control_plane::control_plane(const node_settings& settings, const instance_id& instance, http_client& client,
+    traffic_system& traffic, metrics& counters, const logger& log, configuration_handler onConfiguration)
+    : m_settings(settings)
+    , m_instance(instance)
+    , m_traffic(traffic)
+    , m_counters(counters)
+    , m_log(log)
+    , m_onConfiguration(std::move(onConfiguration))
+    , m_control({ instance, settings.region, settings.availabilityZone }, controlSettingsFrom(settings), boot_clock::now())
+    , m_loads(settings.vm, settings.availabilityZone, traffic.targets())
+    , m_peers({ [this](const heartbeat& message) { onHeartbeat(message); },
+          [this](const peer_request& request, peer_transport::reply_sender reply) {
+              onRequest(request, std::move(reply));
+          } })
+    , m_logClient(parseEndpoint(settings.logAddress), settings.logStream, platformTimeout)
+    , m_vmList(parseEndpoint(settings.vmListAddress), platformTimeout)
+    , m_poller(client, statusTimeout,
+          [this](const std::string& target, const target_status& status) { onStatus(target, status); },
+          [this](const std::string& target) { onSilence(target); })
+    , m_deliverer(client, log, [this](log_offset order, delivery_result result) {
+        m_control.orderAnswered(order, result);
+    })
+{
+    QObject::connect(&m_logTimer, &QTimer::timeout, [this] { readLog(); });
+    QObject::connect(&m_vmTimer, &QTimer::timeout, [this] { readVmList(); });
+    QObject::connect(&m_beatTimer, &QTimer::timeout, [this] { beat(); });
+    QObject::connect(&m_pollTimer, &QTimer::timeout, [this] { pollTargets(); });
+    QObject::connect(&m_tickTimer, &QTimer::timeout, [this] { tick(); });
+}
+
+bool control_plane::start()
+{
+    const QHostAddress address(QString::fromStdString(m_settings.address));
+    if (!m_peers.listen(address, static_cast<quint16>(m_settings.peerPort)))
+        return false;
+    m_logTimer.start(milliseconds(m_settings.logPollInterval));
+    m_vmTimer.start(milliseconds(m_settings.vmListPollInterval));
+    m_beatTimer.start(milliseconds(m_settings.heartbeatInterval));
+    m_pollTimer.start(milliseconds(m_settings.targetPollInterval));
+    m_tickTimer.start(milliseconds(tickInterval));
+    readVmList();
+    readLog();
+    return true;
+}
+
+void control_plane::stop()
+{
+    m_isStopping = true;
+    m_control.stop();
+}
+
+void control_plane::readLog()
+{
+    if (m_isReading)
+        return;
+    m_isReading = true;
+    m_logClient.read(m_control.follower().readFrom().value, [this](std::optional<log_page> page) {
+        m_isReading = false;
+        if (!page) {
+            m_counters.count("tamarack_log_read_failures_total");
+            return;
+        }
+        const bool isFull = !page->entries.empty() && page->entries.back().offset + 1 < page->end;
+        m_control.pageRead(decode(*page), boot_clock::now());
+        tick();
+        if (isFull)
+            readLog();
+    });
+}
+
+void control_plane::readVmList()
+{
+    if (m_isListing)
+        return;
+    m_isListing = true;
+    m_vmList.read([this](std::optional<std::vector<listed_vm>> vms) {
+        m_isListing = false;
+        if (!vms) {
+            m_counters.count("tamarack_vm_list_failures_total");
+            return;
+        }
+        m_control.vmsListed(*vms, boot_clock::now());
+        m_listedLeaving.clear();
+        for (const auto& vm : *vms) {
+            if (vm.kind == "target")
+                m_listedLeaving[vm.name] = vm.isLeaving;
+        }
+        markTargets(boot_clock::now());
+    });
+}
+
+peer_state control_plane::selfState() const
+{
+    const auto now = boot_clock::now();
+    peer_state self;
+    self.instance = m_instance;
+    self.region = m_settings.region;
+    self.availabilityZone = m_settings.availabilityZone;
+    self.address = m_settings.address;
+    self.callerPort = m_settings.callerPort;
+    self.peerPort = m_settings.peerPort;
+    self.adminPort = m_settings.adminPort;
+    self.configurationVersion = m_control.agreed().configuration().version;
+    self.configurationHash = m_control.agreed().configuration().hash;
+    self.logReach = m_control.agreed().next().value;
+    self.isLogReachable = m_control.ready().isLogReachable(now);
+    self.isStopping = m_isStopping;
+    self.isReady = m_control.ready().takesWork(now);
+    return self;
+}
+
+std::vector<digest_entry> control_plane::digest(instant now)
+{
+    std::vector<digest_entry> out;
+    const auto alive = m_control.members().alive(now);
+    for (std::size_t i = 0; i < std::min(alive.size(), digestPerHeartbeat); ++i) {
+        const auto* peer = alive[m_digestTurn++ % alive.size()];
+        out.push_back({ peer->instance.node, peer->address, static_cast<std::uint16_t>(peer->peerPort),
+            peer->instance.incarnation, peer->configurationVersion });
+    }
+    return out;
+}
+
+void control_plane::beat()
+{
+    const auto now = boot_clock::now();
+    heartbeat message;
+    message.sender = selfState();
+    message.loads = m_loads.entries(loadsPerHeartbeat, now);
+    message.digest = digest(now);
+    const auto& services = m_traffic.config().services;
+    for (std::uint32_t s = 0; s < services.size(); ++s) {
+        const auto demand = m_traffic.demand({ s }, now);
+        message.demands.push_back({ shortHash(services[s].name), static_cast<float>(demand.promptTokens),
+            static_cast<float>(demand.outputTokens) });
+    }
+    for (const auto& peer : m_control.members().recipients(now))
+        m_peers.send(peer.address, peer.peerPort, message);
+    m_counters.count("tamarack_heartbeats_sent_total");
+}
+
+void control_plane::onHeartbeat(const heartbeat& message)
+{
+    const auto now = boot_clock::now();
+    m_control.peerHeard(message.sender, now);
+    m_loads.take(message.loads, now);
+    m_peerDemand[message.sender.instance.node] = { now, message.demands };
+    for (const auto& entry : message.digest)
+        m_control.incarnationHeard({ entry.vm, entry.incarnation }, now);
+    const bool isAhead = message.sender.logReach > m_control.agreed().next().value;
+    const bool lacksLog = !m_control.ready().isLogReachable(now) || m_control.follower().hasGap();
+    const bool lacksVersion
+        = message.sender.configurationVersion > m_control.agreed().configuration().version;
+    if (isAhead && (lacksLog || lacksVersion))
+        pullStateFrom(message.sender);
+}
+
+void control_plane::pullStateFrom(const peer_state& peer)
+{
+    if (m_isPulling)
+        return;
+    m_isPulling = true;
+    m_counters.count("tamarack_state_pulls_total");
+    const peer_request request { peer_question::agreed_state, m_instance, {}, {} };
+    m_peers.ask(peer.address, peer.peerPort, request, pullTimeout, [this](std::optional<peer_reply> reply) {
+        m_isPulling = false;
+        if (!reply || !reply->isKnown)
+            return;
+        const auto record = decodeRecord({ 0 }, reply->agreedState);
+        const auto* snapshot = record ? std::get_if<snapshot_record>(&record->body) : nullptr;
+        if (snapshot)
+            m_control.stateOffered(snapshot->data, boot_clock::now());
+        tick();
+    });
+}
+
+void control_plane::onRequest(const peer_request& request, peer_transport::reply_sender reply)
+{
+    if (request.question == peer_question::key) {
+        if (m_onKey)
+            return m_onKey(request, std::move(reply));
+        return reply({});
+    }
+    peer_reply answer;
+    answer.isKnown = m_control.agreed().next().value > 0;
+    answer.agreedState = encodeRecord({ m_instance, 0 }, snapshot_record { m_control.agreed().data() });
+    reply(answer);
+}
+
+void control_plane::pollTargets()
+{
+    const auto now = boot_clock::now();
+    const auto& targets = m_traffic.targets();
+    std::set<std::uint32_t> rows;
+    for (const auto id : m_loads.watched(m_control.members().alive(now)))
+        rows.insert(id.value);
+    const auto& services = m_traffic.config().services;
+    for (std::uint32_t row = 0; row < targets.size(); ++row) {
+        // A lease's holder needs the targets' own words, not what a peer passed on.
+        if (targets.service[row] >= 0
+            && m_control.holdsLease(services[static_cast<std::size_t>(targets.service[row])].name, now))
+            rows.insert(row);
+    }
+    for (const auto row : rows)
+        m_poller.poll(targets.name[row], parseEndpoint(targets.address[row]));
+}
+
+void control_plane::onStatus(const std::string& name, const target_status& status)
+{
+    auto& targets = m_traffic.targets();
+    const target_id id = targets.find(name);
+    m_silences[name] = 0;
+    m_control.targetSeen(name, status.view);
+    if (!id.isValid())
+        return;
+    if (status.hasLoad)
+        targets.report(id, status.load);
+    const auto row = id.value;
+    const bool wasAway = targets.isChanging[row] || targets.incarnation[row] != status.view.incarnation;
+    targets.isChanging[row] = status.view.isChanging;
+    targets.isLeaving[row] = status.isLeaving || m_listedLeaving[name];
+    if (wasAway && !status.view.isChanging)
+        targets.slowStartUntil[row] = boot_clock::now() + 2s;
+    targets.incarnation[row] = status.view.incarnation;
+    const auto role = status.view.settings.find(order_kind::role);
+    bool isRole = false;
+    if (role != status.view.settings.end())
+        targets.role[row] = parseRole(role->second, isRole);
+}
+
+void control_plane::onSilence(const std::string& name)
+{
+    if (++m_silences[name] < silencesUntilBlocked)
+        return;
+    auto& targets = m_traffic.targets();
+    const target_id id = targets.find(name);
+    const auto now = boot_clock::now();
+    if (id.isValid())
+        targets.blockedUntil[id.value] = std::max(targets.blockedUntil[id.value], now + silentTargetBlock);
+}
+
+void control_plane::markTargets(instant)
+{
+    auto& targets = m_traffic.targets();
+    for (std::uint32_t row = 0; row < targets.size(); ++row) {
+        // An open order in the log means "about to change": every node stops giving it work, so that it can drain.
+        targets.isDraining[row] = m_control.agreed().orders(targets.name[row]).isOpen;
+        const auto listed = m_listedLeaving.find(targets.name[row]);
+        if (listed != m_listedLeaving.end() && listed->second)
+            targets.isLeaving[row] = 1;
+    }
+}
+
+void control_plane::sumDemand(instant now)
+{
+    const auto& services = m_traffic.config().services;
+    for (std::uint32_t s = 0; s < services.size(); ++s) {
+        if (!services[s].isEngine())
+            continue;
+        service_demand total = m_traffic.demand({ s }, now);
+        for (const auto& [vm, demand] : m_peerDemand) {
+            if (now >= demand.at + demandLife)
+                continue;
+            for (const auto& entry : demand.entries) {
+                if (entry.serviceHash != shortHash(services[s].name))
+                    continue;
+                total.promptTokens += entry.promptTokens;
+                total.outputTokens += entry.outputTokens;
+            }
+        }
+        m_control.demandSeen(services[s].name,
+            { total.promptTokens / services[s].prefillTokensPerSecond,
+                total.outputTokens / services[s].decodeTokensPerSecond });
+    }
+}
+
+void control_plane::append(const record_body& body)
+{
+    const auto sequence = ++m_sequence;
+    m_control.appendSent(body, sequence, boot_clock::now());
+    m_counters.count("tamarack_log_appends_total");
+    m_logClient.append(encodeRecord({ m_instance, sequence }, body), [this](std::optional<std::int64_t> offset) {
+        if (!offset)
+            m_counters.count("tamarack_log_append_failures_total");
+        // What became of it is learned by reading it back, whatever the answer said.
+        if (offset)
+            readLog();
+    });
+}
+
+void control_plane::tick()
+{
+    const auto now = boot_clock::now();
+    sumDemand(now);
+    auto output = m_control.tick(now);
+    if (output.configuration) {
+        m_log.info("configuration_in_force",
+            { { "version", m_control.servedVersion() }, { "deployment", output.configuration->name } });
+        m_onConfiguration(output.configuration);
+    }
+    markTargets(now);
+    for (const auto& body : output.appends)
+        append(body);
+    for (const auto& order : output.deliveries) {
+        const target_id id = m_traffic.targets().find(order.target);
+        if (id.isValid())
+            m_deliverer.deliver(order, parseEndpoint(m_traffic.targets().address[id.value]));
+        else
+            m_control.orderAnswered(order.order, delivery_result::not_sent);
+    }
+    publishMetrics(now);
+}
+
+void control_plane::publishMetrics(instant now)
+{
+    m_traffic.setNodeCount(static_cast<int>(m_control.members().alive(now).size()) + 1);
+    std::set<std::string> raised;
+    for (const auto& item : m_control.alarms(now)) {
+        raised.insert(item.name);
+        if (!m_raised.contains(item.name))
+            m_log.warning("alarm_raised", { { "alarm", item.name }, { "detail", item.detail } });
+        m_counters.set("tamarack_alarm", 1, { { "name", item.name } });
+    }
+    for (const auto& name : m_raised) {
+        if (raised.contains(name))
+            continue;
+        m_log.info("alarm_cleared", { { "alarm", name } });
+        m_counters.set("tamarack_alarm", 0, { { "name", name } });
+    }
+    m_raised = std::move(raised);
+    m_counters.set("tamarack_configuration_version", static_cast<double>(m_control.servedVersion()));
+    m_counters.set("tamarack_log_reach", static_cast<double>(m_control.agreed().next().value));
+    m_counters.set("tamarack_ready", m_control.ready().takesWork(now) ? 1 : 0);
+    m_counters.set("tamarack_requests_held", static_cast<double>(m_traffic.held()));
+    m_counters.set("tamarack_requests_waiting", static_cast<double>(m_traffic.waiting()));
+    const auto& sent = m_peers.counts();
+    m_counters.set("tamarack_peer_bytes_sent", static_cast<double>(sent.bytesSent));
+    m_counters.set("tamarack_peer_bytes_received", static_cast<double>(sent.bytesReceived));
+    m_counters.set("tamarack_peer_undecodable", static_cast<double>(sent.undecodable));
+    m_counters.set("tamarack_log_undecodable", static_cast<double>(m_control.follower().undecodable()));
+}
+
+}
--- /dev/null
+++ b/libs/node/src/control_settings_from.h
@@ -0,0 +1,24 @@
+// Derives the decisions' settings from a node's settings.
+#pragma once
+
+#include "decide/control_system.h"
+#include "settings/node_settings.h"
+
+namespace tamarack {
+
+inline control_settings controlSettingsFrom(const node_settings& node)
+{
+    control_settings settings;
+    settings.lease.length = node.leaseLength;
+    settings.lease.margin = node.leaseLength / 10;
+    settings.lease.appendRetry = std::max<duration>(node.logPollInterval * 3, std::chrono::milliseconds(300));
+    settings.orders.appendRetry = settings.lease.appendRetry;
+    settings.orders.settle = node.logPollInterval * 4;
+    settings.members.peerTimeout = node.peerTimeout;
+    settings.ready.cutOffAfter = node.peerTimeout * 2;
+    settings.ready.behindFor = node.peerTimeout;
+    settings.snapshotInterval = node.snapshotInterval;
+    return settings;
+}
+
+}
--- /dev/null
+++ b/libs/node/src/node.cpp
@@ -0,0 +1,269 @@
+// Wires the parts of a node together, and carries out what the traffic decisions say.
+#include "node/node.h"
+
+#include "admin_api.h"
+#include "caller_api.h"
+#include "control_plane.h"
+#include "key_desk.h"
+#include "problem_answer.h"
+
+#include "base/hash.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace tamarack {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto trafficTick = 20ms;
+    constexpr auto keepAliveTick = 500ms;
+    constexpr duration targetSilence = 5s;
+    constexpr duration homeTimeout = 3s;
+    constexpr duration releaseTimeout = 3s;
+
+}
+
+struct node::state {
+    state(node_settings given, std::uint64_t incarnation, std::function<void()> stopped);
+
+    std::string start();
+    void drain();
+    void submit(relay_input input, std::shared_ptr<response_writer> caller,
+        std::function<void(const relay::outcome&)> onFinished);
+    std::optional<error_kind> refusal() const;
+    void execute(traffic_commands commands);
+    void executeOne(const traffic_command& command);
+    void tickTraffic();
+    void tickSlow();
+    void callerGone(request_id id);
+    bool mayAccept(instant now) const;
+
+    node_settings settings;
+    instance_id instance;
+    std::function<void()> onStopped;
+    metrics counters;
+    logger log;
+    span_writer spans;
+    span_id_source spanIds;
+    http_client client;
+    traffic_system traffic;
+    control_plane control;
+    key_registry keys;
+    key_desk desk;
+    relay_services services;
+    caller_api api;
+    http_server server;
+    admin_api admin;
+    std::unordered_map<request_id, std::shared_ptr<relay>> relays;
+    std::deque<traffic_command> pending; // commands not carried out yet
+    bool isExecuting = false;
+    QTimer trafficTimer;
+    QTimer slowTimer;
+    instant drainingSince; // set by drain()
+    bool isDraining = false;
+    bool isStopped = false;
+};
+
+node::state::state(node_settings given, std::uint64_t incarnation, std::function<void()> stopped)
+    : settings(std::move(given))
+    , instance { settings.vm, incarnation }
+    , onStopped(std::move(stopped))
+    , log(parseLogLevel(settings.logLevel), settings.vm, toString(instance))
+    , spans(settings.spanFile, "tamarackrelay " + settings.vm)
+    , spanIds(stableHash(toString(instance), static_cast<std::uint64_t>(wallNanoseconds())))
+    , traffic(settings.vm, settings.availabilityZone, stableHash(toString(instance)))
+    , control(settings, instance, client, traffic, counters, log,
+          [this](std::shared_ptr<const deployment> config) {
+              traffic_commands commands;
+              traffic.configure(std::move(config), boot_clock::now(), commands);
+              execute(std::move(commands));
+          })
+    , keys(instance, settings.keyMemory)
+    , desk(keys, control.peers(), control.decisions().members(), counters, homeTimeout)
+    , services { client, traffic, counters, log, spans, spanIds, targetSilence }
+    , api(settings, control.decisions(), traffic, desk, counters,
+          [this](relay_input input, std::shared_ptr<response_writer> caller,
+              std::function<void(const relay::outcome&)> onFinished) {
+              submit(std::move(input), std::move(caller), std::move(onFinished));
+          },
+          [this] { return refusal(); })
+    , server({},
+          [this](http_request request, std::shared_ptr<response_writer> caller) {
+              api.handle(std::move(request), std::move(caller));
+          },
+          [this](error_kind kind, std::string_view detail) { return api.refusal(kind, detail); })
+    , admin(settings, control, traffic, counters, [this] { drain(); })
+{
+    control.setKeyHandler([this](const peer_request& request, peer_transport::reply_sender reply) {
+        desk.asked(request, std::move(reply));
+    });
+    QObject::connect(&trafficTimer, &QTimer::timeout, [this] { tickTraffic(); });
+    QObject::connect(&slowTimer, &QTimer::timeout, [this] { tickSlow(); });
+}
+
+std::string node::state::start()
+{
+    const QHostAddress address(QString::fromStdString(settings.address));
+    if (!server.listen(address, static_cast<quint16>(settings.callerPort)))
+        return "caller_port " + std::to_string(settings.callerPort) + " cannot be listened on";
+    if (!admin.listen())
+        return "admin_port " + std::to_string(settings.adminPort) + " cannot be listened on";
+    if (!control.start())
+        return "peer_port " + std::to_string(settings.peerPort) + " cannot be listened on";
+    trafficTimer.start(trafficTick);
+    slowTimer.start(keepAliveTick);
+    log.info("node_started", { { "availability_zone", settings.availabilityZone }, { "address", settings.address },
+                                 { "caller_port", settings.callerPort } });
+    return {};
+}
+
+void node::state::drain()
+{
+    if (isDraining)
+        return;
+    isDraining = true;
+    drainingSince = boot_clock::now();
+    control.stop();
+    log.info("drain_started", { { "held", traffic.held() } });
+}
+
+// A caller that got this address just before the drain may come with it until the address's lifetime has passed.
+bool node::state::mayAccept(instant now) const
+{
+    if (isDraining)
+        return now < drainingSince + 2 * settings.entryLifetime && control.decisions().servedVersion() > 0;
+    return control.decisions().ready().takesWork(now);
+}
+
+std::optional<error_kind> node::state::refusal() const
+{
+    if (!mayAccept(boot_clock::now()))
+        return isDraining ? error_kind::stopping : error_kind::not_ready;
+    if (traffic.held() >= static_cast<std::size_t>(settings.maxRequests))
+        return error_kind::overloaded;
+    return std::nullopt;
+}
+
+void node::state::submit(relay_input input, std::shared_ptr<response_writer> caller,
+    std::function<void(const relay::outcome&)> onFinished)
+{
+    traffic_commands commands;
+    const request_id id = traffic.arrive(input.shape, boot_clock::now(), commands);
+    auto item = std::make_shared<relay>(services, std::move(input), std::move(caller));
+    relay::callbacks callbacks;
+    callbacks.onAttemptEnded = [this, id](attempt_id attempt, attempt_result result) {
+        traffic_commands next;
+        traffic.ended(id, attempt, result, boot_clock::now(), next);
+        execute(std::move(next));
+    };
+    callbacks.onCallerGone = [this, id] { callerGone(id); };
+    callbacks.onFinished = [this, id, onFinished = std::move(onFinished)](const relay::outcome& outcome) {
+        const auto kept = std::move(relays[id]); // lives until this call returns
+        relays.erase(id);
+        const auto name = outcome.answer ? "answered" : std::string(answerFor(outcome.error).type);
+        counters.count("tamarack_requests_total", { { "outcome", name } });
+        if (!outcome.answer)
+            counters.count("tamarack_refused_total", { { "kind", name } });
+        if (onFinished)
+            onFinished(outcome);
+    };
+    relays[id] = item;
+    item->bind(id, std::move(callbacks));
+    execute(std::move(commands));
+}
+
+void node::state::callerGone(request_id id)
+{
+    const auto found = relays.find(id);
+    if (found == relays.end())
+        return;
+    counters.count("tamarack_callers_gone_total");
+    // A non-idempotent request goes on, so that its outcome is known when the caller asks again.
+    if (!found->second->shape().isIdempotent)
+        return found->second->detachCaller();
+    const auto kept = std::move(found->second);
+    relays.erase(found);
+    traffic_commands commands;
+    traffic.abandoned(id, boot_clock::now(), commands);
+    execute(std::move(commands));
+}
+
+// Carrying out a command may yield further ones; they queue up here instead of recursing.
+void node::state::execute(traffic_commands commands)
+{
+    pending.insert(pending.end(), commands.begin(), commands.end());
+    if (isExecuting)
+        return;
+    isExecuting = true;
+    while (!pending.empty()) {
+        const traffic_command command = pending.front();
+        pending.pop_front();
+        executeOne(command);
+    }
+    isExecuting = false;
+}
+
+void node::state::executeOne(const traffic_command& command)
+{
+    const auto id = std::visit([](const auto& c) { return c.request; }, command);
+    const auto found = relays.find(id);
+    if (found == relays.end())
+        return; // its caller has gone meanwhile
+    const auto item = found->second;
+    if (const auto* start = std::get_if<start_attempt>(&command)) {
+        if (traffic.isCurrent(id, start->attempt))
+            item->start(*start);
+        return;
+    }
+    const auto& refusal = std::get<refuse_request>(command);
+    item->fail(refusal.kind, refusal.retryAfter);
+}
+
+void node::state::tickTraffic()
+{
+    traffic_commands commands;
+    traffic.tick(boot_clock::now(), commands);
+    execute(std::move(commands));
+}
+
+void node::state::tickSlow()
+{
+    const auto now = boot_clock::now();
+    desk.tick(now);
+    for (const auto& [id, item] : relays)
+        item->keepAlive(now);
+    if (!isDraining || isStopped)
+        return;
+    const bool isPastAccepting = !mayAccept(now);
+    const bool isIdle = traffic.held() == 0;
+    const bool isOverdue = now >= drainingSince + settings.drainTimeout;
+    const bool hasReleased = control.decisions().hasReleased(now)
+        || now >= drainingSince + 2 * settings.entryLifetime + releaseTimeout;
+    if (!isPastAccepting || !((isIdle && hasReleased) || isOverdue))
+        return;
+    isStopped = true;
+    log.info("drain_finished", { { "held", traffic.held() } });
+    onStopped();
+}
+
+node::node(node_settings settings, std::uint64_t incarnation, std::function<void()> onStopped)
+    : m_state(std::make_unique<state>(std::move(settings), incarnation, std::move(onStopped)))
+{
+}
+
+node::~node() = default;
+
+std::string node::start()
+{
+    return m_state->start();
+}
+
+void node::drain()
+{
+    m_state->drain();
+}
+
+}
--- /dev/null
+++ b/libs/node/src/order_deliverer.cpp
@@ -0,0 +1,58 @@
+// Order delivery over HTTP.
+#include "order_deliverer.h"
+
+#include <QTimer>
+#include <nlohmann/json.hpp>
+
+namespace tamarack {
+
+namespace {
+    // Longer than TCP_USER_TIMEOUT: when it has passed, the kernel has dropped what it could not send.
+    constexpr auto unsentBytesLife = std::chrono::milliseconds(12'000);
+}
+
+order_deliverer::order_deliverer(http_client& client, const logger& log, result_handler onResult)
+    : m_client(client)
+    , m_log(log)
+    , m_onResult(std::move(onResult))
+{
+}
+
+void order_deliverer::deliver(const deliver_order& order, const endpoint& target)
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/control/orders";
+    request.headers.set("Content-Type", "application/json");
+    const nlohmann::json body { { "order", order.order.value }, { "fence", order.fence.value },
+        { "set", std::string(toString(order.what.kind)) }, { "value", order.what.value } };
+    request.body = body.dump();
+    exchange_options options;
+    options.freshConnection = true;
+    m_log.info("order_sent",
+        { { "target", order.target }, { "order", order.order.value },
+            { "set", std::string(toString(order.what.kind)) }, { "value", order.what.value } });
+    m_client.fetch(target, request, options,
+        [this, order](const http_response* response, const exchange_failure& failure) {
+            finished(order, response, failure);
+        });
+}
+
+void order_deliverer::finished(
+    const deliver_order& order, const http_response* response, const exchange_failure& failure)
+{
+    if (response) {
+        const bool isAccepted = response->status >= 200 && response->status < 300;
+        m_log.info("order_answered",
+            { { "target", order.target }, { "order", order.order.value }, { "status", response->status } });
+        return m_onResult(order.order, isAccepted ? delivery_result::accepted : delivery_result::refused);
+    }
+    m_log.warning("order_unanswered",
+        { { "target", order.target }, { "order", order.order.value }, { "reason", failure.reason } });
+    if (!failure.mayHaveReachedPeer)
+        return m_onResult(order.order, delivery_result::not_sent);
+    const auto id = order.order;
+    QTimer::singleShot(unsentBytesLife, &m_lifetime, [this, id] { m_onResult(id, delivery_result::closed); });
+}
+
+}
--- /dev/null
+++ b/libs/node/src/relay.cpp
@@ -0,0 +1,363 @@
+// The relay of one request.
+#include "relay.h"
+
+#include "problem_answer.h"
+
+#include "base/contract.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace tamarack {
+
+namespace {
+
+    constexpr qint64 pauseAboveBytes = 512 * 1024;
+    constexpr qint64 resumeBelowBytes = 64 * 1024;
+    constexpr duration keepAliveAfter = std::chrono::seconds(2);
+    constexpr int statusKvMissing = 424;
+    constexpr int statusUnavailable = 503;
+    constexpr std::string_view endOfStream = "[DONE]";
+
+    std::string_view toString(request_stage stage)
+    {
+        constexpr std::array<std::string_view, 3> names { "whole", "prefill", "decode" };
+        return names[static_cast<std::size_t>(stage)];
+    }
+
+    std::string_view toString(attempt_result result)
+    {
+        constexpr std::array<std::string_view, static_cast<std::size_t>(attempt_result::count)> names { "answered",
+            "not-sent", "refused", "cut", "maybe-run", "kv-missing" };
+        return names[static_cast<std::size_t>(result)];
+    }
+
+}
+
+relay::relay(relay_services& services, relay_input input, std::shared_ptr<response_writer> caller)
+    : m_services(services)
+    , m_input(std::move(input))
+    , m_caller(std::move(caller))
+    , m_nextEvent(m_input.firstEvent)
+    , m_trace(services.spanIds.child(m_input.callerTrace))
+    , m_startedAt(wallNanoseconds())
+{
+}
+
+relay::~relay()
+{
+    if (m_attempt && m_attempt->exchange)
+        m_attempt->exchange->cancel();
+}
+
+void relay::bind(request_id id, callbacks handlers)
+{
+    m_id = id;
+    m_on = std::move(handlers);
+    m_caller->onClosed = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->m_isFinished && self->m_on.onCallerGone)
+            self->m_on.onCallerGone();
+    };
+    m_caller->onDrained = [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->applyBackPressure();
+    };
+}
+
+http_request relay::requestFor(const attempt_state& attempt) const
+{
+    http_request request = m_input.toTarget;
+    request.headers.set("x-attempt-id", std::to_string(attempt.command.attempt.value));
+    request.headers.set("traceparent", formatTraceparent(attempt.trace));
+    if (!m_input.isEngine)
+        return request;
+    request.headers.set("x-stage", std::string(toString(attempt.command.stage)));
+    request.headers.set("x-priority", std::to_string(attempt.command.priority));
+    if (m_nextEvent > 0)
+        request.headers.set("x-resume-offset", std::to_string(m_nextEvent));
+    if (attempt.command.stage == request_stage::decode) {
+        const auto source = attempt.command.kvSource.value;
+        request.headers.set("x-kv", m_kvHandle);
+        request.headers.set("x-kv-source", m_services.traffic.targets().address[source]);
+    }
+    return request;
+}
+
+exchange_options relay::optionsFor(const attempt_state&) const
+{
+    exchange_options options;
+    options.silenceTimeout = m_services.silenceTimeout;
+    // Only streams send signs of life; other answers may take as long as the request has.
+    if (!m_input.isStream)
+        options.silenceTimeout = std::max(m_services.silenceTimeout, m_input.shape.deadline);
+    options.freshConnection = !m_input.shape.isIdempotent;
+    return options;
+}
+
+void relay::start(const start_attempt& command)
+{
+    auto attempt = std::make_shared<attempt_state>();
+    attempt->command = command;
+    attempt->trace = m_services.spanIds.child(m_trace);
+    attempt->startedAt = wallNanoseconds();
+    m_attempt = attempt;
+    m_isPaused = false;
+    const auto& address = m_services.traffic.targets().address[command.target.value];
+    exchange_handlers handlers;
+    const auto weak = weak_from_this();
+    handlers.onHead = [weak, attempt](const http_response_head& head) {
+        if (const auto self = weak.lock())
+            self->onHead(attempt, head);
+    };
+    handlers.onBody = [weak, attempt](std::string_view bytes) {
+        if (const auto self = weak.lock())
+            self->onBody(attempt, bytes);
+    };
+    handlers.onEnd = [weak, attempt] {
+        if (const auto self = weak.lock())
+            self->onEnd(attempt);
+    };
+    handlers.onFailure = [weak, attempt](const exchange_failure& failure) {
+        if (const auto self = weak.lock())
+            self->onFailure(attempt, failure);
+    };
+    attempt->exchange
+        = m_services.client.start(parseEndpoint(address), requestFor(*attempt), optionsFor(*attempt), std::move(handlers));
+}
+
+bool relay::isCurrent(const attempt_ptr& attempt) const
+{
+    return attempt == m_attempt && !attempt->isOver && m_services.traffic.isCurrent(m_id, attempt->command.attempt);
+}
+
+void relay::onHead(const attempt_ptr& attempt, const http_response_head& head)
+{
+    if (!isCurrent(attempt))
+        return;
+    attempt->status = head.status;
+    const auto echoed = head.headers.find("x-attempt-id");
+    // What goes wrong without it: a target or a connection that mixes up answers hands one caller another's text. The
+    // echo is how that shows; such an answer is dropped whole.
+    const bool isCrossed = echoed != std::to_string(attempt->command.attempt.value);
+    if (isCrossed && (m_input.isEngine || !echoed.empty())) {
+        m_services.counters.count("tamarack_crossed_answers_total");
+        return conclude(attempt, attempt_result::maybe_run);
+    }
+    if (head.status == statusUnavailable && head.headers.find("x-ran") == "no")
+        return conclude(attempt, attempt_result::refused);
+    if (head.status == statusKvMissing && attempt->command.stage == request_stage::decode)
+        return conclude(attempt, attempt_result::kv_missing);
+    attempt->buffered.status = head.status;
+    for (const char* kept : { "content-type", "x-run-count" }) {
+        if (head.headers.has(kept))
+            attempt->buffered.headers.set(kept, std::string(head.headers.find(kept)));
+    }
+    attempt->isStreaming = m_input.isStream && head.status == 200 && attempt->command.stage != request_stage::prefill;
+    if (attempt->isStreaming)
+        beginStream();
+}
+
+void relay::beginStream()
+{
+    m_lastWrite = boot_clock::now();
+    if (m_caller->hasStarted() || !m_caller->isOpen())
+        return;
+    http_response_head head { 200, {} };
+    head.headers.set("Content-Type", "text/event-stream");
+    head.headers.set("Cache-Control", "no-store");
+    head.headers.set("Tamarack-Home", m_input.homeHeader);
+    head.headers.set("traceparent", formatTraceparent(m_trace));
+    m_caller->startStream(head);
+}
+
+void relay::onBody(const attempt_ptr& attempt, std::string_view bytes)
+{
+    if (!isCurrent(attempt))
+        return;
+    if (!attempt->isStreaming) {
+        attempt->buffered.body += bytes;
+        return;
+    }
+    attempt->splitter.feed(bytes, [&](const stream_event& event) { onEvent(attempt, event); });
+    applyBackPressure();
+}
+
+void relay::onEvent(const attempt_ptr& attempt, const stream_event& event)
+{
+    if (!isCurrent(attempt))
+        return;
+    if (event.isComment)
+        return writeToCaller(event.bytes);
+    if (!attempt->sawFirst) {
+        attempt->sawFirst = true;
+        m_services.traffic.prefilled(m_id, attempt->command.attempt);
+    }
+    if (event.data == endOfStream) {
+        attempt->sawEnd = true;
+        return writeToCaller(event.bytes);
+    }
+    if (event.id) {
+        if (*event.id < m_nextEvent)
+            return; // the caller has it already, from an earlier attempt
+        if (*event.id > m_nextEvent) {
+            // Events are missing. Passing on what follows would show a holed answer as whole.
+            m_services.counters.count("tamarack_stream_gaps_total");
+            return conclude(attempt, attempt_result::cut);
+        }
+        ++m_nextEvent;
+        m_services.traffic.progressed(m_id, attempt->command.attempt, 1);
+    }
+    writeToCaller(event.bytes);
+}
+
+void relay::writeToCaller(std::string_view bytes)
+{
+    m_lastWrite = boot_clock::now();
+    m_caller->write(bytes);
+}
+
+void relay::applyBackPressure()
+{
+    if (!m_attempt || !m_attempt->exchange || m_isFinished)
+        return;
+    const auto queued = m_caller->bytesQueued();
+    const bool pause = m_isPaused ? queued > resumeBelowBytes : queued > pauseAboveBytes;
+    if (pause == m_isPaused)
+        return;
+    m_isPaused = pause;
+    m_attempt->exchange->setReading(!pause);
+}
+
+void relay::onEnd(const attempt_ptr& attempt)
+{
+    if (!isCurrent(attempt))
+        return;
+    if (attempt->command.stage == request_stage::prefill)
+        return endPrefill(attempt);
+    if (!attempt->isStreaming)
+        return endBuffered(attempt);
+    // A stream that stops without its end mark was cut, however neatly the connection was closed.
+    if (!attempt->sawEnd)
+        return conclude(attempt, attempt_result::cut);
+    const auto self = shared_from_this();
+    conclude(attempt, attempt_result::answered);
+    m_caller->finish();
+    const http_response streamed { 200, {}, {} };
+    finish({ &streamed, error_kind::internal });
+}
+
+void relay::endPrefill(const attempt_ptr& attempt)
+{
+    const auto body = nlohmann::json::parse(attempt->buffered.body, nullptr, false);
+    const bool hasHandle = body.is_object() && body.contains("kv") && body["kv"].is_string();
+    if (attempt->status != 200 || !hasHandle) {
+        // The engine does not take the prompt; its answer is the answer.
+        if (attempt->status >= 400 && attempt->status < 500)
+            return endBuffered(attempt);
+        return conclude(attempt, attempt_result::maybe_run);
+    }
+    m_kvHandle = body["kv"];
+    conclude(attempt, attempt_result::answered);
+}
+
+void relay::endBuffered(const attempt_ptr& attempt)
+{
+    const auto self = shared_from_this();
+    http_response answer = std::move(attempt->buffered);
+    answer.headers.set("Tamarack-Home", m_input.homeHeader);
+    answer.headers.set("traceparent", formatTraceparent(m_trace));
+    // The engine refused the prompt for good: the request ends here, also if a decode stage was to follow.
+    attempt->command.stage = request_stage::whole;
+    m_services.traffic.answeredWhole(m_id, attempt->command.attempt);
+    conclude(attempt, attempt_result::answered);
+    m_caller->sendWhole(answer);
+    finish({ &answer, error_kind::internal });
+}
+
+void relay::onFailure(const attempt_ptr& attempt, const exchange_failure& failure)
+{
+    if (!isCurrent(attempt))
+        return;
+    m_services.log.debug("attempt_failed",
+        { { "reason", failure.reason }, { "may_have_reached", failure.mayHaveReachedPeer },
+            { "target", m_services.traffic.targets().name[attempt->command.target.value] } });
+    if (!failure.mayHaveReachedPeer)
+        return conclude(attempt, attempt_result::not_sent);
+    conclude(attempt, attempt->isStreaming ? attempt_result::cut : attempt_result::maybe_run);
+}
+
+void relay::conclude(const attempt_ptr& attempt, attempt_result result)
+{
+    TAMARACK_ASSERT(!attempt->isOver, "an attempt ends once");
+    attempt->isOver = true;
+    // An abandoned connection is never reused: what still comes on it belongs to this attempt.
+    if (result != attempt_result::answered)
+        attempt->exchange->cancel();
+    writeAttemptSpan(*attempt, result);
+    m_services.counters.count("tamarack_attempts_total", { { "result", std::string(toString(result)) } });
+    if (m_on.onAttemptEnded)
+        m_on.onAttemptEnded(attempt->command.attempt, result);
+}
+
+void relay::writeAttemptSpan(const attempt_state& attempt, attempt_result result)
+{
+    span item { attempt.trace, m_trace.spanId, "attempt", attempt.startedAt, wallNanoseconds(), {} };
+    item.attributes.push_back({ "target", m_services.traffic.targets().name[attempt.command.target.value] });
+    item.attributes.push_back({ "stage", std::string(toString(attempt.command.stage)) });
+    item.attributes.push_back({ "result", std::string(toString(result)) });
+    m_services.spans.write(item);
+}
+
+void relay::fail(error_kind kind, duration retryAfter)
+{
+    const auto self = shared_from_this();
+    if (m_isFinished)
+        return;
+    if (m_attempt && !m_attempt->isOver) {
+        m_attempt->isOver = true;
+        m_attempt->exchange->cancel();
+    }
+    if (m_caller->hasStarted()) {
+        // The head has left, so the error goes as an event, and the missing end of the body says "not whole".
+        m_caller->write(problemEvent(kind, "the answer could not be completed; resume with Last-Event-ID", retryAfter));
+        m_caller->abortWhenWritten();
+    } else {
+        auto answer = problemAnswer(kind, answerFor(kind).title, retryAfter);
+        answer.headers.set("Tamarack-Home", m_input.homeHeader);
+        answer.headers.set("traceparent", formatTraceparent(m_trace));
+        m_caller->sendWhole(answer);
+    }
+    finish({ nullptr, kind });
+}
+
+void relay::keepAlive(instant now)
+{
+    const bool isOpenStream = m_caller->isOpen() && m_caller->hasStarted() && !m_isFinished;
+    if (isOpenStream && now >= m_lastWrite + keepAliveAfter)
+        writeToCaller(": keep-alive\n\n");
+}
+
+void relay::detachCaller()
+{
+    m_isPaused = false;
+    m_caller->onClosed = nullptr;
+}
+
+void relay::finish(const outcome& result)
+{
+    if (m_isFinished)
+        return;
+    m_isFinished = true;
+    span item { m_trace, m_input.callerTrace.spanId, m_input.name, m_startedAt, wallNanoseconds(), {} };
+    item.attributes.push_back({ "outcome",
+        result.answer ? std::to_string(result.answer->status) : std::string(answerFor(result.error).type) });
+    m_services.spans.write(item);
+    const double took = static_cast<double>(wallNanoseconds() - m_startedAt) / 1e9;
+    m_services.counters.observeSeconds(
+        "tamarack_request_seconds", took, { { "urgent", m_input.shape.isUrgent ? "yes" : "no" } });
+    if (m_on.onFinished)
+        m_on.onFinished(result);
+}
+
+}
--- /dev/null
+++ b/libs/observe/include/observe/metrics.h
@@ -0,0 +1,37 @@
+// Prometheus metrics of one process.
+#pragma once
+
+#include <initializer_list>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace tamarack {
+
+using metric_labels = std::map<std::string, std::string>;
+
+/// A registry of counters, gauges and histograms made on first use. Names and labels are listed in docs/OPERATIONS.md.
+/// Threading: one thread at a time; the caches in front of the registry are not locked.
+class metrics {
+public:
+    metrics();
+    ~metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    void count(const std::string& name, const metric_labels& labels = {}, double by = 1);
+    void set(const std::string& name, double value, const metric_labels& labels = {});
+    /// Seconds, in buckets from 1 ms to 60 s.
+    void observeSeconds(const std::string& name, double value, const metric_labels& labels = {});
+    /// The value of a counter, 0 if it was never counted.
+    double counted(const std::string& name, const metric_labels& labels = {}) const;
+    /// The Prometheus text format.
+    std::string text() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+}
--- /dev/null
+++ b/libs/peer/src/peer_codec.cpp
@@ -0,0 +1,159 @@
+// cereal's portable binary archives, behind a magic number and a version.
+#include "peer/peer_messages.h"
+
+#include "base/hash.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+
+namespace tamarack {
+
+template <class Archive>
+void serialize(Archive& archive, instance_id& id)
+{
+    archive(id.node, id.incarnation);
+}
+
+template <class Archive>
+void serialize(Archive& archive, key_home& home)
+{
+    archive(home.instance, home.issuedAt);
+}
+
+template <class Archive>
+void serialize(Archive& archive, key_answer& answer)
+{
+    archive(answer.decision, answer.kept, answer.movedTo);
+}
+
+template <class Archive>
+void serialize(Archive& archive, peer_state& state)
+{
+    archive(state.instance, state.region, state.availabilityZone, state.address, state.callerPort, state.peerPort, state.adminPort,
+        state.configurationVersion, state.configurationHash, state.logReach, state.isLogReachable, state.isStopping,
+        state.isReady);
+}
+
+template <class Archive>
+void serialize(Archive& archive, load_entry& entry)
+{
+    archive(entry.targetHash, entry.running, entry.prefillPieces, entry.ageMilliseconds, entry.flags);
+}
+
+template <class Archive>
+void serialize(Archive& archive, demand_entry& entry)
+{
+    archive(entry.serviceHash, entry.promptTokens, entry.outputTokens);
+}
+
+template <class Archive>
+void serialize(Archive& archive, digest_entry& entry)
+{
+    archive(entry.vm, entry.address, entry.peerPort, entry.incarnation, entry.configurationVersion);
+}
+
+template <class Archive>
+void serialize(Archive& archive, heartbeat& message)
+{
+    archive(message.sender, message.loads, message.demands, message.digest);
+}
+
+template <class Archive>
+void serialize(Archive& archive, peer_request& message)
+{
+    archive(message.question, message.asker, message.key, message.home);
+}
+
+template <class Archive>
+void serialize(Archive& archive, peer_reply& message)
+{
+    archive(message.isKnown, message.agreedState, message.key);
+}
+
+namespace {
+
+    constexpr std::uint32_t magic = 0x54525931; // "TRY1": protocol of this name and version
+
+    constexpr std::size_t checksumBytes = 8;
+
+    std::string checksum(std::string_view payload)
+    {
+        std::uint64_t hash = stableHash(payload);
+        std::string bytes;
+        for (std::size_t i = 0; i < checksumBytes; ++i, hash >>= 8)
+            bytes += static_cast<char>(hash & 0xff);
+        return bytes;
+    }
+
+    template <class Message>
+    std::string encode(const Message& message)
+    {
+        std::ostringstream stream;
+        {
+            cereal::PortableBinaryOutputArchive archive(stream);
+            archive(magic, message);
+        }
+        const auto payload = stream.str();
+        return checksum(payload) + payload;
+    }
+
+    // The checksum comes first: cereal makes room for whatever length a damaged message names, so garbage on the port
+    // could otherwise take all memory.
+    template <class Message>
+    std::optional<Message> decode(const std::string& bytes)
+    {
+        if (bytes.size() <= checksumBytes)
+            return std::nullopt;
+        const auto payload = bytes.substr(checksumBytes);
+        if (bytes.compare(0, checksumBytes, checksum(payload)) != 0)
+            return std::nullopt;
+        try {
+            std::istringstream stream(payload);
+            cereal::PortableBinaryInputArchive archive(stream);
+            std::uint32_t found = 0;
+            archive(found);
+            if (found != magic)
+                return std::nullopt;
+            Message message;
+            archive(message);
+            return message;
+        } catch (const std::exception&) {
+            return std::nullopt; // a message of another version
+        }
+    }
+
+}
+
+std::string encodeHeartbeat(const heartbeat& message)
+{
+    return encode(message);
+}
+
+std::string encodeRequest(const peer_request& message)
+{
+    return encode(message);
+}
+
+std::string encodeReply(const peer_reply& message)
+{
+    return encode(message);
+}
+
+std::optional<heartbeat> decodeHeartbeat(const std::string& bytes)
+{
+    return decode<heartbeat>(bytes);
+}
+
+std::optional<peer_request> decodeRequest(const std::string& bytes)
+{
+    return decode<peer_request>(bytes);
+}
+
+std::optional<peer_reply> decodeReply(const std::string& bytes)
+{
+    return decode<peer_reply>(bytes);
+}
+
+}
