--- a/libs/decide/include/decide/membership.h
+++ b/libs/decide/include/decide/membership.h
@@ -3,7 +3,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
-#include "decide/random_source.h"
+#include "base/random_source.h"
 
 #include <map>
 #include <string>
--- a/libs/decide/include/decide/router.h
+++ b/libs/decide/include/decide/router.h
@@ -1,7 +1,7 @@
 // Chooses the target for a request: a bounded subset for each node, two random choices, and the prefix's usual place.
 #pragma once
 
-#include "decide/random_source.h"
+#include "base/random_source.h"
 #include "decide/target_table.h"
 #include "decide/traffic.h"
 
