--- a/libs/decide/include/decide/traffic_system.h
+++ b/libs/decide/include/decide/traffic_system.h
@@ -86,7 +86,14 @@
     void retryOrRefuse(std::size_t row, error_kind kind, bool countsAgainstBudget, instant now, traffic_commands& out);
     void succeeded(std::size_t row, instant now, traffic_commands& out);
     void targetFailed(target_id id, instant now);
-    void drain(std::array<std::deque<request_id>, levels>& queue, instant now, traffic_commands& out);
+    /// What the end of the present attempt means for its request.
+    void settle(std::size_t row, attempt_result result, instant now, traffic_commands& out);
+    /// Starts what waits, in order of level, until the first of a level finds no place.
+    void dispatch(service_id service, instant now, traffic_commands& out);
+    /// Refuses what waits in vain.
+    void sweep(std::deque<request_id>& level, instant now, traffic_commands& out);
+    bool isWaiting(request_id id) const;
+    bool isHopeless(std::size_t row, instant now) const;
     duration serviceTime(const request_shape& shape) const;
     duration expectedWait(service_id service, std::size_t level) const;
     int usableSlots(service_id service, instant now, bool& comesBackSoon) const;
--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -371,6 +371,14 @@
         return;
     }
     const auto row = static_cast<std::size_t>(m_requests.row(request));
+    const auto service = m_requests.shape[row].service;
+    settle(row, result, now, out);
+    if (service.isValid())
+        dispatch(service, now, out); // a place may have become free
+}
+
+void traffic_system::settle(std::size_t row, attempt_result result, instant now, traffic_commands& out)
+{
     const bool isIdempotent = m_requests.shape[row].isIdempotent;
     switch (result) {
     case attempt_result::answered:
@@ -384,8 +392,10 @@
         return retryOrRefuse(row, error_kind::overloaded, true, now, out);
     case attempt_result::cut:
         targetFailed(m_requests.target[row], now);
-        ++m_counts.resumed;
         m_requests.mayHaveRun[row] = 1;
+        if (!isIdempotent)
+            return refuse(row, error_kind::outcome_unknown, duration::zero(), out);
+        ++m_counts.resumed;
         m_requests.stage[row] = request_stage::whole;
         return retryOrRefuse(row, error_kind::answer_cut, true, now, out);
     case attempt_result::maybe_run:
@@ -409,44 +419,65 @@
     const auto row = m_requests.row(request);
     if (row < 0)
         return;
+    const auto service = m_requests.shape[static_cast<std::size_t>(row)].service;
     uncharge(static_cast<std::size_t>(row));
     m_requests.remove(request);
-    tick(now, out);
+    if (service.isValid())
+        dispatch(service, now, out);
 }
 
-void traffic_system::drain(std::array<std::deque<request_id>, levels>& queue, instant now, traffic_commands& out)
+bool traffic_system::isWaiting(request_id id) const
 {
-    for (auto& level : queue) {
-        std::deque<request_id> kept;
-        bool isFull = false;
-        while (!level.empty()) {
-            const request_id id = level.front();
-            level.pop_front();
-            const auto at = m_requests.row(id);
-            if (at < 0 || m_requests.phase[static_cast<std::size_t>(at)] != request_phase::waiting)
-                continue; // abandoned while it waited
-            const auto row = static_cast<std::size_t>(at);
-            if (!isFull && tryStart(row, now, out))
-                continue;
-            isFull = true;
-            const auto& shape = m_requests.shape[row];
-            const bool isHopeless = now + serviceTime(shape) > m_requests.deadlineAt[row];
-            if (isHopeless)
-                refuse(row, error_kind::deadline_unreachable, expectedWait(shape.service, levelOf(shape)), out);
-            else
-                kept.push_back(id);
+    const auto row = m_requests.row(id); // below 0 for a request abandoned while it waited
+    return row >= 0 && m_requests.phase[static_cast<std::size_t>(row)] == request_phase::waiting;
+}
+
+bool traffic_system::isHopeless(std::size_t row, instant now) const
+{
+    return now + serviceTime(m_requests.shape[row]) > m_requests.deadlineAt[row];
+}
+
+void traffic_system::dispatch(service_id service, instant now, traffic_commands& out)
+{
+    auto& queues = m_queues[service.value];
+    for (auto* queue : { &queues.decode, &queues.first }) {
+        for (auto& level : *queue) {
+            while (!level.empty()) {
+                const request_id id = level.front();
+                if (isWaiting(id) && !tryStart(static_cast<std::size_t>(m_requests.row(id)), now, out))
+                    break;
+                level.pop_front();
+            }
         }
-        level.swap(kept);
     }
 }
 
+void traffic_system::sweep(std::deque<request_id>& level, instant now, traffic_commands& out)
+{
+    std::deque<request_id> kept;
+    for (const auto id : level) {
+        if (!isWaiting(id))
+            continue;
+        const auto row = static_cast<std::size_t>(m_requests.row(id));
+        const auto& shape = m_requests.shape[row];
+        if (isHopeless(row, now))
+            refuse(row, error_kind::deadline_unreachable, expectedWait(shape.service, levelOf(shape)), out);
+        else
+            kept.push_back(id);
+    }
+    level.swap(kept);
+}
+
 void traffic_system::tick(instant now, traffic_commands& out)
 {
     for (std::uint32_t s = 0; s < m_queues.size(); ++s) {
         bool comesBackSoon = false;
         m_slotsNow[s] = usableSlots({ s }, now, comesBackSoon);
-        drain(m_queues[s].decode, now, out);
-        drain(m_queues[s].first, now, out);
+        for (auto* queue : { &m_queues[s].decode, &m_queues[s].first }) {
+            for (auto& level : *queue)
+                sweep(level, now, out);
+        }
+        dispatch({ s }, now, out);
     }
 }
 
