Process tests under failure, and four faults that they found

Causes, each found by a test with real processes: (1) a handler that cancels its exchange destroyed the function it was running in, so a refused or crossed answer left its caller waiting for ever; (2) Beast asserts when a peer closes before its first byte, which ended the node; (3) QNetworkAccessManager sends an append again when its answer is lost, and tamarackctl took the verdict on the second copy; (4) in the tests, nodes were asked before they knew each other.

--- a/apps/tamarackctl/log_reader.cpp
+++ b/apps/tamarackctl/log_reader.cpp
@@ -17,8 +17,9 @@
     : m_client(parseEndpoint(logAddress), stream, timeout)
     , m_self { "tamarackctl-" + std::to_string(getpid()), static_cast<std::uint64_t>(wallMilliseconds()) }
     , m_follower([this](const log_record& record, verdict v) {
+        // The client below may have sent a record twice; the first copy is the one that can be valid.
         if (record.origin.writer == m_self)
-            m_verdicts[record.origin.sequence] = v;
+            m_verdicts.emplace(record.origin.sequence, v);
     })
 {
 }
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -114,7 +114,7 @@
             , m_peer(std::move(peer))
             , m_text(requestText(m_peer, request))
             , m_options(options)
-            , m_handlers(std::move(handlers))
+            , m_handlers(std::make_shared<exchange_handlers>(std::move(handlers)))
         {
             m_timer.setSingleShot(true);
         }
@@ -144,7 +144,7 @@
 
         void cancel() override
         {
-            m_handlers = {};
+            m_handlers = nullptr;
             release(false);
         }
 
@@ -199,6 +199,10 @@
 
         void deliver()
         {
+            // Held here: a handler may cancel the exchange, which would destroy the very function that is running.
+            const auto handlers = m_handlers;
+            if (!handlers)
+                return;
             if (!m_headDelivered && m_parser->is_header_done()) {
                 m_headDelivered = true;
                 http_response_head head;
@@ -206,8 +210,8 @@
                 head.status = message.result_int();
                 for (const auto& field : message)
                     head.headers.entries.push_back({ std::string(field.name_string()), std::string(field.value()) });
-                if (m_handlers.onHead)
-                    m_handlers.onHead(head);
+                if (handlers->onHead)
+                    handlers->onHead(head);
             }
             if (!m_socket)
                 return;
@@ -216,19 +220,19 @@
                 return;
             std::string part;
             part.swap(body);
-            if (m_handlers.onBody)
-                m_handlers.onBody(part);
+            if (handlers->onBody)
+                handlers->onBody(part);
         }
 
         void end()
         {
             // Bytes after the end belong to nobody's request: such a connection is never reused.
             const bool reusable = m_parser->keep_alive() && m_buffer.empty() && m_socket->bytesAvailable() == 0;
-            auto done = std::move(m_handlers.onEnd);
-            m_handlers = {};
+            const auto handlers = std::move(m_handlers);
+            m_handlers = nullptr;
             release(reusable);
-            if (done)
-                done();
+            if (handlers && handlers->onEnd)
+                handlers->onEnd();
         }
 
         void peerClosed()
@@ -236,6 +240,9 @@
             readMore();
             if (!m_socket)
                 return;
+            // Beast asserts that put_eof() follows at least one byte; a peer may close before it has sent any.
+            if (!m_parser->got_some())
+                return fail("peer closed without an answer", false);
             boost::system::error_code error;
             m_parser->put_eof(error);
             if (!error && m_parser->is_done())
@@ -253,12 +260,12 @@
         void fail(std::string reason, bool timedOut)
         {
             const auto keepAlive = shared_from_this();
-            auto failed = std::move(m_handlers.onFailure);
-            m_handlers = {};
+            const auto handlers = std::move(m_handlers);
+            m_handlers = nullptr;
             const exchange_failure failure { m_mayHaveReached, timedOut, std::move(reason) };
             release(false);
-            if (failed)
-                failed(failure);
+            if (handlers && handlers->onFailure)
+                handlers->onFailure(failure);
         }
 
         void release(bool reusable)
@@ -284,7 +291,7 @@
         endpoint m_peer;
         std::string m_text;
         exchange_options m_options;
-        exchange_handlers m_handlers;
+        std::shared_ptr<exchange_handlers> m_handlers; // null once the exchange has ended or was cancelled
         QTcpSocket* m_socket = nullptr; // null before begin() and after the end
         std::optional<beast_http::response_parser<beast_http::string_body>> m_parser;
         std::string m_buffer;
--- /dev/null
+++ b/tests/process/test_failures.cpp
@@ -0,0 +1,210 @@
+// Failures at any moment: whole answers, at most once, no conflicting orders.
+#include "process_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tamarack;
+using namespace tamarack::test;
+
+namespace {
+
+void faultAtAll(const deployment_run& run, const std::string& service, const std::string& next)
+{
+    for (const auto& target : run.targetsOf(service))
+        harness::callJson(run.targetAddress(target), "POST", "/fault", { { "next", next } });
+}
+
+/// The vm of the node whose caller address a keyed call would turn to first.
+endpoint homeAddress(const deployment_run& run, std::size_t index)
+{
+    return run.callerAddress(run.vms()[index]);
+}
+
+std::optional<http_response> report(const endpoint& node, const std::string& key, const std::string& home)
+{
+    header_list headers;
+    headers.set("Idempotency-Key", key);
+    headers.set("Tamarack-Home", home);
+    return harness::call(node, "POST", "/services/teren/reports", "{}", headers);
+}
+
+std::string homeOf(const endpoint& node)
+{
+    const auto answer = harness::call(node, "GET", "/v1/entries");
+    return answer ? std::string(answer->headers.find("tamarack-home")) : std::string();
+}
+
+}
+
+TEST_CASE("test_process_answers_are_whole_although_targets_fail")
+{
+    // Symptom: a caller gets half an answer, somebody else's, or none.
+    // Sequence: the engine ends the stream early, neatly or not, answers under another attempt's id, or says nothing.
+    // Cause: the relay took the end of a connection for the end of an answer, or did not check whose it was.
+    const auto run = startSmall("target_faults");
+    harness::test_caller caller(callerAddresses(*run), 3);
+    for (const char* next : { "cut", "truncate", "crossed", "silent", "lose_answer" }) {
+        faultAtAll(*run, "jazyk", next);
+        const auto result = caller.call(streamCall(std::string("despite ") + next));
+        INFO(next << " " << result.detail);
+        CHECK(result.end == call_end::whole);
+        faultAtAll(*run, "jazyk", "");
+    }
+}
+
+TEST_CASE("test_process_engine_killed_in_mid_stream")
+{
+    const auto run = startSmall("engine_killed");
+    harness::test_caller caller(callerAddresses(*run), 3);
+    std::vector<harness::call_result> results;
+    for (int i = 0; i < 9; ++i)
+        caller.send(streamCall("killed " + std::to_string(i), 150), [&](const auto& result) { results.push_back(result); });
+    const auto victim = run->targetsOf("jazyk").front();
+    REQUIRE(waitUntil([&] { return run->targetStatus(victim).value("running", 0) > 0; }));
+    run->kill(victim);
+    REQUIRE(waitUntil([&] { return results.size() == 9; }, std::chrono::seconds(60)));
+    for (const auto& result : results)
+        CHECK(result.end == call_end::whole);
+}
+
+TEST_CASE("test_process_node_killed_in_mid_stream_and_caller_resumes_elsewhere")
+{
+    const auto run = startSmall("node_killed");
+    harness::test_caller caller(callerAddresses(*run), 3);
+    std::vector<harness::call_result> results;
+    for (int i = 0; i < 9; ++i)
+        caller.send(streamCall("node killed " + std::to_string(i), 150), [&](const auto& result) { results.push_back(result); });
+    const auto victim = run->vms().front();
+    REQUIRE(waitUntil([&] { return run->status(victim)["requests"].value("held", 0) > 0; }));
+    run->kill(victim);
+    REQUIRE(waitUntil([&] { return results.size() == 9; }, std::chrono::seconds(60)));
+    int resumes = 0;
+    for (const auto& result : results) {
+        CHECK(result.end == call_end::whole);
+        resumes += result.resumes;
+    }
+    CHECK(resumes > 0);
+}
+
+TEST_CASE("test_process_frozen_engine_is_left")
+{
+    // Symptom: a caller waits for ever.
+    // Sequence: the engine is frozen; its connections stay open and say nothing.
+    // Cause: silence was not taken for a failure.
+    const auto run = startSmall("frozen_engine");
+    harness::test_caller caller(callerAddresses(*run), 3);
+    std::vector<harness::call_result> results;
+    for (int i = 0; i < 6; ++i)
+        caller.send(streamCall("frozen " + std::to_string(i), 100), [&](const auto& result) { results.push_back(result); });
+    const auto victim = run->targetsOf("jazyk").front();
+    REQUIRE(waitUntil([&] { return run->targetStatus(victim).value("running", 0) > 0; }));
+    run->freeze(victim);
+    REQUIRE(waitUntil([&] { return results.size() == 6; }, std::chrono::seconds(90)));
+    for (const auto& result : results)
+        CHECK(result.end == call_end::whole);
+    run->thaw(victim);
+}
+
+TEST_CASE("test_process_non_idempotent_calls_run_at_most_once")
+{
+    // Symptom: two trucks drive to the same hole.
+    // Sequence: the call runs, its answer is lost on some way, and the caller asks again, here or elsewhere.
+    // Cause: a retry was taken for a new request.
+    const auto run = startSmall("at_most_once");
+    const auto first = homeAddress(*run, 0);
+    const auto second = homeAddress(*run, 1);
+    const auto home = homeOf(first);
+    REQUIRE_FALSE(home.empty());
+
+    SECTION("the same key again, here and elsewhere, gets the kept answer")
+    {
+        const auto a = report(first, "k1", home);
+        const auto b = report(first, "k1", home);
+        const auto c = report(second, "k1", home);
+        REQUIRE(a);
+        REQUIRE(b);
+        REQUIRE(c);
+        CHECK(a->body == b->body);
+        CHECK(a->body == c->body);
+        CHECK(runsOf(*run, "k1") == 1);
+    }
+    SECTION("never seen at home, it runs elsewhere, and then not at home")
+    {
+        REQUIRE(report(second, "k2", home)->status == 200);
+        const auto late = report(first, "k2", home);
+        CHECK(late->status == 409);
+        CHECK(late->body.find("key-moved") != std::string::npos);
+        CHECK(runsOf(*run, "k2") == 1);
+    }
+    SECTION("the target loses the answer: unknown, and not run again")
+    {
+        faultAtAll(*run, "teren", "lose_answer");
+        CHECK(report(first, "k3", home)->body.find("outcome-unknown") != std::string::npos);
+        faultAtAll(*run, "teren", "");
+        CHECK(report(first, "k3", home)->body.find("outcome-unknown") != std::string::npos);
+        CHECK(report(second, "k3", home)->body.find("outcome-unknown") != std::string::npos);
+        CHECK(runsOf(*run, "k3") == 1);
+    }
+    SECTION("targets that refuse have not run it: it runs at another, once")
+    {
+        faultAtAll(*run, "teren", "refuse");
+        REQUIRE(waitUntil([&] { return report(first, "k4", home)->status == 200; }));
+        CHECK(runsOf(*run, "k4") == 1);
+    }
+    SECTION("the home is dead: unknown")
+    {
+        REQUIRE(report(first, "k5", home)->status == 200);
+        run->kill(run->vms()[0]);
+        CHECK(report(second, "k5", home)->body.find("outcome-unknown") != std::string::npos);
+        run->startNode(run->vms()[0]);
+        REQUIRE(waitUntil([&] { return run->isReady(run->vms()[0]); }));
+        CHECK(report(first, "k5", home)->body.find("outcome-unknown") != std::string::npos);
+        CHECK(runsOf(*run, "k5") == 1);
+    }
+    SECTION("the home is frozen: unknown, then the kept answer")
+    {
+        REQUIRE(report(first, "k6", home)->status == 200);
+        run->freeze(run->vms()[0]);
+        CHECK(report(second, "k6", home)->body.find("outcome-unknown") != std::string::npos);
+        run->thaw(run->vms()[0]);
+        CHECK(waitUntil([&] { return report(second, "k6", home)->status == 200; }));
+        CHECK(runsOf(*run, "k6") == 1);
+    }
+}
+
+TEST_CASE("test_process_frozen_lease_holder_gives_no_late_order")
+{
+    // Symptom: two nodes order an engine about.
+    // Sequence: the holder freezes, a successor takes the lease and changes versions, the former holder thaws.
+    // Cause: the thawed node still believes that it holds the lease.
+    const auto run = startSmall("frozen_holder");
+    const auto vms = run->vms();
+    const auto holderSeenBy = [&](const std::string& vm) {
+        const auto status = run->status(vm);
+        if (!status.is_object() || status["leases"].empty())
+            return std::string();
+        const auto holder = status["leases"][0].value("holder", "");
+        return holder.substr(0, holder.find('@'));
+    };
+    REQUIRE(waitUntil([&] { return !holderSeenBy(vms[0]).empty(); }));
+    const auto former = holderSeenBy(vms[0]);
+    const auto witness = former == vms[0] ? vms[1] : vms[0];
+    run->freeze(former);
+    REQUIRE(waitUntil([&] { return !holderSeenBy(witness).empty() && holderSeenBy(witness) != former; }));
+    REQUIRE(run->publish({ { "services", { { "jazyk", { { "version", "2027.01" } } } } } }) == 0);
+    const auto changed = [&] {
+        int count = 0;
+        for (const auto& target : run->targetsOf("jazyk"))
+            count += run->targetStatus(target).value("version", "") == "2027.01";
+        return count;
+    };
+    REQUIRE(waitUntil([&] { return changed() >= 1; }, std::chrono::seconds(60)));
+    run->thaw(former);
+    REQUIRE(waitUntil([&] { return changed() == 3; }, std::chrono::seconds(60)));
+    for (const auto& target : run->targetsOf("jazyk")) {
+        const auto status = run->targetStatus(target);
+        CHECK(status.value("stale_orders", -1) == 0);
+        CHECK(status["orders"].size() == 1);
+        CHECK(status.value("cut_by_change", -1) == 0);
+    }
+}
--- /dev/null
+++ b/tests/process/test_planned_changes.cpp
@@ -0,0 +1,160 @@
+// Planned changes under load: none cuts a request.
+#include "process_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tamarack;
+using namespace tamarack::test;
+
+namespace {
+
+/// Callers that keep some streams and calls open until they are told to stop.
+class steady_load {
+public:
+    steady_load(const deployment_run& run, int parallel)
+        : m_caller(callerAddresses(run), 11)
+    {
+        for (int i = 0; i < parallel; ++i)
+            next();
+    }
+
+    /// Waits for what is open.
+    void stop()
+    {
+        m_isStopping = true;
+        waitUntil([&] { return m_caller.pending() == 0; }, std::chrono::seconds(60));
+    }
+
+    int ends(call_end end) const { return m_ends[static_cast<std::size_t>(end)]; }
+    int resumes() const { return m_resumes; }
+
+private:
+    void next()
+    {
+        if (m_isStopping)
+            return;
+        const int number = m_number++;
+        auto spec = streamCall("steady " + std::to_string(number), 60);
+        if (number % 4 == 0)
+            spec = reportCall("steady-" + std::to_string(number));
+        m_caller.send(spec, [this](const harness::call_result& result) {
+            ++m_ends[static_cast<std::size_t>(result.end)];
+            m_resumes += result.resumes;
+            next();
+        });
+    }
+
+    harness::test_caller m_caller;
+    std::array<int, static_cast<std::size_t>(call_end::count)> m_ends {};
+    int m_number = 0;
+    int m_resumes = 0;
+    bool m_isStopping = false;
+};
+
+int cutByChanges(const deployment_run& run)
+{
+    int cut = 0;
+    for (const auto& target : run.targetsOf("jazyk"))
+        cut += run.targetStatus(target).value("cut_by_change", 0);
+    return cut;
+}
+
+void checkNothingLost(const steady_load& load)
+{
+    CHECK(load.ends(call_end::lost) == 0);
+    CHECK(load.ends(call_end::wrong) == 0);
+    CHECK(load.ends(call_end::unknown) == 0);
+    CHECK(load.ends(call_end::refused) == 0);
+    CHECK(load.ends(call_end::whole) > 0);
+}
+
+}
+
+TEST_CASE("test_process_rolling_replacement_of_all_nodes_cuts_nothing")
+{
+    // Symptom: streams break whenever a node is replaced.
+    // Sequence: each node is told to stop while it holds streams, and callers still hold its address.
+    // Cause: it closed before its callers could know, or before its streams had ended.
+    const auto run = startSmall("rolling");
+    steady_load load(*run, 8);
+    for (const auto& vm : run->vms()) {
+        run->terminate(vm);
+        REQUIRE(waitUntil([&] { return !run->isRunning(vm); }, std::chrono::seconds(60)));
+        run->startNode(vm);
+        REQUIRE(waitUntil([&] { return run->isReady(vm); }));
+    }
+    load.stop();
+    checkNothingLost(load);
+    CHECK(load.resumes() == 0);
+}
+
+TEST_CASE("test_process_version_change_cuts_nothing")
+{
+    // Symptom: streams break when engines load a new version.
+    // Sequence: an order reaches an engine that still writes answers.
+    // Cause: the order was sent before the engine had finished what it held.
+    const auto run = startSmall("version");
+    steady_load load(*run, 6);
+    REQUIRE(run->publish({ { "services", { { "jazyk", { { "version", "2026.12" } } } } } }) == 0);
+    REQUIRE(waitUntil(
+        [&] {
+            for (const auto& target : run->targetsOf("jazyk")) {
+                if (run->targetStatus(target).value("version", "") != "2026.12")
+                    return false;
+            }
+            return true;
+        },
+        std::chrono::seconds(90)));
+    load.stop();
+    checkNothingLost(load);
+    CHECK(load.resumes() == 0);
+    CHECK(cutByChanges(*run) == 0);
+}
+
+TEST_CASE("test_process_configuration_change_cuts_nothing")
+{
+    const auto run = startSmall("configuration_change");
+    steady_load load(*run, 6);
+    for (int i = 0; i < 3; ++i)
+        REQUIRE(run->publish({ { "policy", { { "default_deadline", 40 + i } } } }) == 0);
+    REQUIRE(waitUntil([&] { return run->status(run->vms().back()).value("served_version", 0) == 4; }));
+    load.stop();
+    checkNothingLost(load);
+    CHECK(load.resumes() == 0);
+}
+
+TEST_CASE("test_process_leaving_target_gets_no_new_work")
+{
+    // Symptom: requests break when a target's VM goes away although its leaving was announced.
+    // Sequence: the VM list says so late, or is down and the target says so itself.
+    // Cause: only one of the two was believed.
+    const auto run = startSmall("leaving");
+    steady_load load(*run, 6);
+    const auto engines = run->targetsOf("jazyk");
+    const auto takesWork = [&](const std::string& name) {
+        for (const auto& vm : run->vms()) {
+            for (const auto& target : run->status(vm)["targets"]) {
+                if (target["target"] == name && target["takes_work"].get<bool>())
+                    return true;
+            }
+        }
+        return false;
+    };
+    SECTION("by the VM list")
+    {
+        run->listVms({ engines[0] });
+        REQUIRE(waitUntil([&] { return !takesWork(engines[0]); }));
+    }
+    SECTION("by its own word, the VM list being down")
+    {
+        harness::callJson(run->platformAddress(), "POST", "/fault", { { "vm_list", "down" } });
+        harness::callJson(run->targetAddress(engines[0]), "POST", "/fault", { { "leaving", true } });
+        REQUIRE(waitUntil([&] { return !takesWork(engines[0]); }));
+        const int before = run->targetStatus(engines[0]).value("work_after_leaving", 0);
+        REQUIRE(waitUntil([&] { return load.ends(call_end::whole) > 30; }));
+        CHECK(run->targetStatus(engines[0]).value("work_after_leaving", 0) == before);
+    }
+    REQUIRE(waitUntil([&] { return run->targetStatus(engines[0]).value("running", 1) == 0; }));
+    load.stop();
+    checkNothingLost(load);
+}
