--- a/apps/tamarackctl/command_table.cpp
+++ b/apps/tamarackctl/command_table.cpp
@@ -23,10 +23,7 @@
 
 }
 
-std::span<const command> commands()
-{
-    return table;
-}
+std::span<const command> commands() { return table; }
 
 std::string operand(const arguments& given, std::size_t index)
 {
--- a/apps/tamarackctl/command_table.h
+++ b/apps/tamarackctl/command_table.h
@@ -7,10 +7,12 @@
 
 namespace tamarack::ctl {
 
-enum exit_code { exitOk = 0,
+enum exit_code {
+    exitOk = 0,
     exitFailed = 1, ///< the command ran and its answer is no: an invalid text, a lost race
     exitUsage = 2,
-    exitUnreachable = 3 }; ///< the log or a node did not answer
+    exitUnreachable = 3
+}; ///< the log or a node did not answer
 
 using arguments = boost::program_options::variables_map;
 
--- a/apps/tamarackctl/main.cpp
+++ b/apps/tamarackctl/main.cpp
@@ -14,7 +14,8 @@
     std::cout << "tamarackctl COMMAND [OPERANDS] [OPTIONS]\n\nCommands\n";
     for (const auto& command : ctl::commands())
         std::cout << "  " << command.name << " " << command.operands << "\n      " << command.purpose << "\n";
-    std::cout << "\n" << visible
+    std::cout << "\n"
+              << visible
               << "\nExit codes: 0 done, 1 the answer is no (invalid text, lost race), 2 usage, 3 no answer.\n";
 }
 
--- a/apps/tamarackctl/publish_command.cpp
+++ b/apps/tamarackctl/publish_command.cpp
@@ -24,8 +24,8 @@
         return user ? user : "unknown";
     }
 
-    /// Appends and reads back until the fold has judged the record. An append whose answer was lost may still have taken
-    /// effect, so only what is read back counts; the same record sent again is void by its compare-and-set.
+    /// Appends and reads back until the fold has judged the record. An append whose answer was lost may still have
+    /// taken effect, so only what is read back counts; the same record sent again is void by its compare-and-set.
     std::optional<verdict> settle(log_reader& log, const record_body& body)
     {
         log.append(body);
@@ -45,8 +45,8 @@
         const auto& winner = log.follower().state().configuration();
         std::cerr << "tamarackctl: not published: the text is based on version " << base << ", but version "
                   << winner.version << " by " << winner.author << " is in force. From that to your text:\n"
-                  << describeDifference(winner.text, text)
-                  << "Merge it into your text and publish again with --base " << winner.version << ".\n";
+                  << describeDifference(winner.text, text) << "Merge it into your text and publish again with --base "
+                  << winner.version << ".\n";
         return exitFailed;
     }
 
--- a/apps/tamarackctl/status_command.cpp
+++ b/apps/tamarackctl/status_command.cpp
@@ -26,8 +26,8 @@
         options.silenceTimeout = std::chrono::seconds(2);
         QEventLoop loop;
         std::optional<json> answer;
-        client.fetch(parseEndpoint(address), request, options,
-            [&](const http_response* response, const exchange_failure&) {
+        client.fetch(
+            parseEndpoint(address), request, options, [&](const http_response* response, const exchange_failure&) {
                 if (response && response->status == 200)
                     answer = json::parse(response->body, nullptr, false);
                 QMetaObject::invokeMethod(&loop, "quit", Qt::QueuedConnection);
@@ -42,9 +42,10 @@
     {
         std::printf("%-22s %-10s %-12s config %llu (serves %llu)  log %lld%s  held %llu waiting %llu\n",
             node.value("instance", "?").c_str(), node.value("availability_zone", "?").c_str(),
-            node.value("state", "?").c_str(), node.value("configuration_version", 0ULL), node.value("served_version", 0ULL),
-            node.value("log_reach", 0LL), node.value("log_reachable", false) ? "" : " (unreachable)",
-            node["requests"].value("held", 0ULL), node["requests"].value("waiting", 0ULL));
+            node.value("state", "?").c_str(), node.value("configuration_version", 0ULL),
+            node.value("served_version", 0ULL), node.value("log_reach", 0LL),
+            node.value("log_reachable", false) ? "" : " (unreachable)", node["requests"].value("held", 0ULL),
+            node["requests"].value("waiting", 0ULL));
         for (const auto& item : node["alarms"])
             std::printf("    alarm %s: %s\n", item.value("alarm", "").c_str(), item.value("detail", "").c_str());
     }
@@ -62,8 +63,8 @@
         for (const auto& target : node["targets"])
             std::printf("target %-16s %-14s %-8s running %5.1f%s%s%s\n", target.value("target", "").c_str(),
                 target.value("service", "").c_str(), target.value("role", "").c_str(), target.value("running", 0.0),
-                target.value("takes_work", false) ? "" : "  takes no work", target.value("leaving", false) ? "  leaving" : "",
-                target.value("changing", false) ? "  changing" : "");
+                target.value("takes_work", false) ? "" : "  takes no work",
+                target.value("leaving", false) ? "  leaving" : "", target.value("changing", false) ? "  changing" : "");
     }
 
 }
--- a/apps/tamarackrelay/main.cpp
+++ b/apps/tamarackrelay/main.cpp
@@ -16,10 +16,7 @@
 
 namespace options = boost::program_options;
 
-enum exit_code { exitOk = 0,
-    exitUsage = 2,
-    exitSettings = 3,
-    exitStart = 4 };
+enum exit_code { exitOk = 0, exitUsage = 2, exitSettings = 3, exitStart = 4 };
 
 int printErrors(const tamarack::setting_errors& errors)
 {
@@ -43,6 +40,9 @@
 int run(int argc, char** argv, tamarack::node_settings settings)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    // Before any thread starts: a library's thread that has not blocked SIGTERM would take it and end the process at
+    // once.
+    const int signals = openSignals();
     QCoreApplication application(argc, argv);
     const auto incarnation = static_cast<std::uint64_t>(tamarack::wallMilliseconds());
     tamarack::node node(std::move(settings), incarnation, [] { QCoreApplication::quit(); });
@@ -51,7 +51,6 @@
         std::cerr << "tamarackrelay: " << failure << "; is another process using it?\n";
         return exitStart;
     }
-    const int signals = openSignals();
     QSocketNotifier notifier(signals, QSocketNotifier::Read);
     QObject::connect(&notifier, &QSocketNotifier::activated, [&] {
         signalfd_siginfo info;
@@ -66,9 +65,9 @@
 int main(int argc, char** argv)
 {
     options::options_description description("tamarackrelay: one node of the serving system\n\nOptions");
-    description.add_options()("help,h", "print this and exit")("version,v", "print the version and exit")(
-        "settings,s", options::value<std::string>(), "the node's settings, JSON with comments")(
-        "check", "check the settings and exit");
+    description.add_options()("help,h", "print this and exit")("version,v", "print the version and exit")("settings,s",
+        options::value<std::string>(),
+        "the node's settings, JSON with comments")("check", "check the settings and exit");
     options::variables_map given;
     try {
         options::store(options::parse_command_line(argc, argv, description), given);
--- a/libs/base/include/base/clock.h
+++ b/libs/base/include/base/clock.h
@@ -12,9 +12,9 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<boot_clock>;
-    static constexpr bool is_steady = true;
 
-    /// Reads CLOCK_BOOTTIME. A clock that stops while the VM is suspended would let a lease holder trust a lapsed lease.
+    /// Reads CLOCK_BOOTTIME. A clock that stops while the VM is suspended would let a lease holder trust a lapsed
+    /// lease.
     static time_point now();
 };
 
--- a/libs/base/include/base/error_kind.h
+++ b/libs/base/include/base/error_kind.h
@@ -30,9 +30,7 @@
 };
 
 /// Whether the request was executed, as far as the answer can promise.
-enum class ran : unsigned char { no,
-    unknown,
-    yes };
+enum class ran : unsigned char { no, unknown, yes };
 
 /// What a caller is told for one kind of error.
 struct error_answer {
--- a/libs/base/include/base/ids.h
+++ b/libs/base/include/base/ids.h
@@ -34,8 +34,7 @@
 
 }
 
-template <>
-struct std::hash<tamarack::instance_id> {
+template <> struct std::hash<tamarack::instance_id> {
     std::size_t operator()(const tamarack::instance_id& id) const noexcept
     {
         return std::hash<std::string>()(id.node) ^ (id.incarnation * 0x9e3779b97f4a7c15ULL);
--- a/libs/base/include/base/strong_id.h
+++ b/libs/base/include/base/strong_id.h
@@ -8,8 +8,7 @@
 namespace tamarack {
 
 /// An id of one kind; `Tag` only tells the kinds apart. Default constructed ids are invalid.
-template <class Tag, class Rep = std::uint32_t>
-struct strong_id {
+template <class Tag, class Rep = std::uint32_t> struct strong_id {
     static constexpr Rep invalidValue = static_cast<Rep>(-1);
 
     Rep value = invalidValue;
@@ -20,8 +19,7 @@
 
 }
 
-template <class Tag, class Rep>
-struct std::hash<tamarack::strong_id<Tag, Rep>> {
+template <class Tag, class Rep> struct std::hash<tamarack::strong_id<Tag, Rep>> {
     std::size_t operator()(const tamarack::strong_id<Tag, Rep>& id) const noexcept
     {
         return std::hash<Rep>()(id.value);
--- a/libs/base/src/error_kind.cpp
+++ b/libs/base/src/error_kind.cpp
@@ -54,10 +54,7 @@
     return table[static_cast<std::size_t>(kind)];
 }
 
-std::span<const error_answer> errorAnswers()
-{
-    return table;
-}
+std::span<const error_answer> errorAnswers() { return table; }
 
 std::string_view toString(ran executed)
 {
--- a/libs/base/src/hash.cpp
+++ b/libs/base/src/hash.cpp
@@ -17,10 +17,7 @@
     return stableHash(item, stableHash(chooser));
 }
 
-std::string toString(const instance_id& id)
-{
-    return id.node + "@" + std::to_string(id.incarnation);
-}
+std::string toString(const instance_id& id) { return id.node + "@" + std::to_string(id.incarnation); }
 
 instance_id parseInstance(const std::string& text)
 {
--- /dev/null
+++ b/libs/base/tests/test_base.cpp
@@ -0,0 +1,49 @@
+// Ids, error kinds and hashes.
+#include "base/error_kind.h"
+#include "base/hash.h"
+#include "base/ids.h"
+#include "base/random_source.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace tamarack;
+
+TEST_CASE("test_every_refusal_says_when_or_why_not_to_come_back")
+{
+    std::set<std::string_view> types;
+    for (const auto& row : errorAnswers()) {
+        CHECK(types.insert(row.type).second);
+        CHECK(row.status >= 400);
+        CHECK_FALSE(row.title.empty());
+        // What has not run and may be asked again is an error of the moment, and says when.
+        const bool isOfTheMoment = row.status == 503 || row.status == 429;
+        CHECK(
+            isOfTheMoment == (row.executed == ran::no && row.status >= 429 && row.status != 431 && row.status != 502));
+        if (isOfTheMoment)
+            CHECK(row.retryAfter > duration::zero());
+    }
+}
+
+TEST_CASE("test_instance_text_round_trip")
+{
+    const instance_id id { "entry@odd", 42 };
+    CHECK(parseInstance(toString(id)) == id);
+    for (const char* bad : { "", "@1", "a", "a@", "a@x", "a@1 " })
+        CHECK_FALSE(parseInstance(bad).isValid());
+}
+
+TEST_CASE("test_hashes_are_the_same_on_every_node")
+{
+    // A change here would make two software versions of one deployment disagree about watchers and leases.
+    CHECK(stableHash("tamarack") == 0x149e08788765422bULL);
+}
+
+TEST_CASE("test_random_source_repeats_for_its_seed")
+{
+    random_source a(5);
+    random_source b(5);
+    for (int i = 0; i < 100; ++i)
+        CHECK(a.next() == b.next());
+    CHECK(a.unit() < 1);
+}
--- a/libs/decide/include/decide/order_system.h
+++ b/libs/decide/include/decide/order_system.h
@@ -105,8 +105,8 @@
         const lease_system& leases, instant now, output& out);
     void stepOwn(const std::string& target, const target_orders& open, const agreed_state& state,
         const lease_system& leases, instant now, output& out);
-    void stepInherited(const std::string& target, const target_orders& open, const agreed_state& state, instant now,
-        output& out);
+    void stepInherited(
+        const std::string& target, const target_orders& open, const agreed_state& state, instant now, output& out);
     void stepWanted(const std::string& target, const wanted_change& change, const agreed_state& state,
         const lease_system& leases, instant now, output& out);
     void close(const std::string& target, const target_orders& open, log_offset term, order_end reason, instant now,
--- a/libs/decide/include/decide/records.h
+++ b/libs/decide/include/decide/records.h
@@ -42,12 +42,7 @@
     log_offset term;
 };
 
-enum class order_kind : unsigned char { role,
-    model,
-    adapter,
-    version,
-    leave,
-    none };
+enum class order_kind : unsigned char { role, model, adapter, version, leave, none };
 
 std::string_view toString(order_kind kind);
 order_kind parseOrderKind(std::string_view text);
--- a/libs/decide/include/decide/request_table.h
+++ b/libs/decide/include/decide/request_table.h
@@ -7,9 +7,7 @@
 
 namespace tamarack {
 
-enum class request_phase : unsigned char { free,
-    waiting,
-    running };
+enum class request_phase : unsigned char { free, waiting, running };
 
 /// An id holds its row and a count of the row's uses, so a late event for an ended request finds nothing.
 class request_table {
--- a/libs/decide/include/decide/router.h
+++ b/libs/decide/include/decide/router.h
@@ -11,12 +11,7 @@
 namespace tamarack {
 
 /// How a baseline differs from the router; the default is what ships. docs/POLICY.md has the measurements.
-enum class routing_rule : unsigned char {
-    two_choices,
-    round_robin,
-    least_in_flight,
-    prefix_only
-};
+enum class routing_rule : unsigned char { two_choices, round_robin, least_in_flight, prefix_only };
 
 /// What routing has to know of a request.
 struct routing_need {
@@ -50,8 +45,8 @@
     double cost(target_id id, const routing_need& need, const service_entry& service, const target_table& targets,
         instant now) const;
     target_id choose(const routing_need& need, const deployment& config, const target_table& targets, instant now);
-    target_id cheaperOfTwo(const routing_need& need, const service_entry& service, const target_table& targets,
-        instant now);
+    target_id cheaperOfTwo(
+        const routing_need& need, const service_entry& service, const target_table& targets, instant now);
     target_id usualPlace(const routing_need& need, const target_table& targets) const;
 
     std::string m_vm;
--- a/libs/decide/src/agreed_state.cpp
+++ b/libs/decide/src/agreed_state.cpp
@@ -21,10 +21,7 @@
         m_data.asOf = log_offset { offset.value + 1 };
 }
 
-void agreed_state::restore(agreed_data data)
-{
-    m_data = std::move(data);
-}
+void agreed_state::restore(agreed_data data) { m_data = std::move(data); }
 
 const lease_state& agreed_state::lease(const std::string& name) const
 {
@@ -123,9 +120,6 @@
     return verdict::valid;
 }
 
-verdict agreed_state::on(const log_record&, const snapshot_record&)
-{
-    return verdict::no_effect;
-}
+verdict agreed_state::on(const log_record&, const snapshot_record&) { return verdict::no_effect; }
 
 }
--- a/libs/decide/src/control_system.cpp
+++ b/libs/decide/src/control_system.cpp
@@ -58,10 +58,7 @@
         m_orders.restored(agreed(), now);
 }
 
-void control_system::vmsListed(const std::vector<listed_vm>& vms, instant now)
-{
-    m_members.listed(vms, now);
-}
+void control_system::vmsListed(const std::vector<listed_vm>& vms, instant now) { m_members.listed(vms, now); }
 
 void control_system::targetSeen(const std::string& target, const target_view& view)
 {
@@ -69,15 +66,9 @@
     m_orders.targetSeen(target, view);
 }
 
-void control_system::orderAnswered(log_offset order, delivery_result result)
-{
-    m_orders.orderAnswered(order, result);
-}
+void control_system::orderAnswered(log_offset order, delivery_result result) { m_orders.orderAnswered(order, result); }
 
-void control_system::demandSeen(const std::string& service, const role_demand& demand)
-{
-    m_demand[service] = demand;
-}
+void control_system::demandSeen(const std::string& service, const role_demand& demand) { m_demand[service] = demand; }
 
 void control_system::stop()
 {
@@ -85,10 +76,7 @@
     m_ready.setStopping();
 }
 
-std::string control_system::leaseName(const std::string& service) const
-{
-    return m_self.region + "/" + service;
-}
+std::string control_system::leaseName(const std::string& service) const { return m_self.region + "/" + service; }
 
 bool control_system::holdsLease(const std::string& service, instant now) const
 {
@@ -180,8 +168,7 @@
     return false;
 }
 
-void control_system::planRoles(
-    const service_entry& service, const std::vector<planned_engine>& engines, instant now)
+void control_system::planRoles(const service_entry& service, const std::vector<planned_engine>& engines, instant now)
 {
     if (service.prefillTargets == 0)
         return;
@@ -219,7 +206,8 @@
     const auto& [target, order] = wished->second;
     const auto view = m_views.find(target);
     const bool isKnown = view != m_views.end() && view->second.isKnown;
-    const auto present = isKnown ? view->second.settings.find(order.kind) : std::map<order_kind, std::string>::const_iterator();
+    const auto present
+        = isKnown ? view->second.settings.find(order.kind) : std::map<order_kind, std::string>::const_iterator();
     const bool isDone = isKnown && present != view->second.settings.end() && present->second == order.value;
     if (isKnown && (!isDone || agreed().orders(target).isOpen))
         return true;
--- a/libs/decide/src/key_registry.cpp
+++ b/libs/decide/src/key_registry.cpp
@@ -16,10 +16,7 @@
     }
 }
 
-std::string toString(const key_home& home)
-{
-    return toString(home.instance) + "/" + std::to_string(home.issuedAt);
-}
+std::string toString(const key_home& home) { return toString(home.instance) + "/" + std::to_string(home.issuedAt); }
 
 std::optional<key_home> parseKeyHome(const std::string& text)
 {
@@ -42,10 +39,7 @@
 {
 }
 
-key_home key_registry::issue(instant now) const
-{
-    return { m_self, milliseconds(now) };
-}
+key_home key_registry::issue(instant now) const { return { m_self, milliseconds(now) }; }
 
 // A key is forgotten `memory` after its last change, which is never before its home was issued. So a home younger than
 // `memory` proves that a key not found here was never here; with an older one, "not found" proves nothing.
@@ -86,8 +80,7 @@
     return begin(key, now);
 }
 
-key_answer key_registry::askedBy(
-    const instance_id& asker, const std::string& key, const key_home& home, instant now)
+key_answer key_registry::askedBy(const instance_id& asker, const std::string& key, const key_home& home, instant now)
 {
     TAMARACK_ASSERT(home.instance == m_self, "only the home decides about a key");
     if (const auto found = m_entries.find(key); found != m_entries.end()) {
@@ -114,10 +107,7 @@
     m_entries[key] = { key_state::answered, now, std::move(kept), {} };
 }
 
-void key_registry::notRun(const std::string& key)
-{
-    m_entries.erase(key);
-}
+void key_registry::notRun(const std::string& key) { m_entries.erase(key); }
 
 void key_registry::outcomeUnknown(const std::string& key, instant now)
 {
--- a/libs/decide/src/lease_system.cpp
+++ b/libs/decide/src/lease_system.cpp
@@ -80,8 +80,8 @@
     return now >= since + m_settings.length + m_settings.margin + stagger;
 }
 
-void lease_system::stepOne(const std::string& name, entry& item, const agreed_state& state, instant now,
-    bool mayClaim, std::vector<wanted_append>& out)
+void lease_system::stepOne(const std::string& name, entry& item, const agreed_state& state, instant now, bool mayClaim,
+    std::vector<wanted_append>& out)
 {
     if (item.firstWanted == instant())
         item.firstWanted = now;
--- a/libs/decide/src/log_follower.cpp
+++ b/libs/decide/src/log_follower.cpp
@@ -10,10 +10,7 @@
 {
 }
 
-log_offset log_follower::readFrom() const
-{
-    return m_isSearching ? m_searchNext : m_state.next();
-}
+log_offset log_follower::readFrom() const { return m_isSearching ? m_searchNext : m_state.next(); }
 
 void log_follower::take(const decoded_page& page)
 {
--- a/libs/decide/src/order_system.cpp
+++ b/libs/decide/src/order_system.cpp
@@ -12,17 +12,13 @@
 {
 }
 
-void order_system::want(
-    const std::string& target, const std::string& lease, bool checksFencing, target_order order)
+void order_system::want(const std::string& target, const std::string& lease, bool checksFencing, target_order order)
 {
     TAMARACK_ASSERT(order.kind != order_kind::none, "a wanted order has a kind");
     m_wanted[target] = { lease, checksFencing, std::move(order) };
 }
 
-void order_system::forget(const std::string& target)
-{
-    m_wanted.erase(target);
-}
+void order_system::forget(const std::string& target) { m_wanted.erase(target); }
 
 void order_system::recordSeen(const log_record& record, verdict v, instant now)
 {
@@ -49,10 +45,7 @@
         m_orderSeenAt[target] = now;
 }
 
-void order_system::targetSeen(const std::string& target, const target_view& view)
-{
-    m_views[target] = view;
-}
+void order_system::targetSeen(const std::string& target, const target_view& view) { m_views[target] = view; }
 
 void order_system::incarnationSeen(const instance_id& instance, instant now)
 {
@@ -116,12 +109,12 @@
     const log_offset term = leases.term(open.lease, state);
     const bool isOwnTerm = holdsLease && term == open.term;
     const bool isUnsent = item.startedAt == instant();
-    const bool hasWaitedTooLong
-        = isUnsent && !open.isReissue && now >= m_orderSeenAt[target] + m_settings.drainTimeout;
+    const bool hasWaitedTooLong = isUnsent && !open.isReissue && now >= m_orderSeenAt[target] + m_settings.drainTimeout;
     if ((isUnsent && !isOwnTerm && m_safeguards.checkLeaseBeforeSend) || hasWaitedTooLong)
         item.isDropped = true;
     const bool isUndelivered = item.isDropped || item.result == delivery_result::not_sent;
-    // A re-issue that may not have arrived has not raised the fence, so the copies that it replaces are not stopped yet.
+    // A re-issue that may not have arrived has not raised the fence, so the copies that it replaces are not stopped
+    // yet.
     if (open.isReissue && (isUndelivered || item.result == delivery_result::closed)) {
         if (holdsLease)
             reissue(target, open, term, now, out);
@@ -146,8 +139,8 @@
         close(target, open, term, order_end::delivery_closed, now, out);
 }
 
-void order_system::stepInherited(const std::string& target, const target_orders& open, const agreed_state& state,
-    instant now, output& out)
+void order_system::stepInherited(
+    const std::string& target, const target_orders& open, const agreed_state& state, instant now, output& out)
 {
     const log_offset term = state.lease(open.lease).term;
     // The former holder's copy may still be on its way. Once the target has seen the higher number, it refuses it.
@@ -190,8 +183,9 @@
     const auto view = m_views.find(target);
     if (view == m_views.end() || !view->second.isKnown || view->second.isChanging)
         return;
-    // What goes wrong without it: a holder that was frozen decides on a view from before its freeze, and orders what the
-    // target already is. That "effect" shows before the order has arrived, the order is closed, and its copy comes late.
+    // What goes wrong without it: a holder that was frozen decides on a view from before its freeze, and orders what
+    // the target already is. That "effect" shows before the order has arrived, the order is closed, and its copy comes
+    // late.
     const auto lastRecord = m_orderSeenAt.find(target);
     if (lastRecord != m_orderSeenAt.end() && view->second.askedAt <= lastRecord->second)
         return;
@@ -203,8 +197,8 @@
         change.checksFencing, state.orders(target).last, false, view->second.incarnation } });
 }
 
-void order_system::close(const std::string& target, const target_orders& open, log_offset term, order_end reason,
-    instant now, output& out)
+void order_system::close(
+    const std::string& target, const target_orders& open, log_offset term, order_end reason, instant now, output& out)
 {
     if (isPending(target, now))
         return;
--- a/libs/decide/src/readiness.cpp
+++ b/libs/decide/src/readiness.cpp
@@ -36,10 +36,7 @@
         m_behindSince = now;
 }
 
-void readiness::versionInForce(std::uint64_t version, instant)
-{
-    m_version = std::max(m_version, version);
-}
+void readiness::versionInForce(std::uint64_t version, instant) { m_version = std::max(m_version, version); }
 
 bool readiness::isLogReachable(instant now) const
 {
--- a/libs/decide/src/records.cpp
+++ b/libs/decide/src/records.cpp
@@ -27,29 +27,14 @@
 
 }
 
-std::string_view toString(order_kind kind)
-{
-    return orderKinds[static_cast<std::size_t>(kind)];
-}
+std::string_view toString(order_kind kind) { return orderKinds[static_cast<std::size_t>(kind)]; }
 
-order_kind parseOrderKind(std::string_view text)
-{
-    return parse(orderKinds, text, order_kind::none);
-}
+order_kind parseOrderKind(std::string_view text) { return parse(orderKinds, text, order_kind::none); }
 
-std::string_view toString(order_end end)
-{
-    return orderEnds[static_cast<std::size_t>(end)];
-}
+std::string_view toString(order_end end) { return orderEnds[static_cast<std::size_t>(end)]; }
 
-order_end parseOrderEnd(std::string_view text)
-{
-    return parse(orderEnds, text, order_end::count);
-}
+order_end parseOrderEnd(std::string_view text) { return parse(orderEnds, text, order_end::count); }
 
-std::string_view toString(verdict v)
-{
-    return verdicts[static_cast<std::size_t>(v)];
-}
+std::string_view toString(verdict v) { return verdicts[static_cast<std::size_t>(v)]; }
 
 }
--- a/libs/decide/src/request_table.cpp
+++ b/libs/decide/src/request_table.cpp
@@ -58,9 +58,6 @@
     return at;
 }
 
-request_id request_table::idOf(std::size_t at) const
-{
-    return { static_cast<std::uint64_t>(m_uses[at]) << 32 | at };
-}
+request_id request_table::idOf(std::size_t at) const { return { static_cast<std::uint64_t>(m_uses[at]) << 32 | at }; }
 
 }
--- a/libs/decide/src/role_planner.cpp
+++ b/libs/decide/src/role_planner.cpp
@@ -13,15 +13,12 @@
     constexpr double lookAheadSeconds = 10;
     constexpr double settleSeconds = 2; // a wish must last this long
 
-    double shareFor(double elapsed, double constant)
-    {
-        return 1 - std::exp(-elapsed / constant);
-    }
+    double shareFor(double elapsed, double constant) { return 1 - std::exp(-elapsed / constant); }
 
 }
 
 role_planner::role_planner(policy_entry policy, planning_rule rule)
-    : m_policy(std::move(policy))
+    : m_policy(policy)
     , m_rule(rule)
 {
 }
@@ -49,7 +46,8 @@
 
 role_demand role_planner::forecast() const
 {
-    const auto ahead = [](const smoothed& value) { return std::max(0.0, value.level + value.trend * lookAheadSeconds); };
+    const auto ahead
+        = [](const smoothed& value) { return std::max(0.0, value.level + value.trend * lookAheadSeconds); };
     return { ahead(m_prefill), ahead(m_decode) };
 }
 
--- a/libs/decide/src/router.cpp
+++ b/libs/decide/src/router.cpp
@@ -111,8 +111,7 @@
     const double running = targets.runningEstimate(id, now);
     double total = running * service.requestSeconds / service.slots;
     if (service.isEngine())
-        total = running * service.tokenInterval
-            + targets.prefillEstimate(id, now) / service.prefillTokensPerSecond;
+        total = running * service.tokenInterval + targets.prefillEstimate(id, now) / service.prefillTokensPerSecond;
     if (targets.zone[row] != m_zone)
         total += otherZoneSeconds;
     if (now < targets.slowStartUntil[row])
@@ -147,16 +146,14 @@
     return cost(a, need, service, targets, now) <= cost(b, need, service, targets, now) ? a : b;
 }
 
-target_id router::choose(
-    const routing_need& need, const deployment& config, const target_table& targets, instant now)
+target_id router::choose(const routing_need& need, const deployment& config, const target_table& targets, instant now)
 {
     const auto& service = config.services[need.shape.service.value];
     if (m_rule == routing_rule::round_robin)
         return { m_candidates[m_turn++ % m_candidates.size()] };
     if (m_rule == routing_rule::least_in_flight) {
-        const auto fewer = [&](std::uint32_t a, std::uint32_t b) {
-            return targets.ownRunning[a] < targets.ownRunning[b];
-        };
+        const auto fewer
+            = [&](std::uint32_t a, std::uint32_t b) { return targets.ownRunning[a] < targets.ownRunning[b]; };
         return { *std::min_element(m_candidates.begin(), m_candidates.end(), fewer) };
     }
     const bool hasPrefix = need.shape.prefixHash != 0 && need.stage != request_stage::decode;
@@ -170,8 +167,7 @@
     return gap <= config.policy.affinityLoadGap ? usual : cheaper;
 }
 
-target_id router::pick(
-    const routing_need& need, const deployment& config, const target_table& targets, instant now)
+target_id router::pick(const routing_need& need, const deployment& config, const target_table& targets, instant now)
 {
     const auto& service = config.services[need.shape.service.value];
     const int limit = slotLimit(service, config.policy, need);
--- a/libs/decide/src/target_table.cpp
+++ b/libs/decide/src/target_table.cpp
@@ -95,10 +95,7 @@
 
 namespace {
 
-    double discount(instant measuredAt, instant now)
-    {
-        return std::exp2(-seconds(now - measuredAt) / reportHalfLife);
-    }
+    double discount(instant measuredAt, instant now) { return std::exp2(-seconds(now - measuredAt) / reportHalfLife); }
 
 }
 
--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -135,8 +135,8 @@
     auto& meter = m_demand[shape.service.value];
     const double kept = std::exp(-seconds(now - meter.at) / demandSeconds);
     meter.promptTokens = meter.promptTokens * kept + static_cast<double>(shape.promptTokens);
-    meter.outputTokens = meter.outputTokens * kept
-        + static_cast<double>(shape.outputTokens) * m_outputShare[shape.service.value];
+    meter.outputTokens
+        = meter.outputTokens * kept + static_cast<double>(shape.outputTokens) * m_outputShare[shape.service.value];
     meter.at = now;
 }
 
@@ -154,8 +154,8 @@
     request_shape shape = given;
     TAMARACK_ASSERT(shape.service.value < m_queues.size(), "the service is in the configuration in force");
     if (shape.deadline == duration::zero())
-        shape.deadline = fromSeconds(
-            shape.isUrgent ? m_config->policy.urgentDeadline : m_config->policy.defaultDeadline);
+        shape.deadline
+            = fromSeconds(shape.isUrgent ? m_config->policy.urgentDeadline : m_config->policy.defaultDeadline);
     const request_id id = m_requests.add(shape, now);
     const auto row = static_cast<std::size_t>(m_requests.row(id));
     if (shape.depth > m_config->policy.maxDepth) {
@@ -353,7 +353,8 @@
     if (shape.service.isValid()) {
         m_budgets[shape.service.value].succeeded();
         if (shape.outputTokens > 0) {
-            const double share = static_cast<double>(m_requests.tokensDone[row]) / static_cast<double>(shape.outputTokens);
+            const double share
+                = static_cast<double>(m_requests.tokensDone[row]) / static_cast<double>(shape.outputTokens);
             auto& average = m_outputShare[shape.service.value];
             average += outputShareWeight * (std::clamp(share, 0.05, 1.0) - average);
         }
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -59,10 +59,7 @@
     return { address, static_cast<std::uint16_t>(*port) };
 }
 
-std::string toString(const endpoint& e)
-{
-    return e.address + ":" + std::to_string(e.port);
-}
+std::string toString(const endpoint& e) { return e.address + ":" + std::to_string(e.port); }
 
 namespace {
 
@@ -284,7 +281,7 @@
                 socket->deleteLater();
             }
             // Destroying this object inside one of its own slots would be use after free.
-            QTimer::singleShot(0, m_pool, [self = std::move(m_self)] { });
+            QTimer::singleShot(0, m_pool, [self = std::move(m_self)] {});
         }
 
         connection_pool* m_pool;
--- a/libs/http/src/http_message.cpp
+++ b/libs/http/src/http_message.cpp
@@ -9,9 +9,8 @@
 
 bool equalsIgnoreCase(std::string_view a, std::string_view b)
 {
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
-        return std::tolower(x) == std::tolower(y);
-    });
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+        [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
 std::string_view header_list::find(std::string_view name) const
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -122,7 +122,8 @@
             if (m_writer || m_buffer.empty() || m_refused)
                 return;
             if (!m_requestTimer.isActive()) {
-                const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_shared->limits.requestTimeout);
+                const auto wait
+                    = std::chrono::duration_cast<std::chrono::milliseconds>(m_shared->limits.requestTimeout);
                 m_requestTimer.start(wait);
             }
             boost::system::error_code error;
@@ -252,10 +253,7 @@
         m_connection->closeWhenWritten();
 }
 
-qint64 response_writer::bytesQueued() const
-{
-    return m_connection ? m_connection->bytesQueued() : 0;
-}
+qint64 response_writer::bytesQueued() const { return m_connection ? m_connection->bytesQueued() : 0; }
 
 struct http_server::state {
     std::shared_ptr<detail::server_shared> shared;
@@ -291,19 +289,10 @@
     return m_state->server.listen(address, port);
 }
 
-quint16 http_server::port() const
-{
-    return m_state->server.serverPort();
-}
+quint16 http_server::port() const { return m_state->server.serverPort(); }
 
-void http_server::stopListening()
-{
-    m_state->server.close();
-}
+void http_server::stopListening() { m_state->server.close(); }
 
-int http_server::connectionCount() const
-{
-    return m_state->shared->connections;
-}
+int http_server::connectionCount() const { return m_state->shared->connections; }
 
 }
--- /dev/null
+++ b/libs/http/tests/test_http.cpp
@@ -0,0 +1,227 @@
+// The HTTP parts against each other and against peers that misbehave.
+#include "http/event_stream.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+#include <QEventLoop>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+#include <catch2/catch.hpp>
+
+using namespace tamarack;
+
+namespace {
+
+/// Runs the event loop until `isDone`; fails the test if that takes implausibly long.
+void spin(const bool& isDone)
+{
+    QEventLoop loop;
+    QTimer poll;
+    QObject::connect(&poll, &QTimer::timeout, [&] {
+        if (isDone)
+            loop.quit();
+    });
+    poll.start(1);
+    QTimer::singleShot(20'000, &loop, &QEventLoop::quit);
+    loop.exec();
+    REQUIRE(isDone);
+}
+
+/// A peer that answers every connection with fixed bytes and then closes; counts the requests it saw.
+struct raw_peer {
+    QTcpServer server;
+    int requests = 0;
+    QByteArray answer;
+
+    explicit raw_peer(QByteArray bytes)
+        : answer(std::move(bytes))
+    {
+        server.listen(QHostAddress::LocalHost, 0);
+        QObject::connect(&server, &QTcpServer::newConnection, [this] {
+            QTcpSocket* socket = server.nextPendingConnection();
+            QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
+                ++requests;
+                socket->readAll();
+                socket->write(answer);
+                socket->disconnectFromHost();
+            });
+        });
+    }
+    endpoint address() const { return { "127.0.0.1", server.serverPort() }; }
+};
+
+struct outcome {
+    bool isDone = false;
+    bool isWhole = false;
+    http_response response;
+    exchange_failure failure;
+};
+
+outcome fetch(http_client& client, const endpoint& peer, exchange_options options = {})
+{
+    outcome result;
+    client.fetch(
+        peer, { "POST", "/x", {}, "body" }, options, [&](const http_response* response, const exchange_failure& f) {
+            result.isWhole = response != nullptr;
+            if (response)
+                result.response = *response;
+            result.failure = f;
+            result.isDone = true;
+        });
+    spin(result.isDone);
+    return result;
+}
+
+}
+
+TEST_CASE("test_events_are_split_without_changing_a_byte")
+{
+    const std::string stream = "id: 0\ndata: {\"a\":1}\n\n: comment\n\nid: 1\ndata: x\n\ndata: [DONE]\n\n";
+    for (std::size_t part = 1; part < stream.size(); ++part) {
+        event_splitter splitter;
+        std::string joined;
+        std::vector<std::uint64_t> ids;
+        int comments = 0;
+        const auto onEvent = [&](const stream_event& event) {
+            joined += event.bytes;
+            comments += event.isComment;
+            if (event.id)
+                ids.push_back(*event.id);
+        };
+        for (std::size_t at = 0; at < stream.size(); at += part)
+            splitter.feed(std::string_view(stream).substr(at, part), onEvent);
+        CHECK(joined == stream);
+        CHECK(ids == std::vector<std::uint64_t> { 0, 1 });
+        CHECK(comments == 1);
+        CHECK_FALSE(splitter.hasPartial());
+    }
+}
+
+TEST_CASE("test_request_is_sent_once_when_the_peer_closes_without_answer")
+{
+    // Symptom: a target runs a call twice although its caller asked once.
+    // Sequence: the peer reads the request and closes without a byte.
+    // Cause: a client library that sends again by itself.
+    http_client client;
+    raw_peer peer("");
+    const auto result = fetch(client, peer.address());
+    CHECK_FALSE(result.isWhole);
+    CHECK(result.failure.mayHaveReachedPeer);
+    CHECK(peer.requests == 1);
+}
+
+TEST_CASE("test_unreachable_peer_is_known_not_to_have_got_the_request")
+{
+    http_client client;
+    endpoint nobody;
+    {
+        raw_peer peer("");
+        nobody = peer.address();
+    }
+    const auto result = fetch(client, nobody);
+    CHECK_FALSE(result.isWhole);
+    CHECK_FALSE(result.failure.mayHaveReachedPeer);
+}
+
+TEST_CASE("test_answers_that_are_not_whole_are_failures")
+{
+    const char* const answers[] {
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Le",
+        "this is not HTTP\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+    };
+    http_client client;
+    for (const char* answer : answers) {
+        raw_peer peer(answer);
+        INFO(answer);
+        CHECK_FALSE(fetch(client, peer.address()).isWhole);
+    }
+    raw_peer whole("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+    CHECK(fetch(client, whole.address()).response.body == "whole");
+}
+
+TEST_CASE("test_silent_peer_times_out")
+{
+    QTcpServer silent;
+    silent.listen(QHostAddress::LocalHost, 0);
+    http_client client;
+    exchange_options options;
+    options.silenceTimeout = std::chrono::milliseconds(50);
+    const auto result = fetch(client, { "127.0.0.1", silent.serverPort() }, options);
+    CHECK(result.failure.timedOut);
+}
+
+TEST_CASE("test_handler_may_cancel_its_own_exchange")
+{
+    // Symptom: a caller whose answer was refused by the relay waits for ever, or the node ends.
+    // Sequence: the head of an answer shows that it is crossed; the handler cancels the exchange and goes on.
+    // Cause: cancelling destroyed the function that was running.
+    http_client client;
+    raw_peer peer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+    bool isDone = false;
+    std::shared_ptr<http_exchange> exchange;
+    std::string note = "a string too long to be kept inside of the closure object itself";
+    exchange_handlers handlers;
+    handlers.onHead = [&, note](const http_response_head&) {
+        exchange->cancel();
+        isDone = note.size() > 20;
+    };
+    handlers.onEnd = [] { FAIL("a cancelled exchange does not end"); };
+    exchange = client.start(peer.address(), { "GET", "/", {}, "" }, {}, std::move(handlers));
+    spin(isDone);
+}
+
+TEST_CASE("test_writes_after_the_caller_has_gone_are_safe")
+{
+    std::shared_ptr<response_writer> kept;
+    bool isGone = false;
+    http_server server(
+        {},
+        [&](http_request, std::shared_ptr<response_writer> caller) {
+            kept = caller;
+            caller->startStream({ 200, {} });
+            caller->write("first");
+            caller->onClosed = [&] { isGone = true; };
+        },
+        [](error_kind, std::string_view) { return http_response {}; });
+    REQUIRE(server.listen(QHostAddress::LocalHost, 0));
+    http_client client;
+    std::shared_ptr<http_exchange> exchange;
+    exchange_handlers handlers;
+    handlers.onBody = [&](std::string_view) { exchange->cancel(); };
+    exchange = client.start({ "127.0.0.1", server.port() }, { "GET", "/", {}, "" }, {}, std::move(handlers));
+    spin(isGone);
+    kept->write("second");
+    kept->finish();
+    kept->abort();
+    CHECK_FALSE(kept->isOpen());
+}
+
+TEST_CASE("test_requests_on_one_connection_are_answered_in_order")
+{
+    std::vector<std::shared_ptr<response_writer>> waiting;
+    http_server server(
+        {},
+        [&](http_request request, std::shared_ptr<response_writer> caller) {
+            http_response answer;
+            answer.body = request.target;
+            caller->sendWhole(answer);
+        },
+        [](error_kind, std::string_view) {
+            return http_response { 400, {}, {} };
+        });
+    REQUIRE(server.listen(QHostAddress::LocalHost, 0));
+    QTcpSocket socket;
+    socket.connectToHost(QHostAddress::LocalHost, server.port());
+    socket.write("GET /one HTTP/1.1\r\n\r\nGET /two HTTP/1.1\r\n\r\nGET /three HTTP/1.1\r\nConnection: close\r\n\r\n");
+    QByteArray all;
+    bool isClosed = false;
+    QObject::connect(&socket, &QTcpSocket::readyRead, [&] { all += socket.readAll(); });
+    QObject::connect(&socket, &QTcpSocket::disconnected, [&] { isClosed = true; });
+    spin(isClosed);
+    CHECK(all.indexOf("/one") < all.indexOf("/two"));
+    CHECK(all.indexOf("/two") < all.indexOf("/three"));
+}
--- a/libs/node/include/node/node.h
+++ b/libs/node/include/node/node.h
@@ -12,7 +12,8 @@
 /// Runs on the event loop of the thread that made it.
 class node {
 public:
-    /// `incarnation` must rise with every start of a process on this VM. `onStopped` is called once a planned stop is done.
+    /// `incarnation` must rise with every start of a process on this VM. `onStopped` is called once a planned stop is
+    /// done.
     node(node_settings settings, std::uint64_t incarnation, std::function<void()> onStopped);
     ~node();
     node(const node&) = delete;
--- a/libs/node/src/admin_api.cpp
+++ b/libs/node/src/admin_api.cpp
@@ -95,8 +95,7 @@
     auto held = ordered_json::array();
     for (const auto& [name, lease] : decisions.agreed().data().leases) {
         held.push_back({ { "lease", name }, { "holder", lease.holder.isValid() ? toString(lease.holder) : "" },
-            { "term", lease.term.value },
-            { "held_here", decisions.leases().holds(name, decisions.agreed(), now) } });
+            { "term", lease.term.value }, { "held_here", decisions.leases().holds(name, decisions.agreed(), now) } });
     }
     body["leases"] = held;
     body["open_orders"] = ordersJson(decisions.agreed());
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -59,10 +59,7 @@
     }
 
     // RFC 9218: urgency 0 is the most urgent, 3 the default.
-    bool isUrgentPriority(std::string_view header)
-    {
-        return header.starts_with("u=0") || header.starts_with("u=1");
-    }
+    bool isUrgentPriority(std::string_view header) { return header.starts_with("u=0") || header.starts_with("u=1"); }
 
 }
 
@@ -138,9 +135,9 @@
     nlohmann::ordered_json body;
     body["entries"] = nlohmann::ordered_json::array();
     for (const auto& peer : usable) {
-        body["entries"].push_back({ { "vm", peer.instance.node },
-            { "address", peer.address + ":" + std::to_string(peer.callerPort) },
-            { "availability_zone", peer.availabilityZone } });
+        body["entries"].push_back(
+            { { "vm", peer.instance.node }, { "address", peer.address + ":" + std::to_string(peer.callerPort) },
+                { "availability_zone", peer.availabilityZone } });
     }
     body["lifetime_seconds"] = seconds(m_settings.entryLifetime);
     body["configuration_version"] = m_control.servedVersion();
@@ -225,8 +222,7 @@
     m_submit(std::move(input), caller, nullptr);
 }
 
-bool caller_api::isNonIdempotent(
-    const service_entry& service, const std::string& method, std::string_view path) const
+bool caller_api::isNonIdempotent(const service_entry& service, const std::string& method, std::string_view path) const
 {
     return std::any_of(service.nonIdempotent.begin(), service.nonIdempotent.end(), [&](const route_pattern& route) {
         const bool isBelow = path.starts_with(route.path)
--- a/libs/node/src/caller_api.h
+++ b/libs/node/src/caller_api.h
@@ -37,8 +37,8 @@
     void plainCall(http_request request, const caller_ptr& caller);
     void refuse(const caller_ptr& caller, error_kind kind, std::string_view detail);
     /// Fills in what the headers say; false if one of them is wrong, which the caller was told.
-    bool readHeaders(const http_request& request, const service_entry& service, relay_input& input,
-        const caller_ptr& caller);
+    bool readHeaders(
+        const http_request& request, const service_entry& service, relay_input& input, const caller_ptr& caller);
     bool isNonIdempotent(const service_entry& service, const std::string& method, std::string_view path) const;
 
     const node_settings& m_settings;
--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -14,7 +14,7 @@
     constexpr duration statusTimeout = 1s;
     constexpr duration pullTimeout = 2s;
     constexpr duration tickInterval = 50ms;
-    constexpr std::size_t loadsPerHeartbeat = 60;
+    constexpr std::size_t loadsPerHeartbeat = 50;
     constexpr std::size_t digestPerHeartbeat = 6;
     constexpr int silencesUntilBlocked = 2;
     constexpr duration silentTargetBlock = 1s;
@@ -35,10 +35,7 @@
         return decoded;
     }
 
-    std::uint32_t shortHash(const std::string& name)
-    {
-        return static_cast<std::uint32_t>(stableHash(name));
-    }
+    std::uint32_t shortHash(const std::string& name) { return static_cast<std::uint32_t>(stableHash(name)); }
 
 }
 
@@ -50,7 +47,8 @@
     , m_counters(counters)
     , m_log(log)
     , m_onConfiguration(std::move(onConfiguration))
-    , m_control({ instance, settings.region, settings.availabilityZone }, controlSettingsFrom(settings), boot_clock::now())
+    , m_control(
+          { instance, settings.region, settings.availabilityZone }, controlSettingsFrom(settings), boot_clock::now())
     , m_loads(settings.vm, settings.availabilityZone, traffic.targets())
     , m_peers({ [this](const heartbeat& message) { onHeartbeat(message); },
           [this](const peer_request& request, peer_transport::reply_sender reply) {
@@ -58,12 +56,12 @@
           } })
     , m_logClient(parseEndpoint(settings.logAddress), settings.logStream, platformTimeout)
     , m_vmList(parseEndpoint(settings.vmListAddress), platformTimeout)
-    , m_poller(client, statusTimeout,
+    , m_poller(
+          client, statusTimeout,
           [this](const std::string& target, const target_status& status) { onStatus(target, status); },
           [this](const std::string& target) { onSilence(target); })
-    , m_deliverer(client, log, [this](log_offset order, delivery_result result) {
-        m_control.orderAnswered(order, result);
-    })
+    , m_deliverer(
+          client, log, [this](log_offset order, delivery_result result) { m_control.orderAnswered(order, result); })
 {
     QObject::connect(&m_logTimer, &QTimer::timeout, [this] { readLog(); });
     QObject::connect(&m_vmTimer, &QTimer::timeout, [this] { readVmList(); });
@@ -193,8 +191,7 @@
         m_control.incarnationHeard({ entry.vm, entry.incarnation }, now);
     const bool isAhead = message.sender.logReach > m_control.agreed().next().value;
     const bool lacksLog = !m_control.ready().isLogReachable(now) || m_control.follower().hasGap();
-    const bool lacksVersion
-        = message.sender.configurationVersion > m_control.agreed().configuration().version;
+    const bool lacksVersion = message.sender.configurationVersion > m_control.agreed().configuration().version;
     if (isAhead && (lacksLog || lacksVersion))
         pullStateFrom(message.sender);
 }
--- a/libs/node/src/key_desk.cpp
+++ b/libs/node/src/key_desk.cpp
@@ -40,13 +40,10 @@
 {
 }
 
-std::string key_desk::homeHeader() const
-{
-    return toString(m_keys.issue(boot_clock::now()));
-}
+std::string key_desk::homeHeader() const { return toString(m_keys.issue(boot_clock::now())); }
 
-void key_desk::refuse(const std::shared_ptr<response_writer>& caller, error_kind kind, std::string_view detail,
-    const std::string& extra)
+void key_desk::refuse(
+    const std::shared_ptr<response_writer>& caller, error_kind kind, std::string_view detail, const std::string& extra)
 {
     m_counters.count("tamarack_refused_total", { { "kind", std::string(answerFor(kind).type) } });
     auto answer = problemAnswer(kind, detail, duration::zero(), extra);
@@ -61,7 +58,8 @@
     if (key.empty() || !home) {
         const nlohmann::json how { { "home", homeHeader() } };
         return refuse(caller, error_kind::home_required,
-            "send Idempotency-Key, and in Tamarack-Home the value that the node you first turned to gave you", how.dump());
+            "send Idempotency-Key, and in Tamarack-Home the value that the node you first turned to gave you",
+            how.dump());
     }
     if (home->instance == m_keys.self())
         return follow(key, m_keys.requested(key, *home, boot_clock::now()), caller, run);
@@ -72,8 +70,8 @@
     askHome(key, *home, std::move(caller), std::move(run));
 }
 
-void key_desk::askHome(const std::string& key, const key_home& home, std::shared_ptr<response_writer> caller,
-    std::function<void()> run)
+void key_desk::askHome(
+    const std::string& key, const key_home& home, std::shared_ptr<response_writer> caller, std::function<void()> run)
 {
     const peer_state* peer = m_members.find(home.instance.node);
     const bool isNewerLife = peer && peer->instance.incarnation > home.instance.incarnation;
@@ -90,8 +88,8 @@
         });
 }
 
-void key_desk::follow(const std::string& key, const key_answer& answer,
-    const std::shared_ptr<response_writer>& caller, const std::function<void()>& run)
+void key_desk::follow(const std::string& key, const key_answer& answer, const std::shared_ptr<response_writer>& caller,
+    const std::function<void()>& run)
 {
     switch (answer.decision) {
     case key_decision::run:
--- a/libs/node/src/key_desk.h
+++ b/libs/node/src/key_desk.h
@@ -20,7 +20,8 @@
 public:
     key_desk(key_registry& keys, peer_transport& peers, const membership& members, metrics& counters, duration timeout);
 
-    /// `run` is called if this node is to run the request, now or after its home agreed; otherwise the caller is answered.
+    /// `run` is called if this node is to run the request, now or after its home agreed; otherwise the caller is
+    /// answered.
     void admit(const std::string& key, const std::string& home, std::shared_ptr<response_writer> caller,
         std::function<void()> run);
     /// The request that admit() let run has ended.
--- a/libs/node/src/load_exchange.cpp
+++ b/libs/node/src/load_exchange.cpp
@@ -15,8 +15,7 @@
     constexpr double tokensPerStep = 1000.0 / 16;
     constexpr std::int64_t oldestMilliseconds = 10'000; // older reports say nothing worth passing on
 
-    template <class Integer>
-    Integer clampTo(double value)
+    template <class Integer> Integer clampTo(double value)
     {
         return static_cast<Integer>(std::clamp(value, 0.0, static_cast<double>(std::numeric_limits<Integer>::max())));
     }
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -84,13 +84,15 @@
     , keys(instance, settings.keyMemory)
     , desk(keys, control.peers(), control.decisions().members(), counters, homeTimeout)
     , services { client, traffic, counters, log, spans, spanIds, targetSilence }
-    , api(settings, control.decisions(), traffic, desk, counters,
+    , api(
+          settings, control.decisions(), traffic, desk, counters,
           [this](relay_input input, std::shared_ptr<response_writer> caller,
               std::function<void(const relay::outcome&)> onFinished) {
               submit(std::move(input), std::move(caller), std::move(onFinished));
           },
           [this] { return refusal(); })
-    , server({},
+    , server(
+          {},
           [this](http_request request, std::shared_ptr<response_writer> caller) {
               api.handle(std::move(request), std::move(caller));
           },
@@ -115,8 +117,9 @@
         return "peer_port " + std::to_string(settings.peerPort) + " cannot be listened on";
     trafficTimer.start(trafficTick);
     slowTimer.start(keepAliveTick);
-    log.info("node_started", { { "availability_zone", settings.availabilityZone }, { "address", settings.address },
-                                 { "caller_port", settings.callerPort } });
+    log.info("node_started",
+        { { "availability_zone", settings.availabilityZone }, { "address", settings.address },
+            { "caller_port", settings.callerPort } });
     return {};
 }
 
@@ -147,8 +150,8 @@
     return std::nullopt;
 }
 
-void node::state::submit(relay_input input, std::shared_ptr<response_writer> caller,
-    std::function<void(const relay::outcome&)> onFinished)
+void node::state::submit(
+    relay_input input, std::shared_ptr<response_writer> caller, std::function<void(const relay::outcome&)> onFinished)
 {
     traffic_commands commands;
     const request_id id = traffic.arrive(input.shape, boot_clock::now(), commands);
@@ -240,8 +243,8 @@
     const bool isPastAccepting = !mayAccept(now);
     const bool isIdle = traffic.held() == 0;
     const bool isOverdue = now >= drainingSince + settings.drainTimeout;
-    const bool hasReleased = control.decisions().hasReleased(now)
-        || now >= drainingSince + 2 * settings.entryLifetime + releaseTimeout;
+    const bool hasReleased
+        = control.decisions().hasReleased(now) || now >= drainingSince + 2 * settings.entryLifetime + releaseTimeout;
     if (!isPastAccepting || !((isIdle && hasReleased) || isOverdue))
         return;
     isStopped = true;
@@ -256,14 +259,8 @@
 
 node::~node() = default;
 
-std::string node::start()
-{
-    return m_state->start();
-}
+std::string node::start() { return m_state->start(); }
 
-void node::drain()
-{
-    m_state->drain();
-}
+void node::drain() { m_state->drain(); }
 
 }
--- a/libs/node/src/order_deliverer.cpp
+++ b/libs/node/src/order_deliverer.cpp
@@ -30,10 +30,10 @@
     exchange_options options;
     options.freshConnection = true;
     m_log.info("order_sent",
-        { { "target", order.target }, { "order", order.order.value },
-            { "set", std::string(toString(order.what.kind)) }, { "value", order.what.value } });
-    m_client.fetch(target, request, options,
-        [this, order](const http_response* response, const exchange_failure& failure) {
+        { { "target", order.target }, { "order", order.order.value }, { "set", std::string(toString(order.what.kind)) },
+            { "value", order.what.value } });
+    m_client.fetch(
+        target, request, options, [this, order](const http_response* response, const exchange_failure& failure) {
             finished(order, response, failure);
         });
 }
--- a/libs/node/src/relay.cpp
+++ b/libs/node/src/relay.cpp
@@ -122,8 +122,8 @@
         if (const auto self = weak.lock())
             self->onFailure(attempt, failure);
     };
-    attempt->exchange
-        = m_services.client.start(parseEndpoint(address), requestFor(*attempt), optionsFor(*attempt), std::move(handlers));
+    attempt->exchange = m_services.client.start(
+        parseEndpoint(address), requestFor(*attempt), optionsFor(*attempt), std::move(handlers));
 }
 
 bool relay::isCurrent(const attempt_ptr& attempt) const
--- a/libs/node/src/target_poller.cpp
+++ b/libs/node/src/target_poller.cpp
@@ -44,8 +44,7 @@
 
 }
 
-target_poller::target_poller(
-    http_client& client, duration timeout, status_handler onStatus, silence_handler onSilence)
+target_poller::target_poller(http_client& client, duration timeout, status_handler onStatus, silence_handler onSilence)
     : m_client(client)
     , m_timeout(timeout)
     , m_onStatus(std::move(onStatus))
@@ -64,8 +63,8 @@
     options.connectTimeout = m_timeout;
     options.silenceTimeout = m_timeout;
     const instant askedAt = boot_clock::now();
-    m_client.fetch(address, request, options,
-        [this, target, askedAt](const http_response* response, const exchange_failure&) {
+    m_client.fetch(
+        address, request, options, [this, target, askedAt](const http_response* response, const exchange_failure&) {
             answered(target, askedAt, response);
         });
 }
--- a/libs/observe/include/observe/logger.h
+++ b/libs/observe/include/observe/logger.h
@@ -10,10 +10,7 @@
 
 namespace tamarack {
 
-enum class log_level : unsigned char { debug,
-    info,
-    warning,
-    error };
+enum class log_level : unsigned char { debug, info, warning, error };
 
 /// `info` for an unknown text.
 log_level parseLogLevel(std::string_view text);
@@ -28,8 +25,7 @@
     log_field(std::string_view k, bool v);
     log_field(std::string_view k, double v);
     template <class Integer>
-        requires std::is_integral_v<Integer>
-    log_field(std::string_view k, Integer v)
+    requires std::is_integral_v<Integer> log_field(std::string_view k, Integer v)
         : key(k)
         , value(static_cast<std::int64_t>(v))
     {
--- a/libs/observe/src/logger.cpp
+++ b/libs/observe/src/logger.cpp
@@ -84,10 +84,7 @@
     boost::log::core::get()->add_sink(m_state->sink);
 }
 
-logger::~logger()
-{
-    boost::log::core::get()->remove_sink(m_state->sink);
-}
+logger::~logger() { boost::log::core::get()->remove_sink(m_state->sink); }
 
 void logger::write(log_level level, std::string_view event, std::initializer_list<log_field> fields) const
 {
--- a/libs/observe/src/metrics.cpp
+++ b/libs/observe/src/metrics.cpp
@@ -10,8 +10,8 @@
 namespace tamarack {
 
 namespace {
-    const prometheus::Histogram::BucketBoundaries secondBuckets { 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5,
-        1, 2.5, 5, 10, 30, 60 };
+    const prometheus::Histogram::BucketBoundaries secondBuckets { 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
+        0.5, 1, 2.5, 5, 10, 30, 60 };
 
     using series_key = std::pair<std::string, metric_labels>;
 }
@@ -60,9 +60,6 @@
     return found == m_state->counters.end() ? 0 : found->second->Value();
 }
 
-std::string metrics::text() const
-{
-    return prometheus::TextSerializer().Serialize(m_state->registry.Collect());
-}
+std::string metrics::text() const { return prometheus::TextSerializer().Serialize(m_state->registry.Collect()); }
 
 }
--- a/libs/observe/src/span.cpp
+++ b/libs/observe/src/span.cpp
@@ -9,10 +9,7 @@
 
 namespace {
 
-    bool isHex(std::string_view text)
-    {
-        return text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
-    }
+    bool isHex(std::string_view text) { return text.find_first_not_of("0123456789abcdef") == std::string_view::npos; }
 
     std::string hex(std::uint64_t value)
     {
--- a/libs/peer/src/peer_codec.cpp
+++ b/libs/peer/src/peer_codec.cpp
@@ -10,64 +10,48 @@
 
 namespace tamarack {
 
-template <class Archive>
-void serialize(Archive& archive, instance_id& id)
-{
-    archive(id.node, id.incarnation);
-}
+template <class Archive> void serialize(Archive& archive, instance_id& id) { archive(id.node, id.incarnation); }
 
-template <class Archive>
-void serialize(Archive& archive, key_home& home)
-{
-    archive(home.instance, home.issuedAt);
-}
+template <class Archive> void serialize(Archive& archive, key_home& home) { archive(home.instance, home.issuedAt); }
 
-template <class Archive>
-void serialize(Archive& archive, key_answer& answer)
+template <class Archive> void serialize(Archive& archive, key_answer& answer)
 {
     archive(answer.decision, answer.kept, answer.movedTo);
 }
 
-template <class Archive>
-void serialize(Archive& archive, peer_state& state)
+template <class Archive> void serialize(Archive& archive, peer_state& state)
 {
-    archive(state.instance, state.region, state.availabilityZone, state.address, state.callerPort, state.peerPort, state.adminPort,
-        state.configurationVersion, state.configurationHash, state.logReach, state.isLogReachable, state.isStopping,
-        state.isReady);
+    archive(state.instance, state.region, state.availabilityZone, state.address, state.callerPort, state.peerPort,
+        state.adminPort, state.configurationVersion, state.configurationHash, state.logReach, state.isLogReachable,
+        state.isStopping, state.isReady);
 }
 
-template <class Archive>
-void serialize(Archive& archive, load_entry& entry)
+template <class Archive> void serialize(Archive& archive, load_entry& entry)
 {
     archive(entry.targetHash, entry.running, entry.prefillPieces, entry.ageMilliseconds, entry.flags);
 }
 
-template <class Archive>
-void serialize(Archive& archive, demand_entry& entry)
+template <class Archive> void serialize(Archive& archive, demand_entry& entry)
 {
     archive(entry.serviceHash, entry.promptTokens, entry.outputTokens);
 }
 
-template <class Archive>
-void serialize(Archive& archive, digest_entry& entry)
+template <class Archive> void serialize(Archive& archive, digest_entry& entry)
 {
     archive(entry.vm, entry.address, entry.peerPort, entry.incarnation, entry.configurationVersion);
 }
 
-template <class Archive>
-void serialize(Archive& archive, heartbeat& message)
+template <class Archive> void serialize(Archive& archive, heartbeat& message)
 {
     archive(message.sender, message.loads, message.demands, message.digest);
 }
 
-template <class Archive>
-void serialize(Archive& archive, peer_request& message)
+template <class Archive> void serialize(Archive& archive, peer_request& message)
 {
     archive(message.question, message.asker, message.key, message.home);
 }
 
-template <class Archive>
-void serialize(Archive& archive, peer_reply& message)
+template <class Archive> void serialize(Archive& archive, peer_reply& message)
 {
     archive(message.isKnown, message.agreedState, message.key);
 }
@@ -87,8 +71,7 @@
         return bytes;
     }
 
-    template <class Message>
-    std::string encode(const Message& message)
+    template <class Message> std::string encode(const Message& message)
     {
         std::ostringstream stream;
         {
@@ -101,8 +84,7 @@
 
     // The checksum comes first: cereal makes room for whatever length a damaged message names, so garbage on the port
     // could otherwise take all memory.
-    template <class Message>
-    std::optional<Message> decode(const std::string& bytes)
+    template <class Message> std::optional<Message> decode(const std::string& bytes)
     {
         if (bytes.size() <= checksumBytes)
             return std::nullopt;
@@ -126,34 +108,16 @@
 
 }
 
-std::string encodeHeartbeat(const heartbeat& message)
-{
-    return encode(message);
-}
+std::string encodeHeartbeat(const heartbeat& message) { return encode(message); }
 
-std::string encodeRequest(const peer_request& message)
-{
-    return encode(message);
-}
+std::string encodeRequest(const peer_request& message) { return encode(message); }
 
-std::string encodeReply(const peer_reply& message)
-{
-    return encode(message);
-}
+std::string encodeReply(const peer_reply& message) { return encode(message); }
 
-std::optional<heartbeat> decodeHeartbeat(const std::string& bytes)
-{
-    return decode<heartbeat>(bytes);
-}
+std::optional<heartbeat> decodeHeartbeat(const std::string& bytes) { return decode<heartbeat>(bytes); }
 
-std::optional<peer_request> decodeRequest(const std::string& bytes)
-{
-    return decode<peer_request>(bytes);
-}
+std::optional<peer_request> decodeRequest(const std::string& bytes) { return decode<peer_request>(bytes); }
 
-std::optional<peer_reply> decodeReply(const std::string& bytes)
-{
-    return decode<peer_reply>(bytes);
-}
+std::optional<peer_reply> decodeReply(const std::string& bytes) { return decode<peer_reply>(bytes); }
 
 }
--- a/libs/peer/src/peer_transport.cpp
+++ b/libs/peer/src/peer_transport.cpp
@@ -2,10 +2,10 @@
 #include "peer/peer_transport.h"
 
 #include <QNetworkDatagram>
+#include <QPointer>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
-#include <QPointer>
 #include <QUdpSocket>
 #include <QtEndian>
 
@@ -24,9 +24,7 @@
         return out;
     }
 
-    enum class frame_state { partial,
-        whole,
-        broken };
+    enum class frame_state { partial, whole, broken };
 
     frame_state takeFrame(const QByteArray& buffer, std::string& out)
     {
@@ -120,9 +118,8 @@
         while (QTcpSocket* socket = tcp.nextPendingConnection()) {
             QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
             auto buffer = std::make_shared<QByteArray>();
-            QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket, buffer] {
-                readQuestion(socket, *buffer);
-            });
+            QObject::connect(
+                socket, &QTcpSocket::readyRead, socket, [this, socket, buffer] { readQuestion(socket, *buffer); });
             QTimer::singleShot(serverPatienceMilliseconds, socket, [socket] { socket->abort(); });
         }
     }
@@ -185,9 +182,6 @@
     asked->setParent(&m_state->questions);
 }
 
-const peer_counts& peer_transport::counts() const
-{
-    return m_state->counts;
-}
+const peer_counts& peer_transport::counts() const { return m_state->counts; }
 
 }
--- /dev/null
+++ b/libs/peer/tests/test_peer.cpp
@@ -0,0 +1,78 @@
+// Messages between nodes: round trips, garbage, size.
+#include "peer/peer_messages.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace tamarack;
+
+namespace {
+
+heartbeat fullHeartbeat()
+{
+    heartbeat message;
+    message.sender.instance = { "entry-availability-zone-name-17", 1796234266630ULL };
+    message.sender.region = "ch-mittelland";
+    message.sender.availabilityZone = "olten-halle";
+    message.sender.address = "10.130.140.150";
+    message.sender.callerPort = 8080;
+    message.sender.peerPort = 8081;
+    message.sender.adminPort = 8082;
+    message.sender.configurationVersion = 100'000;
+    for (std::uint32_t i = 0; i < 50; ++i)
+        message.loads.push_back({ i * 7919, 12, 3, 250, 1 });
+    for (std::uint32_t i = 0; i < 15; ++i)
+        message.demands.push_back({ i, 1000.5F, 20.25F });
+    for (int i = 0; i < 6; ++i)
+        message.digest.push_back(
+            { "entry-availability-zone-name-" + std::to_string(i), "10.130.140.150", 8081, 1796234266630ULL, 9 });
+    return message;
+}
+
+}
+
+TEST_CASE("test_heartbeat_round_trip_within_one_datagram")
+{
+    const auto bytes = encodeHeartbeat(fullHeartbeat());
+    CHECK(bytes.size() < 1472); // one Ethernet frame: a larger datagram is lost whole when any part is
+    const auto read = decodeHeartbeat(bytes);
+    REQUIRE(read);
+    CHECK(read->sender.instance == fullHeartbeat().sender.instance);
+    CHECK(read->loads.size() == 50);
+    CHECK(encodeHeartbeat(*read) == bytes);
+}
+
+TEST_CASE("test_questions_round_trip")
+{
+    const peer_request request { peer_question::key, { "a", 1 }, "app/k", { { "b", 2 }, 345 } };
+    const auto read = decodeRequest(encodeRequest(request));
+    REQUIRE(read);
+    CHECK(read->home == request.home);
+    peer_reply reply;
+    reply.isKnown = true;
+    reply.key = { key_decision::moved, "kept", { "c", 3 } };
+    const auto back = decodeReply(encodeReply(reply));
+    REQUIRE(back);
+    CHECK(back->key.movedTo == reply.key.movedTo);
+}
+
+TEST_CASE("test_garbage_is_no_message")
+{
+    // Symptom: a node takes all memory, or ends, after a stray datagram.
+    // Cause: a length inside the garbage was believed.
+    const auto whole = encodeHeartbeat(fullHeartbeat());
+    CHECK(rc::check("damaged bytes do not decode", [&] {
+        auto bytes = whole;
+        const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        const auto flip = *rc::gen::inRange<int>(1, 256);
+        bytes[at] = static_cast<char>(bytes[at] ^ flip);
+        RC_ASSERT(!decodeHeartbeat(bytes));
+    }));
+    CHECK(rc::check("random bytes do not decode", [] {
+        const auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+        RC_ASSERT(!decodeHeartbeat(bytes));
+        RC_ASSERT(!decodeRequest(bytes));
+        RC_ASSERT(!decodeReply(bytes));
+    }));
+    CHECK_FALSE(decodeRequest(whole.substr(0, whole.size() / 2)));
+}
--- a/libs/platform/src/record_codec.cpp
+++ b/libs/platform/src/record_codec.cpp
@@ -14,18 +14,9 @@
     {
         return { { "base", r.baseVersion }, { "text", r.text }, { "author", r.author } };
     }
-    json toJson(const claim_record& r)
-    {
-        return { { "lease", r.lease }, { "previous", r.previous.value } };
-    }
-    json toJson(const renewal_record& r)
-    {
-        return { { "lease", r.lease }, { "term", r.term.value } };
-    }
-    json toJson(const release_record& r)
-    {
-        return { { "lease", r.lease }, { "term", r.term.value } };
-    }
+    json toJson(const claim_record& r) { return { { "lease", r.lease }, { "previous", r.previous.value } }; }
+    json toJson(const renewal_record& r) { return { { "lease", r.lease }, { "term", r.term.value } }; }
+    json toJson(const release_record& r) { return { { "lease", r.lease }, { "term", r.term.value } }; }
     json toJson(const order_record& r)
     {
         return { { "lease", r.lease }, { "term", r.term.value }, { "target", r.target },
@@ -35,8 +26,8 @@
     }
     json toJson(const order_end_record& r)
     {
-        return { { "lease", r.lease }, { "term", r.term.value }, { "target", r.target },
-            { "ends", r.order.value }, { "reason", std::string(toString(r.reason)) } };
+        return { { "lease", r.lease }, { "term", r.term.value }, { "target", r.target }, { "ends", r.order.value },
+            { "reason", std::string(toString(r.reason)) } };
     }
 
     json toJson(const lease_state& s)
@@ -66,27 +57,15 @@
             { "orders", orders } };
     }
 
-    log_offset offsetAt(const json& j, const char* name)
-    {
-        return { j.at(name).get<std::int64_t>() };
-    }
+    log_offset offsetAt(const json& j, const char* name) { return { j.at(name).get<std::int64_t>() }; }
 
     record_body readPublication(const json& j)
     {
         return publication_record { j.at("base"), j.at("text"), j.at("author") };
     }
-    record_body readClaim(const json& j)
-    {
-        return claim_record { j.at("lease"), offsetAt(j, "previous") };
-    }
-    record_body readRenewal(const json& j)
-    {
-        return renewal_record { j.at("lease"), offsetAt(j, "term") };
-    }
-    record_body readRelease(const json& j)
-    {
-        return release_record { j.at("lease"), offsetAt(j, "term") };
-    }
+    record_body readClaim(const json& j) { return claim_record { j.at("lease"), offsetAt(j, "previous") }; }
+    record_body readRenewal(const json& j) { return renewal_record { j.at("lease"), offsetAt(j, "term") }; }
+    record_body readRelease(const json& j) { return release_record { j.at("lease"), offsetAt(j, "term") }; }
     record_body readOrder(const json& j)
     {
         const target_order order { parseOrderKind(j.at("order").get<std::string>()), j.at("value") };
--- a/libs/settings/include/settings/deployment.h
+++ b/libs/settings/include/settings/deployment.h
@@ -10,13 +10,10 @@
 
 namespace tamarack {
 
-enum class service_kind : unsigned char { engine,
-    plain };
+enum class service_kind : unsigned char { engine, plain };
 
 /// What an engine spends its time on.
-enum class engine_role : unsigned char { mixed,
-    prefill,
-    decode };
+enum class engine_role : unsigned char { mixed, prefill, decode };
 
 std::string_view toString(engine_role role);
 /// `mixed` for an unknown text; `known` tells which it was.
--- a/libs/settings/src/deployment.cpp
+++ b/libs/settings/src/deployment.cpp
@@ -9,10 +9,7 @@
     constexpr std::array<std::string_view, 3> roleNames { "mixed", "prefill", "decode" };
 }
 
-std::string_view toString(engine_role role)
-{
-    return roleNames[static_cast<std::size_t>(role)];
-}
+std::string_view toString(engine_role role) { return roleNames[static_cast<std::size_t>(role)]; }
 
 engine_role parseRole(std::string_view text, bool& known)
 {
--- a/libs/settings/src/deployment_reader.cpp
+++ b/libs/settings/src/deployment_reader.cpp
@@ -109,8 +109,7 @@
     void readService(json_document& document, const json& object, const std::string& path, deployment& read)
     {
         service_entry service;
-        detail::readFields<s>(
-            document, object, path, service, serviceFields, { "kind", "targets", "non_idempotent" });
+        detail::readFields<s>(document, object, path, service, serviceFields, { "kind", "targets", "non_idempotent" });
         if (object.is_object()) {
             readKind(document, object, path, service);
             if (object.contains("non_idempotent"))
--- a/libs/settings/src/field_table.h
+++ b/libs/settings/src/field_table.h
@@ -1,4 +1,5 @@
-// Reads an object's fields by a table of member pointers, and reports what is missing, mistyped, out of range or unknown.
+// Reads an object's fields by a table of member pointers, and reports what is missing, mistyped, out of range or
+// unknown.
 #pragma once
 
 #include "base/clock.h"
@@ -14,8 +15,7 @@
 namespace tamarack::detail {
 
 /// One field: its name, where it goes, whether it must be there, and its range (numbers and durations in seconds).
-template <class T>
-struct field {
+template <class T> struct field {
     using member = std::variant<int T::*, double T::*, bool T::*, duration T::*, std::string T::*,
         std::vector<std::string> T::*>;
 
@@ -27,8 +27,7 @@
 };
 
 /// Reads one value into one member; the visitor of field_reader.
-template <class T>
-struct member_writer {
+template <class T> struct member_writer {
     json_document& document;
     const field<T>& spec;
     const json& value;
@@ -108,7 +107,7 @@
         std::visit(member_writer<T> { document, spec, *found, path, target }, spec.where);
     }
     for (const auto& [name, value] : object.items()) {
-        const auto isField = [&](const field<T>& spec) { return name == spec.name; };
+        const auto isField = [&name = name](const field<T>& spec) { return name == spec.name; };
         const bool known = std::any_of(fields.begin(), fields.end(), isField)
             || std::find(others.begin(), others.end(), name) != others.end();
         if (!known)
--- a/libs/settings/src/node_settings.cpp
+++ b/libs/settings/src/node_settings.cpp
@@ -47,9 +47,8 @@
     {
         if (!read.address.empty() && !isIpNumber(read.address))
             document.addError("address", "must be an IP number; names are not resolved");
-        const std::array<std::pair<const char*, int>, 3> ports {
-            { { "caller_port", read.callerPort }, { "peer_port", read.peerPort }, { "admin_port", read.adminPort } }
-        };
+        const std::array<std::pair<const char*, int>, 3> ports { { { "caller_port", read.callerPort },
+            { "peer_port", read.peerPort }, { "admin_port", read.adminPort } } };
         for (std::size_t i = 1; i < ports.size(); ++i) {
             for (std::size_t j = 0; j < i; ++j) {
                 if (ports[i].second != 0 && ports[i].second == ports[j].second)
--- a/tools/lab/commands.h
+++ b/tools/lab/commands.h
@@ -1,8 +1,8 @@
 // The experiments of tamarack_lab.
 #pragma once
 
-#include "harness/deployment_run.h"
 #include "caller_mix.h"
+#include "harness/deployment_run.h"
 
 #include <boost/program_options.hpp>
 
