--- a/libs/decide/include/decide/router.h
+++ b/libs/decide/include/decide/router.h
@@ -5,6 +5,7 @@
 #include "decide/target_table.h"
 #include "decide/traffic.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,9 +38,13 @@
     /// Whether the service's engines are split by role now, both roles being able to work.
     bool isSplit(service_id service, const target_table& targets, instant now) const;
     /// Requests of this kind that the target may hold at a time.
-    static int slotLimit(const service_entry& service, const policy_entry& policy, const routing_need& need);
+    static int slotLimit(
+        const service_entry& service, const policy_entry& policy, const routing_need& need, std::uint32_t row);
 
 private:
+    /// Fills m_candidates with the targets, of one role or any, that may take the request now.
+    void collect(const routing_need& need, std::optional<engine_role> role, const deployment& config,
+        const target_table& targets, instant now);
     bool isAdmissible(target_id id, const routing_need& need, const service_entry& service, int limit,
         const target_table& targets, instant now) const;
     double cost(target_id id, const routing_need& need, const service_entry& service, const target_table& targets,
--- a/libs/decide/src/router.cpp
+++ b/libs/decide/src/router.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace tamarack {
 
@@ -75,20 +76,24 @@
     return hasPrefill && hasDecode;
 }
 
-int router::slotLimit(const service_entry& service, const policy_entry& policy, const routing_need& need)
+int router::slotLimit(
+    const service_entry& service, const policy_entry& policy, const routing_need& need, std::uint32_t row)
 {
-    const double slots = service.slots;
+    const auto shareOf = [&](double share) { return std::max(1, static_cast<int>(std::lround(service.slots * share))); };
+    const int nested = shareOf(policy.nestedShare);
+    const int common = service.slots - nested;
     // What goes wrong without the nested share: outer calls fill every slot and wait for nested calls that find none,
-    // and the fleet stands still. Each depth may go further into the share, so the deepest calls always find a place.
-    const double nested = std::max(1.0, std::ceil(slots * policy.nestedShare));
+    // and the fleet stands still. Each reserved slot is for one depth and deeper, in turn over the fleet's targets, so
+    // that the deepest calls find a place that no shallower call can take.
     if (need.shape.depth > 0) {
-        const double depthShare = std::min(1.0, static_cast<double>(need.shape.depth) / policy.maxDepth);
-        return std::max(1, static_cast<int>(slots - nested + std::ceil(nested * depthShare)));
+        int open = 0;
+        for (int i = 0; i < nested; ++i)
+            open += 1 + (static_cast<int>(row) * nested + i) % policy.maxDepth <= need.shape.depth;
+        return std::max(1, common + open);
     }
     if (need.shape.isUrgent || need.isAged)
-        return std::max(1, static_cast<int>(slots - nested));
-    const double urgent = std::max(1.0, std::ceil(slots * policy.urgentShare));
-    return std::max(1, static_cast<int>(slots - nested - urgent));
+        return std::max(1, common);
+    return std::max(1, common - shareOf(policy.urgentShare));
 }
 
 bool router::isAdmissible(target_id id, const routing_need& need, const service_entry& service, int limit,
@@ -167,19 +172,32 @@
     return gap <= config.policy.affinityLoadGap ? usual : cheaper;
 }
 
-target_id router::pick(const routing_need& need, const deployment& config, const target_table& targets, instant now)
+void router::collect(const routing_need& need, std::optional<engine_role> role, const deployment& config,
+    const target_table& targets, instant now)
 {
     const auto& service = config.services[need.shape.service.value];
-    const int limit = slotLimit(service, config.policy, need);
-    const bool wantsRole = need.stage != request_stage::whole;
-    const auto role = need.stage == request_stage::prefill ? engine_role::prefill : engine_role::decode;
     m_candidates.clear();
     for (const auto row : subset(need.shape.service)) {
-        if (wantsRole && targets.role[row] != role)
+        if (role && targets.role[row] != *role)
             continue;
+        const int limit = slotLimit(service, config.policy, need, row);
         if (isAdmissible({ row }, need, service, limit, targets, now))
             m_candidates.push_back(row);
     }
+}
+
+target_id router::pick(const routing_need& need, const deployment& config, const target_table& targets, instant now)
+{
+    std::optional<engine_role> role;
+    if (need.stage == request_stage::prefill)
+        role = engine_role::prefill;
+    if (need.stage == request_stage::decode)
+        role = engine_role::decode;
+    collect(need, role, config, targets, now);
+    // Every decode engine is full: engines of another role can write the answer too, if less evenly. Without this a shift
+    // of the mix leaves one half of the fleet idle until roles have changed.
+    if (m_candidates.empty() && need.stage == request_stage::decode)
+        collect(need, std::nullopt, config, targets, now);
     if (m_candidates.empty())
         return {};
     return choose(need, config, targets, now);
--- a/libs/settings/include/settings/deployment.h
+++ b/libs/settings/include/settings/deployment.h
@@ -56,8 +56,8 @@
 
 /// What each setting trades is in docs/POLICY.md.
 struct policy_entry {
-    double urgentShare = 0.2; ///< of a target's slots, kept for urgent requests
-    double nestedShare = 0.2; ///< of a target's slots, kept for nested calls
+    double urgentShare = 0.0625; ///< of a target's slots, kept for urgent requests
+    double nestedShare = 0.0625; ///< of a target's slots, kept for nested calls
     double retryBudget = 0.1; ///< retries for each success
     double affinityLoadGap = 0.25; ///< seconds of extra backlog that a cached prefix is worth at most
     double roleChangeWeight = 1.0; ///< goodput seconds that one second of an engine's absence costs
