Routing by predicted end: small prompts whole to smooth engines, mixed engines absorb a shift

Cause: small urgent prompts queued behind pieces of long ones at prefill engines, and a pure prefill/decode split leaves one half idle when the mix shifts. Change: prompts below an eighth of a piece go whole to decode or mixed engines; long ones go through prefill and decode engines or whole to a mixed one, whichever is predicted to end sooner.

--- a/libs/decide/include/decide/traffic_system.h
+++ b/libs/decide/include/decide/traffic_system.h
@@ -79,7 +79,10 @@
     static std::size_t levelOf(const request_shape& shape);
     routing_need needOf(std::size_t row, instant now) const;
     bool tryStart(std::size_t row, instant now, traffic_commands& out);
-    bool startAt(std::size_t row, request_stage stage, instant now, traffic_commands& out);
+    routing_choice route(std::size_t row, request_stage stage, role_set roles, instant now);
+    bool startLong(std::size_t row, instant now, traffic_commands& out);
+    bool startDecode(std::size_t row, instant now, traffic_commands& out);
+    bool startAt(std::size_t row, request_stage stage, const routing_choice& choice, traffic_commands& out);
     void enqueue(std::size_t row, bool atFront);
     void uncharge(std::size_t row);
     void refuse(std::size_t row, error_kind kind, duration retryAfter, traffic_commands& out);
--- a/libs/decide/src/router.cpp
+++ b/libs/decide/src/router.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
 
 namespace tamarack {
 
@@ -63,19 +62,6 @@
     return m_subsets[service.value];
 }
 
-bool router::isSplit(service_id service, const target_table& targets, instant now) const
-{
-    bool hasPrefill = false;
-    bool hasDecode = false;
-    for (const auto row : subset(service)) {
-        if (!targets.takesWork({ row }, now))
-            continue;
-        hasPrefill |= targets.role[row] == engine_role::prefill;
-        hasDecode |= targets.role[row] == engine_role::decode;
-    }
-    return hasPrefill && hasDecode;
-}
-
 int router::slotLimit(
     const service_entry& service, const policy_entry& policy, const routing_need& need, std::uint32_t row)
 {
@@ -109,14 +95,43 @@
     return pieces <= (need.shape.isUrgent ? urgentPrefillPieces : prefillPieces);
 }
 
+namespace {
+
+    /// Seconds that the request itself would take at an engine of this role. A decode engine reads prompts in small parts
+    /// between tokens; a mixed one reads a whole piece between two tokens; a prefill one writes a token every few pieces.
+    double ownSeconds(const request_shape& shape, request_stage stage, const service_entry& service, engine_role role,
+        bool hasPrefillWaiting)
+    {
+        constexpr double decodeRoleParts = 8;
+        constexpr double prefillRolePieces = 4;
+        const double pieceSeconds = service.pieceTokens / service.prefillTokensPerSecond;
+        const auto prompt = stage == request_stage::decode ? 0.0 : static_cast<double>(shape.promptTokens);
+        const auto output = stage == request_stage::prefill ? 0.0 : static_cast<double>(shape.outputTokens);
+        double prefill = prompt / service.prefillTokensPerSecond;
+        double tokenSeconds = service.tokenInterval;
+        if (role == engine_role::decode)
+            prefill += prompt / service.pieceTokens * decodeRoleParts * service.tokenInterval;
+        if (role == engine_role::mixed && hasPrefillWaiting)
+            tokenSeconds += pieceSeconds;
+        if (role == engine_role::prefill) // more prompts come there all the time
+            tokenSeconds += prefillRolePieces * pieceSeconds;
+        return prefill + output * tokenSeconds;
+    }
+
+}
+
 double router::cost(target_id id, const routing_need& need, const service_entry& service, const target_table& targets,
     instant now) const
 {
     const auto row = id.value;
     const double running = targets.runningEstimate(id, now);
     double total = running * service.requestSeconds / service.slots;
-    if (service.isEngine())
-        total = running * service.tokenInterval + targets.prefillEstimate(id, now) / service.prefillTokensPerSecond;
+    if (service.isEngine()) {
+        const double before = targets.prefillEstimate(id, now);
+        const bool hasPrefillWaiting = before > service.pieceTokens / 2;
+        total = running * service.tokenInterval + before / service.prefillTokensPerSecond
+            + ownSeconds(need.shape, need.stage, service, targets.role[row], hasPrefillWaiting);
+    }
     if (targets.zone[row] != m_zone)
         total += otherZoneSeconds;
     if (now < targets.slowStartUntil[row])
@@ -151,34 +166,61 @@
     return cost(a, need, service, targets, now) <= cost(b, need, service, targets, now) ? a : b;
 }
 
-target_id router::choose(const routing_need& need, const deployment& config, const target_table& targets, instant now)
+// Among engines of several roles two random ones are often both of the wrong role, so all candidates are looked at. The
+// noise keeps nodes that know the same stale loads from choosing the same engine.
+target_id router::cheapest(
+    const routing_need& need, const service_entry& service, const target_table& targets, instant now)
+{
+    constexpr double noise = 0.1;
+    target_id best;
+    double lowest = 0;
+    for (const auto row : m_candidates) {
+        const double price = cost({ row }, need, service, targets, now) * (1 + noise * m_random.unit());
+        if (!best.isValid() || price < lowest) {
+            best = { row };
+            lowest = price;
+        }
+    }
+    return best;
+}
+
+bool router::hasMixedRoles(const target_table& targets) const
+{
+    const auto first = targets.role[m_candidates.front()];
+    return std::any_of(m_candidates.begin(), m_candidates.end(), [&](auto row) { return targets.role[row] != first; });
+}
+
+routing_choice router::choose(
+    const routing_need& need, const deployment& config, const target_table& targets, instant now)
 {
     const auto& service = config.services[need.shape.service.value];
+    const auto priced = [&](target_id id) { return routing_choice { id, cost(id, need, service, targets, now) }; };
     if (m_rule == routing_rule::round_robin)
-        return { m_candidates[m_turn++ % m_candidates.size()] };
+        return priced({ m_candidates[m_turn++ % m_candidates.size()] });
     if (m_rule == routing_rule::least_in_flight) {
-        const auto fewer
-            = [&](std::uint32_t a, std::uint32_t b) { return targets.ownRunning[a] < targets.ownRunning[b]; };
-        return { *std::min_element(m_candidates.begin(), m_candidates.end(), fewer) };
+        const auto fewer = [&](std::uint32_t a, std::uint32_t b) {
+            return targets.ownRunning[a] < targets.ownRunning[b];
+        };
+        return priced({ *std::min_element(m_candidates.begin(), m_candidates.end(), fewer) });
     }
     const bool hasPrefix = need.shape.prefixHash != 0 && need.stage != request_stage::decode;
     if (m_rule == routing_rule::prefix_only && hasPrefix)
-        return usualPlace(need, targets);
-    const target_id cheaper = cheaperOfTwo(need, service, targets, now);
+        return priced(usualPlace(need, targets));
+    const routing_choice cheaper = priced(hasMixedRoles(targets) ? cheapest(need, service, targets, now)
+                                                                 : cheaperOfTwo(need, service, targets, now));
     if (!hasPrefix)
         return cheaper;
-    const target_id usual = usualPlace(need, targets);
-    const double gap = cost(usual, need, service, targets, now) - cost(cheaper, need, service, targets, now);
-    return gap <= config.policy.affinityLoadGap ? usual : cheaper;
+    const routing_choice usual = priced(usualPlace(need, targets));
+    return usual.seconds - cheaper.seconds <= config.policy.affinityLoadGap ? usual : cheaper;
 }
 
-void router::collect(const routing_need& need, std::optional<engine_role> role, const deployment& config,
+void router::collect(const routing_need& need, role_set roles, const deployment& config,
     const target_table& targets, instant now)
 {
     const auto& service = config.services[need.shape.service.value];
     m_candidates.clear();
     for (const auto row : subset(need.shape.service)) {
-        if (role && targets.role[row] != *role)
+        if (!roles.has(targets.role[row]))
             continue;
         const int limit = slotLimit(service, config.policy, need, row);
         if (isAdmissible({ row }, need, service, limit, targets, now))
@@ -186,18 +228,10 @@
     }
 }
 
-target_id router::pick(const routing_need& need, const deployment& config, const target_table& targets, instant now)
+routing_choice router::pick(const routing_need& need, role_set roles, const deployment& config,
+    const target_table& targets, instant now)
 {
-    std::optional<engine_role> role;
-    if (need.stage == request_stage::prefill)
-        role = engine_role::prefill;
-    if (need.stage == request_stage::decode)
-        role = engine_role::decode;
-    collect(need, role, config, targets, now);
-    // Every decode engine is full: engines of another role can write the answer too, if less evenly. Without this a shift
-    // of the mix leaves one half of the fleet idle until roles have changed.
-    if (m_candidates.empty() && need.stage == request_stage::decode)
-        collect(need, std::nullopt, config, targets, now);
+    collect(need, roles, config, targets, now);
     if (m_candidates.empty())
         return {};
     return choose(need, config, targets, now);
--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -23,6 +23,9 @@
     constexpr double demandSeconds = 10; // averaging time of the demand meter
     constexpr double outputShareWeight = 0.02;
     constexpr double firstOutputShare = 0.6;
+    constexpr double transferSeconds = 0.03; // to move a KV cache between engines
+    constexpr double noDecodeSlotSeconds = 2; // usual wait when no decode engine has a slot
+    constexpr std::int64_t smallPromptParts = 8; // of a piece
     constexpr double agedShare = 0.5; // of the deadline spent waiting
 
     int priorityOf(const request_shape& shape)
@@ -202,25 +205,61 @@
     return { shape, m_requests.stage[row], m_requests.avoid[row], waited > agedShare * seconds(shape.deadline) };
 }
 
+routing_choice traffic_system::route(std::size_t row, request_stage stage, role_set roles, instant now)
+{
+    routing_need need = needOf(row, now);
+    need.stage = stage;
+    return m_router.pick(need, roles, *m_config, m_targets, now);
+}
+
 bool traffic_system::tryStart(std::size_t row, instant now, traffic_commands& out)
 {
-    const auto service = m_requests.shape[row].service;
+    const auto& entry = m_config->services[m_requests.shape[row].service.value];
+    if (!entry.isEngine())
+        return startAt(row, request_stage::whole, route(row, request_stage::whole, role_set::all(), now), out);
     if (m_requests.stage[row] == request_stage::decode)
-        return startAt(row, request_stage::decode, now, out);
-    const bool isEngine = m_config->services[service.value].isEngine();
-    if (isEngine && m_router.isSplit(service, m_targets, now)) {
-        if (startAt(row, request_stage::prefill, now, out))
+        return startDecode(row, now, out);
+    // Two engines and a transfer are not worth it for a prompt that is read in a part of one step.
+    const bool isSmall = m_requests.shape[row].promptTokens * smallPromptParts <= entry.pieceTokens;
+    if (isSmall) {
+        const role_set smooth { engine_role::decode, engine_role::mixed };
+        if (startAt(row, request_stage::whole, route(row, request_stage::whole, smooth, now), out))
             return true;
-        // Prefill engines are full: an engine of another role can still run the whole request, if less efficiently.
+    } else if (startLong(row, now, out)) {
+        return true;
     }
-    return startAt(row, request_stage::whole, now, out);
+    // Any engine can run the whole request, if less evenly. Without this a shift of the mix leaves a part of the fleet
+    // idle until roles have changed.
+    return startAt(row, request_stage::whole, route(row, request_stage::whole, role_set::all(), now), out);
 }
 
-bool traffic_system::startAt(std::size_t row, request_stage stage, instant now, traffic_commands& out)
+// A long prompt goes through a prefill and a decode engine, or whole to a mixed one, whichever is expected to end sooner.
+bool traffic_system::startLong(std::size_t row, instant now, traffic_commands& out)
 {
-    routing_need need = needOf(row, now);
-    need.stage = stage;
-    const target_id target = m_router.pick(need, *m_config, m_targets, now);
+    const auto prefill = route(row, request_stage::prefill, { engine_role::prefill }, now);
+    const auto whole = route(row, request_stage::whole, { engine_role::mixed }, now);
+    if (!prefill.target.isValid())
+        return startAt(row, request_stage::whole, whole, out);
+    const auto decode = route(row, request_stage::decode, { engine_role::decode, engine_role::mixed }, now);
+    const double decodeSeconds = decode.target.isValid() ? decode.seconds : noDecodeSlotSeconds;
+    if (whole.target.isValid() && whole.seconds < prefill.seconds + decodeSeconds + transferSeconds)
+        return startAt(row, request_stage::whole, whole, out);
+    return startAt(row, request_stage::prefill, prefill, out);
+}
+
+bool traffic_system::startDecode(std::size_t row, instant now, traffic_commands& out)
+{
+    const role_set smooth { engine_role::decode, engine_role::mixed };
+    const auto choice = route(row, request_stage::decode, smooth, now);
+    if (choice.target.isValid())
+        return startAt(row, request_stage::decode, choice, out);
+    return startAt(row, request_stage::decode, route(row, request_stage::decode, role_set::all(), now), out);
+}
+
+bool traffic_system::startAt(
+    std::size_t row, request_stage stage, const routing_choice& choice, traffic_commands& out)
+{
+    const target_id target = choice.target;
     if (!target.isValid())
         return false;
     const auto& shape = m_requests.shape[row];
@@ -343,7 +382,7 @@
         m_requests.mayHaveRun[row] = 1;
         m_requests.stage[row] = request_stage::decode;
         m_requests.phase[row] = request_phase::waiting;
-        if (!shape.service.isValid() || !startAt(row, request_stage::decode, now, out)) {
+        if (!shape.service.isValid() || !startDecode(row, now, out)) {
             if (!shape.service.isValid())
                 return refuse(row, error_kind::unknown_service, duration::zero(), out);
             enqueue(row, false);
--- a/libs/settings/src/deployment_reader.cpp
+++ b/libs/settings/src/deployment_reader.cpp
@@ -161,8 +161,8 @@
         const int split = service.prefillTargets + service.decodeTargets;
         if (split > static_cast<int>(service.targets.size()))
             document.addError(joinField(path, "prefill_targets"), "with decode_targets exceeds the targets");
-        if (split > 0 && (service.prefillTargets == 0 || service.decodeTargets == 0))
-            document.addError(joinField(path, "prefill_targets"), "and decode_targets must both be above 0, or both 0");
+        if (service.prefillTargets > 0 && service.decodeTargets == 0)
+            document.addError(joinField(path, "prefill_targets"), "needs decode_targets above 0 too");
     }
 
     void checkAcross(json_document& document, const deployment& read)
--- a/tools/bench/policy_world.h
+++ b/tools/bench/policy_world.h
@@ -19,6 +19,7 @@
     threshold, ///< follows the demand without hysteresis
     fixed, ///< the split of the text, for ever
     mixed, ///< no roles at all
+    express, ///< some decode engines for small prompts, the rest mixed; no changes
     foresight ///< knows the demand that comes, and changes roles in no time
 };
 
@@ -40,6 +41,7 @@
     std::vector<double> urgentInShift;
     std::vector<double> urgentOutside;
     std::vector<double> first; ///< seconds to the first token, ordinary requests
+    std::vector<double> gap; ///< mean seconds between two tokens of an ordinary answer
 };
 
 class policy_world {
