Admission learns the targets' pace, and starts nothing that cannot be in time

Cause: under overload 1,000 to 1,700 answers of some 7,000 came late: predicted ends used ideal token times, while batches were two to four times slower, so slots went to requests that were lost already. Ruled out: the retry time, the queue's order. Change: each answered request teaches the ratio of real to ideal time; waiting requests that cannot make it are refused when their turn comes.

--- a/libs/decide/include/decide/request_table.h
+++ b/libs/decide/include/decide/request_table.h
@@ -33,6 +33,7 @@
     std::vector<std::int32_t> attempts;
     std::vector<std::int64_t> prefillCharged; // tokens counted at the target
     std::vector<std::int64_t> tokensDone;
+    std::vector<instant> startedAt; // of the first attempt; the epoch before it
     std::vector<std::uint8_t> mayHaveRun; // some target may have worked on it
 
 private:
--- a/libs/decide/include/decide/traffic_system.h
+++ b/libs/decide/include/decide/traffic_system.h
@@ -82,7 +82,9 @@
     routing_choice route(std::size_t row, request_stage stage, role_set roles, instant now);
     bool startLong(std::size_t row, instant now, traffic_commands& out);
     bool startDecode(std::size_t row, instant now, traffic_commands& out);
-    bool startAt(std::size_t row, request_stage stage, const routing_choice& choice, traffic_commands& out);
+    bool startAt(
+        std::size_t row, request_stage stage, const routing_choice& choice, instant now, traffic_commands& out);
+    bool startOrRefuse(std::size_t row, instant now, traffic_commands& out);
     void enqueue(std::size_t row, bool atFront);
     void uncharge(std::size_t row);
     void refuse(std::size_t row, error_kind kind, duration retryAfter, traffic_commands& out);
@@ -101,6 +103,8 @@
     duration expectedWait(service_id service, std::size_t level) const;
     int usableSlots(service_id service, instant now, bool& comesBackSoon) const;
     void meter(const request_shape& shape, instant now);
+    /// Learns from an answered request how much slower than ideal the targets are now.
+    void learnPace(std::size_t row, instant now);
 
     std::shared_ptr<const deployment> m_config;
     target_table m_targets;
@@ -110,6 +114,7 @@
     std::vector<retry_budget> m_budgets; // by service
     std::vector<service_queue> m_queues; // by service
     std::vector<double> m_outputShare; // by service: produced tokens over the most allowed, averaged
+    std::vector<double> m_pace; // by service: real over ideal time of requests once started, averaged; at least 1
     std::vector<demand_meter> m_demand; // by service
     std::vector<int> m_slotsNow; // by service, at the last tick
     traffic_counts m_counts;
--- a/libs/decide/src/request_table.cpp
+++ b/libs/decide/src/request_table.cpp
@@ -21,6 +21,7 @@
         attempts.push_back(0);
         prefillCharged.push_back(0);
         tokensDone.push_back(0);
+        startedAt.emplace_back();
         mayHaveRun.push_back(0);
         m_uses.push_back(0);
     }
@@ -36,6 +37,7 @@
     attempts[at] = 0;
     prefillCharged[at] = tokensDone[at] = 0;
     mayHaveRun[at] = 0;
+    startedAt[at] = {};
     ++m_uses[at];
     ++m_held;
     return idOf(at);
--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -57,12 +57,14 @@
     m_queues.assign(count, {});
     m_budgets.assign(count, retry_budget(m_config->policy.retryBudget, retryReserve));
     const auto formerShare = std::exchange(m_outputShare, std::vector<double>(count, firstOutputShare));
+    const auto formerPace = std::exchange(m_pace, std::vector<double>(count, 1.0));
     const auto formerDemand = std::exchange(m_demand, std::vector<demand_meter>(count));
     for (std::size_t s = 0; s < count; ++s) {
         const int kept = former->serviceIndex(m_config->services[s].name);
         if (kept < 0)
             continue;
         m_outputShare[s] = formerShare[static_cast<std::size_t>(kept)];
+        m_pace[s] = formerPace[static_cast<std::size_t>(kept)];
         m_demand[s] = formerDemand[static_cast<std::size_t>(kept)];
     }
     m_slotsNow.assign(count, 0);
@@ -99,7 +101,7 @@
         return fromSeconds(service.requestSeconds);
     const double prefill = static_cast<double>(shape.promptTokens) / service.prefillTokensPerSecond;
     const double output = static_cast<double>(shape.outputTokens) * m_outputShare[shape.service.value];
-    return fromSeconds(prefill + output * service.tokenInterval);
+    return fromSeconds((prefill + output * service.tokenInterval) * m_pace[shape.service.value]);
 }
 
 duration traffic_system::expectedWait(service_id service, std::size_t level) const
@@ -216,21 +218,21 @@
 {
     const auto& entry = m_config->services[m_requests.shape[row].service.value];
     if (!entry.isEngine())
-        return startAt(row, request_stage::whole, route(row, request_stage::whole, role_set::all(), now), out);
+        return startAt(row, request_stage::whole, route(row, request_stage::whole, role_set::all(), now), now, out);
     if (m_requests.stage[row] == request_stage::decode)
         return startDecode(row, now, out);
     // Two engines and a transfer are not worth it for a prompt that is read in a part of one step.
     const bool isSmall = m_requests.shape[row].promptTokens * smallPromptParts <= entry.pieceTokens;
     if (isSmall) {
         const role_set smooth { engine_role::decode, engine_role::mixed };
-        if (startAt(row, request_stage::whole, route(row, request_stage::whole, smooth, now), out))
+        if (startAt(row, request_stage::whole, route(row, request_stage::whole, smooth, now), now, out))
             return true;
     } else if (startLong(row, now, out)) {
         return true;
     }
     // Any engine can run the whole request, if less evenly. Without this a shift of the mix leaves a part of the fleet
     // idle until roles have changed.
-    return startAt(row, request_stage::whole, route(row, request_stage::whole, role_set::all(), now), out);
+    return startAt(row, request_stage::whole, route(row, request_stage::whole, role_set::all(), now), now, out);
 }
 
 // A long prompt goes through a prefill and a decode engine, or whole to a mixed one, whichever is expected to end sooner.
@@ -239,12 +241,12 @@
     const auto prefill = route(row, request_stage::prefill, { engine_role::prefill }, now);
     const auto whole = route(row, request_stage::whole, { engine_role::mixed }, now);
     if (!prefill.target.isValid())
-        return startAt(row, request_stage::whole, whole, out);
+        return startAt(row, request_stage::whole, whole, now, out);
     const auto decode = route(row, request_stage::decode, { engine_role::decode, engine_role::mixed }, now);
     const double decodeSeconds = decode.target.isValid() ? decode.seconds : noDecodeSlotSeconds;
     if (whole.target.isValid() && whole.seconds < prefill.seconds + decodeSeconds + transferSeconds)
-        return startAt(row, request_stage::whole, whole, out);
-    return startAt(row, request_stage::prefill, prefill, out);
+        return startAt(row, request_stage::whole, whole, now, out);
+    return startAt(row, request_stage::prefill, prefill, now, out);
 }
 
 bool traffic_system::startDecode(std::size_t row, instant now, traffic_commands& out)
@@ -252,12 +254,12 @@
     const role_set smooth { engine_role::decode, engine_role::mixed };
     const auto choice = route(row, request_stage::decode, smooth, now);
     if (choice.target.isValid())
-        return startAt(row, request_stage::decode, choice, out);
-    return startAt(row, request_stage::decode, route(row, request_stage::decode, role_set::all(), now), out);
+        return startAt(row, request_stage::decode, choice, now, out);
+    return startAt(row, request_stage::decode, route(row, request_stage::decode, role_set::all(), now), now, out);
 }
 
 bool traffic_system::startAt(
-    std::size_t row, request_stage stage, const routing_choice& choice, traffic_commands& out)
+    std::size_t row, request_stage stage, const routing_choice& choice, instant now, traffic_commands& out)
 {
     const target_id target = choice.target;
     if (!target.isValid())
@@ -268,6 +270,8 @@
     m_requests.stage[row] = stage;
     m_requests.target[row] = target;
     m_requests.attempt[row] = attempt;
+    if (m_requests.attempts[row] == 0)
+        m_requests.startedAt[row] = now;
     ++m_requests.attempts[row];
     m_requests.prefillCharged[row] = stage == request_stage::decode ? 0 : shape.promptTokens;
     m_targets.ownRunning[target.value] += 1;
@@ -324,6 +328,21 @@
         m_requests.stage[static_cast<std::size_t>(m_requests.row(request))] = request_stage::whole;
 }
 
+void traffic_system::learnPace(std::size_t row, instant now)
+{
+    constexpr double weight = 0.05;
+    constexpr double highest = 20;
+    const auto& shape = m_requests.shape[row];
+    const auto& service = m_config->services[shape.service.value];
+    const double ideal = static_cast<double>(shape.promptTokens) / service.prefillTokensPerSecond
+        + static_cast<double>(m_requests.tokensDone[row]) * service.tokenInterval;
+    if (ideal <= 0 || shape.isUrgent || shape.depth > 0)
+        return; // these overtake others and say little about them
+    const double ratio = std::clamp(seconds(now - m_requests.startedAt[row]) / ideal, 1.0, highest);
+    double& pace = m_pace[shape.service.value];
+    pace += weight * (ratio - pace);
+}
+
 bool traffic_system::isCurrent(request_id request, attempt_id attempt) const
 {
     const auto row = m_requests.row(request);
@@ -392,6 +411,7 @@
     if (shape.service.isValid()) {
         m_budgets[shape.service.value].succeeded();
         if (shape.outputTokens > 0) {
+            learnPace(row, now);
             const double share
                 = static_cast<double>(m_requests.tokensDone[row]) / static_cast<double>(shape.outputTokens);
             auto& average = m_outputShare[shape.service.value];
@@ -477,6 +497,16 @@
     return now + serviceTime(m_requests.shape[row]) > m_requests.deadlineAt[row];
 }
 
+// Starting what cannot be in time any more would take the place of what still can.
+bool traffic_system::startOrRefuse(std::size_t row, instant now, traffic_commands& out)
+{
+    if (!isHopeless(row, now))
+        return tryStart(row, now, out);
+    const auto& shape = m_requests.shape[row];
+    refuse(row, error_kind::deadline_unreachable, expectedWait(shape.service, levelOf(shape)), out);
+    return true;
+}
+
 void traffic_system::dispatch(service_id service, instant now, traffic_commands& out)
 {
     auto& queues = m_queues[service.value];
@@ -484,7 +514,7 @@
         for (auto& level : *queue) {
             while (!level.empty()) {
                 const request_id id = level.front();
-                if (isWaiting(id) && !tryStart(static_cast<std::size_t>(m_requests.row(id)), now, out))
+                if (isWaiting(id) && !startOrRefuse(static_cast<std::size_t>(m_requests.row(id)), now, out))
                     break;
                 level.pop_front();
             }
