--- a/libs/decide/include/decide/role_planner.h
+++ b/libs/decide/include/decide/role_planner.h
@@ -24,6 +24,14 @@
 struct role_demand {
     double prefillEngines = 0; ///< engines needed to read the prompts that arrive
     double decodeEngines = 0; ///< engines needed to write the answers
+    double refusedEngines = 0; ///< of both, what was refused for lack of capacity
+};
+
+/// How many engines have each role.
+struct role_split {
+    int prefill = 0;
+    int decode = 0;
+    int mixed = 0;
 };
 
 struct role_change {
@@ -47,8 +55,9 @@
     void setPolicy(const policy_entry& policy) { m_policy = policy; }
     /// The change to make now, if any.
     std::optional<role_change> plan(const std::vector<planned_engine>& engines, const role_demand& demand, instant now);
-    /// Work that a split serves per second, in engine seconds, for a demand; what planning maximises.
-    static double served(int prefillEngines, int decodeEngines, const role_demand& demand);
+    /// Work that a split serves per second, in engine seconds, for a demand; what planning maximises. Routing already
+    /// absorbs much of a shift: mixed engines do both, and idle engines of one role help the other, if less efficiently.
+    static double served(const role_split& split, const role_demand& demand);
 
 private:
     struct smoothed {
--- a/libs/decide/include/decide/traffic_system.h
+++ b/libs/decide/include/decide/traffic_system.h
@@ -28,6 +28,7 @@
 struct service_demand {
     double promptTokens = 0;
     double outputTokens = 0;
+    double refusedShare = 0; ///< of that work, refused for lack of capacity
 };
 
 /// Every command is for now: a request is started, waits, or is refused at once with a time to come back.
@@ -74,6 +75,8 @@
         instant at;
         double promptTokens = 0;
         double outputTokens = 0;
+        double asked = 0; // seconds of work
+        double refused = 0;
     };
 
     static std::size_t levelOf(const request_shape& shape);
--- a/libs/decide/src/control_system.cpp
+++ b/libs/decide/src/control_system.cpp
@@ -175,12 +175,16 @@
     const auto wish = [&](const planned_engine& engine, engine_role role) {
         makeWish(service, engine.name, { order_kind::role, std::string(toString(role)) });
     };
-    // First the split that the text starts with; from then on the planner moves it.
+    // First the split that the text starts with; the rest stays mixed. From then on the planner moves it.
     int prefill = 0;
-    for (const auto& engine : engines)
+    int decode = 0;
+    for (const auto& engine : engines) {
         prefill += engine.role == engine_role::prefill;
+        decode += engine.role == engine_role::decode;
+    }
+    const bool isSplitMade = prefill + decode >= service.prefillTargets + service.decodeTargets;
     for (const auto& engine : engines) {
-        if (engine.isAvailable && engine.role == engine_role::mixed)
+        if (!isSplitMade && engine.isAvailable && engine.role == engine_role::mixed)
             return wish(engine, prefill < service.prefillTargets ? engine_role::prefill : engine_role::decode);
     }
     if (!m_configuration->policy.planRoles)
--- a/libs/decide/src/role_planner.cpp
+++ b/libs/decide/src/role_planner.cpp
@@ -12,6 +12,9 @@
     constexpr double trendSeconds = 20;
     constexpr double lookAheadSeconds = 10;
     constexpr double settleSeconds = 2; // a wish must last this long
+    // What an engine gets done of the other role's work, against one of that role (stand-in engines, tools/bench).
+    constexpr double decodeRolePrefillShare = 0.3;
+    constexpr double prefillRoleDecodeShare = 0.15;
 
     double shareFor(double elapsed, double constant) { return 1 - std::exp(-elapsed / constant); }
 
@@ -23,13 +26,24 @@
 {
 }
 
-double role_planner::served(int prefillEngines, int decodeEngines, const role_demand& demand)
+double role_planner::served(const role_split& split, const role_demand& demand)
 {
+    double prefillLeft = std::max(0.0, demand.prefillEngines - split.prefill);
+    double decodeLeft = std::max(0.0, demand.decodeEngines - split.decode);
+    const double idlePrefill = std::max(0.0, split.prefill - demand.prefillEngines);
+    const double idleDecode = std::max(0.0, split.decode - demand.decodeEngines);
+    const double left = prefillLeft + decodeLeft;
+    if (left > 0) {
+        const double byMixed = std::min(1.0, split.mixed / left);
+        prefillLeft -= byMixed * prefillLeft;
+        decodeLeft -= byMixed * decodeLeft;
+    }
+    prefillLeft = std::max(0.0, prefillLeft - decodeRolePrefillShare * idleDecode);
+    decodeLeft = std::max(0.0, decodeLeft - prefillRoleDecodeShare * idlePrefill);
     // Requests need both halves, so the scarcer one bounds all of them.
-    const double prefillShare = demand.prefillEngines > 0 ? prefillEngines / demand.prefillEngines : 1;
-    const double decodeShare = demand.decodeEngines > 0 ? decodeEngines / demand.decodeEngines : 1;
-    const double share = std::min({ 1.0, prefillShare, decodeShare });
-    return share * (demand.prefillEngines + demand.decodeEngines);
+    const double prefillShare = demand.prefillEngines > 0 ? 1 - prefillLeft / demand.prefillEngines : 1;
+    const double decodeShare = demand.decodeEngines > 0 ? 1 - decodeLeft / demand.decodeEngines : 1;
+    return std::min(prefillShare, decodeShare) * (demand.prefillEngines + demand.decodeEngines);
 }
 
 void role_planner::follow(smoothed& value, double sample, double elapsed) const
@@ -48,7 +62,7 @@
 {
     const auto ahead
         = [](const smoothed& value) { return std::max(0.0, value.level + value.trend * lookAheadSeconds); };
-    return { ahead(m_prefill), ahead(m_decode) };
+    return { ahead(m_prefill), ahead(m_decode), 0 };
 }
 
 bool role_planner::dwelled(const std::string& name, instant now) const
@@ -103,22 +117,24 @@
     if (m_rule == planning_rule::fixed)
         return std::nullopt;
 
-    int prefill = 0;
-    int decode = 0;
+    role_split split;
     bool isChanging = false;
     for (const auto& engine : engines) {
-        prefill += engine.isAvailable && engine.role == engine_role::prefill;
-        decode += engine.isAvailable && engine.role == engine_role::decode;
+        split.prefill += engine.isAvailable && engine.role == engine_role::prefill;
+        split.decode += engine.isAvailable && engine.role == engine_role::decode;
+        split.mixed += engine.isAvailable && engine.role == engine_role::mixed;
         isChanging |= engine.isChanging;
     }
-    if (isChanging || prefill + decode < 2)
+    if (isChanging || split.prefill == 0 || split.decode == 0)
         return std::nullopt;
 
     const bool isCareful = m_rule == planning_rule::gain_over_horizon;
     const role_demand expected = isCareful ? forecast() : demand;
-    const double now0 = served(prefill, decode, expected);
-    const double more = prefill + 1 <= prefill + decode - 1 ? served(prefill + 1, decode - 1, expected) : 0;
-    const double fewer = prefill > 1 ? served(prefill - 1, decode + 1, expected) : 0;
+    const double now0 = served(split, expected);
+    const role_split towardsPrefill { split.prefill + 1, split.decode - 1, split.mixed };
+    const role_split towardsDecode { split.prefill - 1, split.decode + 1, split.mixed };
+    const double more = split.decode > 1 ? served(towardsPrefill, expected) : 0;
+    const double fewer = split.prefill > 1 ? served(towardsDecode, expected) : 0;
     const int direction = more > now0 && more >= fewer ? 1 : fewer > now0 ? -1 : 0;
     if (direction != m_pressure) {
         m_pressure = direction;
@@ -127,6 +143,10 @@
     if (direction == 0)
         return std::nullopt;
     if (isCareful) {
+        // The model above knows neither cached prefixes nor how well routing copes; what was refused does.
+        const double total = demand.prefillEngines + demand.decodeEngines;
+        if (demand.refusedEngines < m_policy.roleShortfall * total)
+            return std::nullopt;
         const double gain = (std::max(more, fewer) - now0) * m_policy.roleHorizon;
         const double loss = m_policy.roleChangeSeconds * m_policy.roleChangeWeight;
         if (gain <= loss || now < m_pressureSince + fromSeconds(settleSeconds))
--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -142,6 +142,8 @@
     meter.promptTokens = meter.promptTokens * kept + static_cast<double>(shape.promptTokens);
     meter.outputTokens
         = meter.outputTokens * kept + static_cast<double>(shape.outputTokens) * m_outputShare[shape.service.value];
+    meter.asked = meter.asked * kept + seconds(serviceTime(shape));
+    meter.refused *= kept;
     meter.at = now;
 }
 
@@ -151,7 +153,8 @@
         return {};
     const auto& meter = m_demand[service.value];
     const double kept = std::exp(-seconds(now - meter.at) / demandSeconds) / demandSeconds;
-    return { meter.promptTokens * kept, meter.outputTokens * kept };
+    const double refusedShare = meter.asked > 0 ? std::min(1.0, meter.refused / meter.asked) : 0;
+    return { meter.promptTokens * kept, meter.outputTokens * kept, refusedShare };
 }
 
 request_id traffic_system::arrive(const request_shape& given, instant now, traffic_commands& out)
@@ -356,6 +359,9 @@
     // A target may have worked on it, so an answer that promises "not run" would not be true any more.
     if (m_requests.mayHaveRun[row] && answerFor(kind).executed == ran::no)
         kind = m_requests.tokensDone[row] > 0 ? error_kind::answer_cut : error_kind::attempt_timeout;
+    const auto service = m_requests.shape[row].service;
+    if (service.isValid() && (kind == error_kind::deadline_unreachable || kind == error_kind::no_target))
+        m_demand[service.value].refused += seconds(serviceTime(m_requests.shape[row]));
     duration wait = answerFor(kind).retryAfter;
     if (wait > duration::zero() && retryAfter > duration::zero())
         wait = std::clamp(retryAfter, shortestRetryAfter, longestRetryAfter);
--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -14,11 +14,12 @@
     constexpr duration statusTimeout = 1s;
     constexpr duration pullTimeout = 2s;
     constexpr duration tickInterval = 50ms;
-    constexpr std::size_t loadsPerHeartbeat = 50;
+    constexpr std::size_t loadsPerHeartbeat = 48;
     constexpr std::size_t digestPerHeartbeat = 6;
     constexpr int silencesUntilBlocked = 2;
     constexpr duration silentTargetBlock = 1s;
     constexpr duration demandLife = 10s;
+    constexpr double shareSteps = 255; // a share in one byte
 
     int milliseconds(duration d)
     {
@@ -174,7 +175,7 @@
     for (std::uint32_t s = 0; s < services.size(); ++s) {
         const auto demand = m_traffic.demand({ s }, now);
         message.demands.push_back({ shortHash(services[s].name), static_cast<float>(demand.promptTokens),
-            static_cast<float>(demand.outputTokens) });
+            static_cast<float>(demand.outputTokens), static_cast<std::uint8_t>(demand.refusedShare * shareSteps) });
     }
     for (const auto& peer : m_control.members().recipients(now))
         m_peers.send(peer.address, peer.peerPort, message);
@@ -298,20 +299,28 @@
     for (std::uint32_t s = 0; s < services.size(); ++s) {
         if (!services[s].isEngine())
             continue;
-        service_demand total = m_traffic.demand({ s }, now);
+        const auto& service = services[s];
+        const auto engines = [&](double promptTokens, double outputTokens) {
+            return role_demand { promptTokens / service.prefillTokensPerSecond,
+                outputTokens / service.decodeTokensPerSecond, 0 };
+        };
+        role_demand total;
+        const auto add = [&](role_demand part, double refusedShare) {
+            total.prefillEngines += part.prefillEngines;
+            total.decodeEngines += part.decodeEngines;
+            total.refusedEngines += refusedShare * (part.prefillEngines + part.decodeEngines);
+        };
+        const auto own = m_traffic.demand({ s }, now);
+        add(engines(own.promptTokens, own.outputTokens), own.refusedShare);
         for (const auto& [vm, demand] : m_peerDemand) {
             if (now >= demand.at + demandLife)
                 continue;
             for (const auto& entry : demand.entries) {
-                if (entry.serviceHash != shortHash(services[s].name))
-                    continue;
-                total.promptTokens += entry.promptTokens;
-                total.outputTokens += entry.outputTokens;
+                if (entry.serviceHash == shortHash(service.name))
+                    add(engines(entry.promptTokens, entry.outputTokens), entry.refusedShare / shareSteps);
             }
         }
-        m_control.demandSeen(services[s].name,
-            { total.promptTokens / services[s].prefillTokensPerSecond,
-                total.outputTokens / services[s].decodeTokensPerSecond });
+        m_control.demandSeen(service.name, total);
     }
 }
 
--- a/libs/peer/include/peer/peer_messages.h
+++ b/libs/peer/include/peer/peer_messages.h
@@ -25,6 +25,7 @@
     std::uint32_t serviceHash = 0;
     float promptTokens = 0; ///< a second
     float outputTokens = 0; ///< a second
+    std::uint8_t refusedShare = 0; ///< of the work, in 255ths
 };
 
 /// A node that the sender has heard of, so that knowledge of nodes and of newer lives spreads.
--- a/libs/peer/src/peer_codec.cpp
+++ b/libs/peer/src/peer_codec.cpp
@@ -33,7 +33,7 @@
 
 template <class Archive> void serialize(Archive& archive, demand_entry& entry)
 {
-    archive(entry.serviceHash, entry.promptTokens, entry.outputTokens);
+    archive(entry.serviceHash, entry.promptTokens, entry.outputTokens, entry.refusedShare);
 }
 
 template <class Archive> void serialize(Archive& archive, digest_entry& entry)
--- a/libs/peer/tests/test_peer.cpp
+++ b/libs/peer/tests/test_peer.cpp
@@ -19,10 +19,10 @@
     message.sender.peerPort = 8081;
     message.sender.adminPort = 8082;
     message.sender.configurationVersion = 100'000;
-    for (std::uint32_t i = 0; i < 50; ++i)
+    for (std::uint32_t i = 0; i < 48; ++i)
         message.loads.push_back({ i * 7919, 12, 3, 250, 1 });
     for (std::uint32_t i = 0; i < 15; ++i)
-        message.demands.push_back({ i, 1000.5F, 20.25F });
+        message.demands.push_back({ i, 1000.5F, 20.25F, 9 });
     for (int i = 0; i < 6; ++i)
         message.digest.push_back(
             { "entry-availability-zone-name-" + std::to_string(i), "10.130.140.150", 8081, 1796234266630ULL, 9 });
@@ -38,7 +38,7 @@
     const auto read = decodeHeartbeat(bytes);
     REQUIRE(read);
     CHECK(read->sender.instance == fullHeartbeat().sender.instance);
-    CHECK(read->loads.size() == 50);
+    CHECK(read->loads.size() == 48);
     CHECK(encodeHeartbeat(*read) == bytes);
 }
 
--- a/libs/settings/include/settings/deployment.h
+++ b/libs/settings/include/settings/deployment.h
@@ -64,6 +64,7 @@
     double roleChangeSeconds = 5.0;
     double roleDwell = 60.0; ///< seconds an engine keeps a role at least
     double roleHorizon = 120.0; ///< seconds over which a change has to pay off
+    double roleShortfall = 0.01; ///< share of the demand refused from which on a change is thought of
     bool planRoles = true;
     double defaultDeadline = 30.0; ///< seconds, for requests that name none
     double urgentDeadline = 5.0;
--- a/libs/settings/src/deployment_reader.cpp
+++ b/libs/settings/src/deployment_reader.cpp
@@ -50,7 +50,7 @@
     } };
 
     using p = policy_entry;
-    const std::array<field<p>, 15> policyFields { {
+    const std::array<field<p>, 16> policyFields { {
         { "urgent_share", &p::urgentShare, false, 0, 0.9 },
         { "nested_share", &p::nestedShare, false, 0, 0.9 },
         { "retry_budget", &p::retryBudget, false, 0, 1 },
@@ -59,6 +59,7 @@
         { "role_change_seconds", &p::roleChangeSeconds, false, 0, 3600 },
         { "role_dwell", &p::roleDwell, false, 0, 86400 },
         { "role_horizon", &p::roleHorizon, false, 1, 86400 },
+        { "role_shortfall", &p::roleShortfall, false, 0, 1 },
         { "plan_roles", &p::planRoles },
         { "default_deadline", &p::defaultDeadline, false, 0.01, 3600 },
         { "urgent_deadline", &p::urgentDeadline, false, 0.01, 3600 },
@@ -161,8 +162,8 @@
         const int split = service.prefillTargets + service.decodeTargets;
         if (split > static_cast<int>(service.targets.size()))
             document.addError(joinField(path, "prefill_targets"), "with decode_targets exceeds the targets");
-        if (service.prefillTargets > 0 && service.decodeTargets == 0)
-            document.addError(joinField(path, "prefill_targets"), "needs decode_targets above 0 too");
+        if ((service.prefillTargets > 0) != (service.decodeTargets > 0))
+            document.addError(joinField(path, "prefill_targets"), "and decode_targets must both be above 0, or both 0");
     }
 
     void checkAcross(json_document& document, const deployment& read)
--- a/tools/bench/policy_bench.cpp
+++ b/tools/bench/policy_bench.cpp
@@ -18,11 +18,12 @@
     { "round robin", split_rule::planner, routing_rule::round_robin },
     { "least in flight", split_rule::planner, routing_rule::least_in_flight },
     { "prefix alone", split_rule::planner, routing_rule::prefix_only },
-    { "fixed split", split_rule::fixed, routing_rule::two_choices },
-    { "threshold planner", split_rule::threshold, routing_rule::two_choices },
+    { "fixed, 3 roles", split_rule::fixed, routing_rule::two_choices },
+    { "fixed, pure", split_rule::fixed, routing_rule::two_choices, true },
+    { "threshold", split_rule::threshold, routing_rule::two_choices },
+    { "threshold, pure", split_rule::threshold, routing_rule::two_choices, true },
     { "no roles", split_rule::mixed, routing_rule::two_choices },
-    { "express", split_rule::express, routing_rule::two_choices },
-    { "foresight", split_rule::foresight, routing_rule::two_choices },
+    { "foresight, pure", split_rule::foresight, routing_rule::two_choices, true },
 };
 
 double quantile(std::vector<double>& values, double q)
--- a/tools/bench/policy_world.cpp
+++ b/tools/bench/policy_world.cpp
@@ -44,16 +44,12 @@
         m_engines.push_back({ standins::engine_model(timingOf(service)) });
         if (who.split == split_rule::mixed)
             continue;
-        if (who.split == split_rule::express) {
-            if (i % 10 < 3)
-                setRole(i, engine_role::prefill);
-            else if (i % 10 < 6)
-                setRole(i, engine_role::decode);
-            continue;
-        }
         // Roles are spread over the zones, as operators would.
-        const bool isPrefill = static_cast<int>(i) < service.prefillTargets;
-        setRole(i, isPrefill ? engine_role::prefill : engine_role::decode);
+        const auto row = static_cast<int>(i);
+        const int prefill = who.isPure ? load.purePrefill : service.prefillTargets;
+        const int decode = who.isPure ? static_cast<int>(service.targets.size()) : prefill + service.decodeTargets;
+        if (row < decode)
+            setRole(i, row < prefill ? engine_role::prefill : engine_role::decode);
     }
 }
 
@@ -288,12 +284,13 @@
 {
     if (m_who.split == split_rule::foresight)
         return planWithForesight();
-    if (m_who.split == split_rule::mixed || m_who.split == split_rule::express || m_isLogDown)
+    if (m_who.split == split_rule::mixed || m_isLogDown)
         return;
     const auto& service = m_config->services[0];
     const auto asked = m_traffic.demand({ 0 }, now());
-    const role_demand demand { asked.promptTokens / service.prefillTokensPerSecond,
-        asked.outputTokens / service.decodeTokensPerSecond };
+    role_demand demand { asked.promptTokens / service.prefillTokensPerSecond,
+        asked.outputTokens / service.decodeTokensPerSecond, 0 };
+    demand.refusedEngines = asked.refusedShare * (demand.prefillEngines + demand.decodeEngines);
     std::vector<planned_engine> engines;
     for (std::size_t i = 0; i < m_engines.size(); ++i) {
         const bool isChanging = m_engines[i].pendingRole >= 0 || m_traffic.targets().isChanging[i] != 0;
--- a/tools/bench/policy_world.h
+++ b/tools/bench/policy_world.h
@@ -19,7 +19,6 @@
     threshold, ///< follows the demand without hysteresis
     fixed, ///< the split of the text, for ever
     mixed, ///< no roles at all
-    express, ///< some decode engines for small prompts, the rest mixed; no changes
     foresight ///< knows the demand that comes, and changes roles in no time
 };
 
@@ -27,6 +26,7 @@
     std::string name;
     split_rule split = split_rule::planner;
     routing_rule routing = {};
+    bool isPure = false; ///< no mixed engines: the text's first split without them
 };
 
 struct run_result {
--- a/tools/bench/workloads.cpp
+++ b/tools/bench/workloads.cpp
@@ -29,9 +29,9 @@
         service.prefillTokensPerSecond = isVodoslet ? 20'000 : 16'000;
         service.tokenInterval = isVodoslet ? 0.02 : 0.025;
         service.decodeTokensPerSecond = service.slots / service.tokenInterval;
-        service.prefillTargets = isVodoslet ? 4 : 8;
-        service.decodeTargets = isVodoslet ? 6 : 12;
-        const int engines = service.prefillTargets + service.decodeTargets;
+        service.prefillTargets = isVodoslet ? 2 : 0;
+        service.decodeTargets = isVodoslet ? 2 : 0;
+        const int engines = isVodoslet ? 10 : 20;
         for (int i = 0; i < engines; ++i)
             service.targets.push_back({ "e" + std::to_string(i), "10.0.0." + std::to_string(i + 1) + ":1",
                 config.availabilityZones[static_cast<std::size_t>(i) % 3] });
@@ -131,6 +131,7 @@
     w.name = name;
     w.config = makeDeployment(isVodoslet);
     w.seconds = 360;
+    w.purePrefill = isVodoslet ? 4 : 8;
     w.shiftFrom = isVodoslet ? 120 : 150;
     w.shiftUntil = isVodoslet ? 260 : 270;
     if (name == "engines-replaced")
--- a/tools/bench/workloads.h
+++ b/tools/bench/workloads.h
@@ -29,6 +29,7 @@
 struct workload {
     std::string name;
     deployment config;
+    int purePrefill = 0; ///< prefill engines of the best split without mixed engines
     double seconds = 0;
     std::vector<arrival> arrivals; ///< in order of time
     std::vector<incident> incidents;
