--- a/tools/lab/commands.h
+++ b/tools/lab/commands.h
@@ -12,6 +12,8 @@
 
 int runDemo(const arguments&);
 int runOverhead(const arguments&);
+int runFaults(const arguments&);
+int runScale(const arguments&);
 
 /// The mix of a sample text, by its name: "vodoslet" or "ahnenhaus".
 mix_settings mixFor(const std::string& deployment, const arguments& given);
--- /dev/null
+++ b/tools/lab/faults_command.cpp
@@ -0,0 +1,143 @@
+// faults: a caller mix while nodes, engines and services are killed, frozen and replaced and the platform fails.
+#include "commands.h"
+
+#include <cstdio>
+
+namespace tamarack::lab {
+
+namespace {
+
+    /// Does one thing after the other, each some time after the last.
+    class fault_schedule {
+    public:
+        fault_schedule(harness::deployment_run& run, std::uint64_t seed)
+            : m_run(run)
+            , m_random(seed)
+        {
+            QObject::connect(&m_timer, &QTimer::timeout, [this] { next(); });
+            m_timer.start(1500);
+        }
+
+        void stop()
+        {
+            m_timer.stop();
+            healAll();
+        }
+
+        std::map<std::string, int> counts;
+
+    private:
+        std::string any(const std::vector<std::string>& names) { return names[m_random.below(names.size())]; }
+
+        void next()
+        {
+            healAll();
+            const auto engine = any(m_run.targetsOf(m_run.text()["services"][0]["name"]));
+            const auto node = any(m_run.vms());
+            switch (m_random.below(8)) {
+            case 0:
+                return killAndRestart(node, true);
+            case 1:
+                return killAndRestart(engine, false);
+            case 2:
+                return freeze(node, "node frozen");
+            case 3:
+                return freeze(engine, "engine frozen");
+            case 4:
+                return platform({ { "log", "down" } }, "log down");
+            case 5:
+                return platform({ { "log", "lose_answers" } }, "log loses answers");
+            case 6:
+                return platform({ { "vm_list", "down" }, { "log", "slow" } }, "VM list down, log slow");
+            default:
+                ++counts["engine cuts a stream"];
+                harness::callJson(m_run.targetAddress(engine), "POST", "/fault", { { "next", "cut" } });
+            }
+        }
+
+        void killAndRestart(const std::string& name, bool isNode)
+        {
+            ++counts[isNode ? "node killed" : "engine killed"];
+            m_run.kill(name);
+            if (isNode)
+                m_run.startNode(name);
+            else
+                m_run.startTarget(name);
+        }
+
+        void freeze(const std::string& name, const char* what)
+        {
+            ++counts[what];
+            m_run.freeze(name);
+            m_frozen.push_back(name);
+        }
+
+        void platform(const nlohmann::json& fault, const char* what)
+        {
+            ++counts[what];
+            harness::callJson(m_run.platformAddress(), "POST", "/fault", fault);
+        }
+
+        void healAll()
+        {
+            for (const auto& name : m_frozen)
+                m_run.thaw(name);
+            m_frozen.clear();
+            harness::callJson(m_run.platformAddress(), "POST", "/fault", { { "log", "up" }, { "vm_list", "up" } });
+        }
+
+        harness::deployment_run& m_run;
+        random_source m_random;
+        QTimer m_timer;
+        std::vector<std::string> m_frozen;
+    };
+
+}
+
+int runFaults(const arguments& given)
+{
+    const auto deployment = given["deployment"].as<std::string>();
+    harness::run_options options;
+    options.textFile = "deploy/" + deployment + ".json";
+    options.workDir = given["work-dir"].as<std::string>();
+    options.nodes = given["nodes"].as<int>();
+    harness::deployment_run run(options);
+    const auto failure = run.start();
+    if (!failure.empty()) {
+        std::fprintf(stderr, "tamarack_lab: %s\n", failure.c_str());
+        return 1;
+    }
+    const auto mix = mixFor(deployment, given);
+    caller_mix callers(run, mix);
+    fault_schedule faults(run, mix.seed);
+    callers.start();
+    harness::waitUntil([&] { return boot_clock::now() == instant(); }, fromSeconds(mix.seconds));
+    faults.stop();
+    harness::waitUntil([&] { return callers.isDone(); }, std::chrono::seconds(90));
+    const auto result = callers.finish();
+    const auto count = [&](harness::call_end end) { return result.ends[static_cast<std::size_t>(end)]; };
+    std::printf("%s, %d nodes, %.0f s, seed %llu\n", deployment.c_str(), options.nodes, mix.seconds,
+        static_cast<unsigned long long>(mix.seed));
+    for (const auto& [name, times] : faults.counts)
+        std::printf("  %-28s %d\n", name.c_str(), times);
+    std::printf("  sent %d  whole %d  lost %d  wrong %d  doubled %d  refused for good %d  unknown %d (of %d keyed whole)  "
+                "tries beyond the first %d  resumed %d\n",
+        result.sent, count(harness::call_end::whole), count(harness::call_end::lost), count(harness::call_end::wrong),
+        result.doubled, count(harness::call_end::refused), count(harness::call_end::unknown), result.keyedWhole,
+        result.retries, result.resumes);
+    int stale = 0;
+    int cut = 0;
+    for (const auto& target : run.targetsOf(run.text()["services"][0]["name"])) {
+        const auto status = run.targetStatus(target);
+        if (!status.is_object())
+            continue;
+        stale += status.value("stale_orders", 0);
+        cut += status.value("cut_by_change", 0);
+    }
+    std::printf("  stale orders that reached an engine %d  requests cut by planned changes %d\n", stale, cut);
+    for (const auto& [detail, times] : result.wrongDetails)
+        std::printf("  %d x %s\n", times, detail.substr(0, 120).c_str());
+    return count(harness::call_end::lost) + count(harness::call_end::wrong) + result.doubled == 0 ? 0 : 1;
+}
+
+}
