Routing: price mixed engines by their usual pace, prefix affinity by deployment

The price of a mixed engine jumped by the whole answer times a piece's time whenever one prompt waited there, so no load gap below 8 s let the cached prefix win. Ruled out: the generator's state, the candidate set.

--- a/libs/decide/include/decide/role_planner.h
+++ b/libs/decide/include/decide/role_planner.h
@@ -56,7 +56,8 @@
     /// The change to make now, if any.
     std::optional<role_change> plan(const std::vector<planned_engine>& engines, const role_demand& demand, instant now);
     /// Work that a split serves per second, in engine seconds, for a demand; what planning maximises. Routing already
-    /// absorbs much of a shift: mixed engines do both, and idle engines of one role help the other, if less efficiently.
+    /// absorbs much of a shift: mixed engines do both, and idle engines of one role help the other, if less
+    /// efficiently.
     static double served(const role_split& split, const role_demand& demand);
 
 private:
--- a/libs/decide/include/decide/router.h
+++ b/libs/decide/include/decide/router.h
@@ -53,8 +53,8 @@
     void assign(const deployment& config, const target_table& targets);
     /// A target of one of the roles that may take the request now; an invalid one if there is none. Plain services have
     /// the mixed role.
-    routing_choice pick(const routing_need& need, role_set roles, const deployment& config, const target_table& targets,
-        instant now);
+    routing_choice pick(
+        const routing_need& need, role_set roles, const deployment& config, const target_table& targets, instant now);
     /// Rows this node may use for a service.
     const std::vector<std::uint32_t>& subset(service_id service) const;
     /// Requests of this kind that the target may hold at a time.
@@ -63,14 +63,13 @@
 
 private:
     /// Fills m_candidates with the targets, of one role or any, that may take the request now.
-    void collect(const routing_need& need, role_set roles, const deployment& config, const target_table& targets,
-        instant now);
+    void collect(
+        const routing_need& need, role_set roles, const deployment& config, const target_table& targets, instant now);
     bool isAdmissible(target_id id, const routing_need& need, const service_entry& service, int limit,
         const target_table& targets, instant now) const;
     double cost(target_id id, const routing_need& need, const service_entry& service, const target_table& targets,
         instant now) const;
-    routing_choice choose(
-        const routing_need& need, const deployment& config, const target_table& targets, instant now);
+    routing_choice choose(const routing_need& need, const deployment& config, const target_table& targets, instant now);
     target_id cheaperOfTwo(
         const routing_need& need, const service_entry& service, const target_table& targets, instant now);
     target_id cheapest(
--- a/libs/decide/src/router.cpp
+++ b/libs/decide/src/router.cpp
@@ -65,7 +65,8 @@
 int router::slotLimit(
     const service_entry& service, const policy_entry& policy, const routing_need& need, std::uint32_t row)
 {
-    const auto shareOf = [&](double share) { return std::max(1, static_cast<int>(std::lround(service.slots * share))); };
+    const auto shareOf
+        = [&](double share) { return std::max(1, static_cast<int>(std::lround(service.slots * share))); };
     const int nested = shareOf(policy.nestedShare);
     const int common = service.slots - nested;
     // What goes wrong without the nested share: outer calls fill every slot and wait for nested calls that find none,
@@ -97,13 +98,14 @@
 
 namespace {
 
-    /// Seconds that the request itself would take at an engine of this role. A decode engine reads prompts in small parts
-    /// between tokens; a mixed one reads a whole piece between two tokens; a prefill one writes a token every few pieces.
-    double ownSeconds(const request_shape& shape, request_stage stage, const service_entry& service, engine_role role,
-        bool hasPrefillWaiting)
+    /// Seconds that the request itself would take at an engine of this role. A decode engine reads prompts in small
+    /// parts between tokens; a mixed one reads a whole piece between two tokens; a prefill one writes a token every few
+    /// pieces.
+    double ownSeconds(const request_shape& shape, request_stage stage, const service_entry& service, engine_role role)
     {
         constexpr double decodeRoleParts = 8;
         constexpr double prefillRolePieces = 4;
+        constexpr double mixedRolePace = 2; // usual, prompts being read between some of the tokens
         const double pieceSeconds = service.pieceTokens / service.prefillTokensPerSecond;
         const auto prompt = stage == request_stage::decode ? 0.0 : static_cast<double>(shape.promptTokens);
         const auto output = stage == request_stage::prefill ? 0.0 : static_cast<double>(shape.outputTokens);
@@ -111,8 +113,8 @@
         double tokenSeconds = service.tokenInterval;
         if (role == engine_role::decode)
             prefill += prompt / service.pieceTokens * decodeRoleParts * service.tokenInterval;
-        if (role == engine_role::mixed && hasPrefillWaiting)
-            tokenSeconds += pieceSeconds;
+        if (role == engine_role::mixed)
+            tokenSeconds *= mixedRolePace;
         if (role == engine_role::prefill) // more prompts come there all the time
             tokenSeconds += prefillRolePieces * pieceSeconds;
         return prefill + output * tokenSeconds;
@@ -128,9 +130,8 @@
     double total = running * service.requestSeconds / service.slots;
     if (service.isEngine()) {
         const double before = targets.prefillEstimate(id, now);
-        const bool hasPrefillWaiting = before > service.pieceTokens / 2;
         total = running * service.tokenInterval + before / service.prefillTokensPerSecond
-            + ownSeconds(need.shape, need.stage, service, targets.role[row], hasPrefillWaiting);
+            + ownSeconds(need.shape, need.stage, service, targets.role[row]);
     }
     if (targets.zone[row] != m_zone)
         total += otherZoneSeconds;
@@ -198,24 +199,23 @@
     if (m_rule == routing_rule::round_robin)
         return priced({ m_candidates[m_turn++ % m_candidates.size()] });
     if (m_rule == routing_rule::least_in_flight) {
-        const auto fewer = [&](std::uint32_t a, std::uint32_t b) {
-            return targets.ownRunning[a] < targets.ownRunning[b];
-        };
+        const auto fewer
+            = [&](std::uint32_t a, std::uint32_t b) { return targets.ownRunning[a] < targets.ownRunning[b]; };
         return priced({ *std::min_element(m_candidates.begin(), m_candidates.end(), fewer) });
     }
     const bool hasPrefix = need.shape.prefixHash != 0 && need.stage != request_stage::decode;
     if (m_rule == routing_rule::prefix_only && hasPrefix)
         return priced(usualPlace(need, targets));
-    const routing_choice cheaper = priced(hasMixedRoles(targets) ? cheapest(need, service, targets, now)
-                                                                 : cheaperOfTwo(need, service, targets, now));
+    const routing_choice cheaper = priced(
+        hasMixedRoles(targets) ? cheapest(need, service, targets, now) : cheaperOfTwo(need, service, targets, now));
     if (!hasPrefix)
         return cheaper;
     const routing_choice usual = priced(usualPlace(need, targets));
     return usual.seconds - cheaper.seconds <= config.policy.affinityLoadGap ? usual : cheaper;
 }
 
-void router::collect(const routing_need& need, role_set roles, const deployment& config,
-    const target_table& targets, instant now)
+void router::collect(
+    const routing_need& need, role_set roles, const deployment& config, const target_table& targets, instant now)
 {
     const auto& service = config.services[need.shape.service.value];
     m_candidates.clear();
@@ -228,8 +228,8 @@
     }
 }
 
-routing_choice router::pick(const routing_need& need, role_set roles, const deployment& config,
-    const target_table& targets, instant now)
+routing_choice router::pick(
+    const routing_need& need, role_set roles, const deployment& config, const target_table& targets, instant now)
 {
     collect(need, roles, config, targets, now);
     if (m_candidates.empty())
--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -238,7 +238,8 @@
     return startAt(row, request_stage::whole, route(row, request_stage::whole, role_set::all(), now), now, out);
 }
 
-// A long prompt goes through a prefill and a decode engine, or whole to a mixed one, whichever is expected to end sooner.
+// A long prompt goes through a prefill and a decode engine, or whole to a mixed one, whichever is expected to end
+// sooner.
 bool traffic_system::startLong(std::size_t row, instant now, traffic_commands& out)
 {
     const auto prefill = route(row, request_stage::prefill, { engine_role::prefill }, now);
--- a/tests/process/test_configuration.cpp
+++ b/tests/process/test_configuration.cpp
@@ -123,8 +123,7 @@
     const auto run = startSmall("retention", nlohmann::json::object(), 20);
     REQUIRE(run->publish(policyChange(35)) == 0);
     REQUIRE(waitUntil([&] { return allServe(*run, 2); }));
-    REQUIRE(waitUntil(
-        [&] { return run->status(run->vms().front()).value("log_reach", 0) > 30; }));
+    REQUIRE(waitUntil([&] { return run->status(run->vms().front()).value("log_reach", 0) > 30; }));
     for (const auto& vm : run->vms()) {
         run->kill(vm);
         run->startNode(vm);
--- a/tools/bench/decision_bench.cpp
+++ b/tools/bench/decision_bench.cpp
@@ -25,8 +25,7 @@
     return resident * 4096 / 1e6;
 }
 
-template <class Action>
-double microsecondsEach(int times, Action action)
+template <class Action> double microsecondsEach(int times, Action action)
 {
     const auto from = std::chrono::steady_clock::now();
     for (int i = 0; i < times; ++i)
@@ -85,7 +84,8 @@
         commands.clear();
         traffic.tick(start + std::chrono::milliseconds(i), commands);
     });
-    std::printf("%4d runners, %2d models: %.2f us a request (arrive, route, end), %.1f us a tick\n", runners, models, each, tick);
+    std::printf("%4d runners, %2d models: %.2f us a request (arrive, route, end), %.1f us a tick\n", runners, models,
+        each, tick);
 }
 
 peer_state peerNumber(int i)
@@ -122,8 +122,8 @@
     });
     const double pick = microsecondsEach(2'000, [&](int) { members.recipients(now); });
     const double alive = microsecondsEach(2'000, [&](int) { members.alive(now); });
-    std::printf("%4d nodes: heartbeat %zu bytes, encode %.1f us, take %.1f us, recipients %.1f us, alive %.1f us\n", nodes,
-        bytes.size(), encode, take, pick, alive);
+    std::printf("%4d nodes: heartbeat %zu bytes, encode %.1f us, take %.1f us, recipients %.1f us, alive %.1f us\n",
+        nodes, bytes.size(), encode, take, pick, alive);
 }
 
 void measureControl(int nodes, int runners, int models)
@@ -133,11 +133,12 @@
     decoded_page page { { 0 }, { runners + 1 }, {} };
     std::string text = "{\"deployment\":\"d\",\"region\":\"region\",\"availability_zones\":[\"z1\"],\"services\":[";
     for (int m = 0; m < models; ++m) {
-        text += std::string(m ? "," : "") + "{\"name\":\"m" + std::to_string(m) + "\",\"kind\":\"engine\",\"model\":\"m\",\"targets\":[";
+        text += std::string(m ? "," : "") + "{\"name\":\"m" + std::to_string(m)
+            + "\",\"kind\":\"engine\",\"model\":\"m\",\"targets\":[";
         for (int i = 0; i < runners / models; ++i) {
             const auto number = std::to_string(m * 1000 + i);
-            text += std::string(i ? "," : "") + "{\"name\":\"r" + number + "\",\"address\":\"10.0.0.1:" + std::to_string(m * 1000 + i + 1)
-                + "\",\"availability_zone\":\"z1\"}";
+            text += std::string(i ? "," : "") + "{\"name\":\"r" + number
+                + "\",\"address\":\"10.0.0.1:" + std::to_string(m * 1000 + i + 1) + "\",\"availability_zone\":\"z1\"}";
         }
         text += "]}";
     }
@@ -159,7 +160,8 @@
         now += std::chrono::milliseconds(50);
         control.tick(now);
     });
-    std::printf("%4d nodes, %d runners, %d models: control tick %.0f us, new text of %zu bytes read and checked in %.0f us\n",
+    std::printf(
+        "%4d nodes, %d runners, %d models: control tick %.0f us, new text of %zu bytes read and checked in %.0f us\n",
         nodes, runners, models, tick, text.size(), read);
     const auto snapshot = encodeRecord({ { "self", 1 }, 1 }, snapshot_record { control.agreed().data() });
     std::printf("      snapshot record %zu bytes\n", snapshot.size());
@@ -171,7 +173,8 @@
     account_limiter limiter(16'384);
     const instant now(fromSeconds(1000));
     const double each = microsecondsEach(500'000, [&](int i) {
-        limiter.take(static_cast<std::uint64_t>(i % accounts) * 0x9e3779b97f4a7c15ULL, now + std::chrono::microseconds(i));
+        limiter.take(
+            static_cast<std::uint64_t>(i % accounts) * 0x9e3779b97f4a7c15ULL, now + std::chrono::microseconds(i));
     });
     std::printf("%d accounts: %.3f us a request, %.2f MB\n", accounts, each, residentMegabytes() - before);
 }
@@ -196,7 +199,8 @@
 
 int main()
 {
-    for (const auto& [runners, models] : { std::pair { 20, 1 }, std::pair { 200, 5 }, std::pair { 600, 15 }, std::pair { 600, 1 } })
+    for (const auto& [runners, models] :
+        { std::pair { 20, 1 }, std::pair { 200, 5 }, std::pair { 600, 15 }, std::pair { 600, 1 } })
         measureDecisions(runners, models);
     for (const int nodes : { 9, 100, 390 })
         measurePeers(nodes);
--- a/tools/bench/policy_bench.cpp
+++ b/tools/bench/policy_bench.cpp
@@ -53,16 +53,13 @@
     }
 };
 
-void append(std::vector<double>& to, const std::vector<double>& from)
-{
-    to.insert(to.end(), from.begin(), from.end());
-}
+void append(std::vector<double>& to, const std::vector<double>& from) { to.insert(to.end(), from.begin(), from.end()); }
 
 void runWorkload(const std::string& name, int seeds, const std::string& only)
 {
     std::printf("\n%s, %d seeds\n", name.c_str(), seeds);
-    std::printf("%-18s %-16s %7s %7s %7s %7s %7s %7s %7s %7s %7s %8s %8s %9s %8s\n", "", "goodput %", "u p50", "u p95", "u p99",
-        "p99 out", "p99 in", "TTFT50", "TTFT95", "gap50", "gap95", "changes", "refused", "late", "fairness");
+    std::printf("%-18s %-16s %7s %7s %7s %7s %7s %7s %7s %7s %7s %8s %8s %9s %8s\n", "", "goodput %", "u p50", "u p95",
+        "u p99", "p99 out", "p99 in", "TTFT50", "TTFT95", "gap50", "gap95", "changes", "refused", "late", "fairness");
     for (const auto& who : contenders) {
         if (!only.empty() && who.name != only)
             continue;
@@ -82,11 +79,12 @@
             append(first, result.first);
             append(gap, result.gap);
         }
-        std::printf("%-18s %6.2f +- %-6.2f %7.3f %7.3f %7.3f %7.3f %7.3f %7.3f %7.3f %7.3f %7.3f %8.1f %8.1f %9.1f %8.4f\n",
+        std::printf(
+            "%-18s %6.2f +- %-6.2f %7.3f %7.3f %7.3f %7.3f %7.3f %7.3f %7.3f %7.3f %7.3f %8.1f %8.1f %9.1f %8.4f\n",
             who.name.c_str(), goodput.mean(), goodput.deviation(), quantile(urgent, 0.5), quantile(urgent, 0.95),
             quantile(urgent, 0.99), quantile(outside, 0.99), quantile(inside, 0.99), quantile(first, 0.5),
-            quantile(first, 0.95), quantile(gap, 0.5), quantile(gap, 0.95),
-            changes.mean(), refused.mean(), late.mean(), fairness.mean());
+            quantile(first, 0.95), quantile(gap, 0.5), quantile(gap, 0.95), changes.mean(), refused.mean(), late.mean(),
+            fairness.mean());
         std::fflush(stdout);
     }
 }
@@ -99,7 +97,8 @@
     std::string workload;
     std::string only;
     options::options_description description("policy_bench");
-    description.add_options()("help,h", "print this and exit")("seeds", options::value(&seeds), "runs of each workload")(
+    description.add_options()("help,h", "print this and exit")(
+        "seeds", options::value(&seeds), "runs of each workload")(
         "workload", options::value(&workload), "only this one")("only", options::value(&only), "only this contender");
     options::variables_map given;
     options::store(options::parse_command_line(argc, argv, description), given);
--- a/tools/bench/policy_world.cpp
+++ b/tools/bench/policy_world.cpp
@@ -233,9 +233,8 @@
     if (!m_engines[index].isUp)
         return;
     const load_report load { now(), m_engines[index].model.held(), m_engines[index].model.prefillTokens() };
-    schedule(m_now + reportLag, [this, index, load] {
-        m_traffic.targets().report({ static_cast<std::uint32_t>(index) }, load);
-    });
+    schedule(m_now + reportLag,
+        [this, index, load] { m_traffic.targets().report({ static_cast<std::uint32_t>(index) }, load); });
 }
 
 role_demand policy_world::demandAhead(double length) const
--- a/tools/bench/workloads.cpp
+++ b/tools/bench/workloads.cpp
@@ -40,6 +40,7 @@
         policy.roleChangeWeight = isVodoslet ? 1 : 4;
         policy.roleDwell = isVodoslet ? 20 : 60;
         policy.roleHorizon = isVodoslet ? 60 : 120;
+        policy.affinityLoadGap = isVodoslet ? 0.25 : 1;
         policy.defaultDeadline = 20;
         policy.urgentDeadline = 5;
         policy.accountRequestsPerSecond = 1e6;
@@ -47,10 +48,7 @@
         return config;
     }
 
-    double blend(double a, double b, double share)
-    {
-        return a + (b - a) * std::clamp(share, 0.0, 1.0);
-    }
+    double blend(double a, double b, double share) { return a + (b - a) * std::clamp(share, 0.0, 1.0); }
 
     mix vodosletMix(double t)
     {
--- a/tools/lab/faults_command.cpp
+++ b/tools/lab/faults_command.cpp
@@ -120,8 +120,9 @@
         static_cast<unsigned long long>(mix.seed));
     for (const auto& [name, times] : faults.counts)
         std::printf("  %-28s %d\n", name.c_str(), times);
-    std::printf("  sent %d  whole %d  lost %d  wrong %d  doubled %d  refused for good %d  unknown %d (of %d keyed whole)  "
-                "tries beyond the first %d  resumed %d\n",
+    std::printf(
+        "  sent %d  whole %d  lost %d  wrong %d  doubled %d  refused for good %d  unknown %d (of %d keyed whole)  "
+        "tries beyond the first %d  resumed %d\n",
         result.sent, count(harness::call_end::whole), count(harness::call_end::lost), count(harness::call_end::wrong),
         result.doubled, count(harness::call_end::refused), count(harness::call_end::unknown), result.keyedWhole,
         result.retries, result.resumes);
--- a/tools/lab/scale_command.cpp
+++ b/tools/lab/scale_command.cpp
@@ -90,10 +90,11 @@
         const double reads = (counts.value("reads", 0.0) - readsBefore) / took;
         run.publish({ { "policy", { { "default_deadline", 31 } } } });
         const double spread = secondsUntilServed(run, 2);
-        std::printf("%3d nodes  %6.3f%% of a core  %6.1f MB  peer bytes/s sent %6.0f received %6.0f  log appends/s %5.2f "
-                    "reads/s %6.1f  configuration everywhere after %.2f s\n",
-            nodes, 100 * cpu / perNode, memory, (sent - sentBefore) / perNode, (received - receivedBefore) / perNode, appends,
-            reads, spread);
+        std::printf(
+            "%3d nodes  %6.3f%% of a core  %6.1f MB  peer bytes/s sent %6.0f received %6.0f  log appends/s %5.2f "
+            "reads/s %6.1f  configuration everywhere after %.2f s\n",
+            nodes, 100 * cpu / perNode, memory, (sent - sentBefore) / perNode, (received - receivedBefore) / perNode,
+            appends, reads, spread);
         std::fflush(stdout);
     }
 
@@ -118,7 +119,8 @@
         const auto witness = former == vms[0] ? vms[1] : vms[0];
         run.kill(former);
         const instant from = boot_clock::now();
-        harness::waitUntil([&] { return holder(witness) != former && !holder(witness).empty(); }, std::chrono::seconds(60));
+        harness::waitUntil(
+            [&] { return holder(witness) != former && !holder(witness).empty(); }, std::chrono::seconds(60));
         std::printf("lease length %4.1f s: another holder %.2f s after the holder's death\n", leaseLength,
             seconds(boot_clock::now() - from));
         std::fflush(stdout);
