Orders for models and adapters; role change under load; a trace of each hop in the demo

The role change test runs both kinds of order over all engines under load: 0 lost, 0 cut, 0 resumed. The demo prints one request's spans of caller, node and engines.

--- a/libs/decide/include/decide/control_system.h
+++ b/libs/decide/include/decide/control_system.h
@@ -96,7 +96,7 @@
     void makeWish(const service_entry& service, const std::string& target, target_order order);
     void planService(const service_entry& service, instant now);
     void planRoles(const service_entry& service, const std::vector<planned_engine>& engines, instant now);
-    bool planVersion(const service_entry& service, const std::vector<planned_engine>& engines);
+    bool planWeights(const service_entry& service, const std::vector<planned_engine>& engines);
     std::vector<planned_engine> enginesOf(const service_entry& service) const;
     void wantSnapshot(instant now, control_output& out);
 
--- a/libs/decide/src/control_system.cpp
+++ b/libs/decide/src/control_system.cpp
@@ -151,19 +151,35 @@
     return engines;
 }
 
-bool control_system::planVersion(const service_entry& service, const std::vector<planned_engine>& engines)
+namespace {
+
+    /// What a service's engines shall have loaded, by the kind of order that brings it about; empty: anything.
+    std::vector<target_order> wantedWeights(const service_entry& service)
+    {
+        std::string adapters;
+        for (const auto& adapter : service.adapters)
+            adapters += (adapters.empty() ? "" : ",") + adapter;
+        return { { order_kind::model, service.model }, { order_kind::version, service.version },
+            { order_kind::adapter, adapters } };
+    }
+
+}
+
+bool control_system::planWeights(const service_entry& service, const std::vector<planned_engine>& engines)
 {
-    if (service.version.empty())
-        return false;
-    for (const auto& engine : engines) {
-        const auto found = m_views.find(engine.name);
-        if (found == m_views.end() || !engine.isAvailable || engine.isChanging)
-            continue;
-        const auto present = found->second.settings.find(order_kind::version);
-        if (present == found->second.settings.end() || present->second == service.version)
+    for (const auto& order : wantedWeights(service)) {
+        if (order.value.empty())
             continue;
-        makeWish(service, engine.name, { order_kind::version, service.version });
-        return true;
+        for (const auto& engine : engines) {
+            const auto found = m_views.find(engine.name);
+            if (found == m_views.end() || !engine.isAvailable || engine.isChanging)
+                continue;
+            const auto present = found->second.settings.find(order.kind);
+            if (present == found->second.settings.end() || present->second == order.value)
+                continue;
+            makeWish(service, engine.name, order);
+            return true;
+        }
     }
     return false;
 }
@@ -228,7 +244,7 @@
     const bool isChanging = std::any_of(engines.begin(), engines.end(), [](const auto& e) { return e.isChanging; });
     if (isChanging)
         return;
-    if (!planVersion(service, engines))
+    if (!planWeights(service, engines))
         planRoles(service, engines, now);
 }
 
--- a/libs/node/src/target_poller.cpp
+++ b/libs/node/src/target_poller.cpp
@@ -24,7 +24,7 @@
             status.view.running = root.value("running", 0);
             status.view.lastOrder = root.value("last_order", std::int64_t(-1));
             status.isLeaving = root.value("leaving", false);
-            for (const auto kind : { order_kind::role, order_kind::model, order_kind::version }) {
+            for (const auto kind : { order_kind::role, order_kind::model, order_kind::version, order_kind::adapter }) {
                 const std::string name(toString(kind));
                 if (root.contains(name))
                     status.view.settings[kind] = root[name].get<std::string>();
--- a/tests/harness/deployment_run.cpp
+++ b/tests/harness/deployment_run.cpp
@@ -257,6 +257,14 @@
     return names;
 }
 
+std::vector<std::string> deployment_run::allTargets() const
+{
+    std::vector<std::string> names;
+    for (const auto& [target, address] : m_targets)
+        names.push_back(target);
+    return names;
+}
+
 json deployment_run::status(const std::string& vm) const { return callJson(adminAddress(vm), "GET", "/status"); }
 
 json deployment_run::targetStatus(const std::string& name) const
--- a/tests/harness/deployment_run.h
+++ b/tests/harness/deployment_run.h
@@ -58,6 +58,7 @@
     endpoint platformAddress() const { return m_platform; }
     std::vector<std::string> vms() const;
     std::vector<std::string> targetsOf(const std::string& service) const;
+    std::vector<std::string> allTargets() const;
     nlohmann::json status(const std::string& vm) const;
     nlohmann::json targetStatus(const std::string& name) const;
     bool isReady(const std::string& vm) const;
--- a/tests/process/test_planned_changes.cpp
+++ b/tests/process/test_planned_changes.cpp
@@ -111,6 +111,33 @@
     CHECK(cutByChanges(*run) == 0);
 }
 
+TEST_CASE("test_process_role_change_cuts_nothing")
+{
+    // Symptom: streams break when an engine changes its role.
+    // Sequence and cause as for versions; here both kinds of order go to the same engines.
+    const auto run = startSmall("role_change");
+    steady_load load(*run, 6);
+    REQUIRE(
+        run->publish({ { "services",
+            { { "jazyk", { { "prefill_targets", 1 }, { "decode_targets", 1 }, { "adapters", { "hydrant" } } } } } } })
+        == 0);
+    const auto count = [&](const char* field, const std::string& value) {
+        int found = 0;
+        for (const auto& target : run->targetsOf("jazyk"))
+            found += run->targetStatus(target).value(field, "") == value;
+        return found;
+    };
+    REQUIRE(waitUntil(
+        [&] {
+            return count("role", "prefill") == 1 && count("role", "decode") == 1 && count("adapter", "hydrant") == 3;
+        },
+        std::chrono::seconds(90)));
+    load.stop();
+    checkNothingLost(load);
+    CHECK(load.resumes() == 0);
+    CHECK(cutByChanges(*run) == 0);
+}
+
 TEST_CASE("test_process_configuration_change_cuts_nothing")
 {
     const auto run = startSmall("configuration_change");
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -128,9 +128,9 @@
             const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - old.at).count();
             return { { "incarnation", m_incarnation }, { "changing", m_isChanging }, { "leaving", m_isLeaving },
                 { "running", static_cast<int>(m_work.size()) }, { "role", std::string(toString(m_model.role())) },
-                { "model", m_modelName }, { "version", m_version }, { "last_order", m_lastOrder },
-                { "orders", m_orders }, { "stale_orders", m_staleOrders }, { "work_after_leaving", m_workAfterLeaving },
-                { "cut_by_change", m_cutByChange },
+                { "model", m_modelName }, { "version", m_version }, { "adapter", m_adapters },
+                { "last_order", m_lastOrder }, { "orders", m_orders }, { "stale_orders", m_staleOrders },
+                { "work_after_leaving", m_workAfterLeaving }, { "cut_by_change", m_cutByChange },
                 { "load",
                     { { "running", old.running }, { "prefill_tokens", old.prefillTokens },
                         { "age_ms", m_history.empty() ? 0 : std::min<std::int64_t>(age, 400) } } } };
@@ -351,6 +351,8 @@
                         m_version = value;
                     if (what == "model")
                         m_modelName = value;
+                    if (what == "adapter")
+                        m_adapters = value;
                     m_isChanging = false;
                 });
             });
@@ -406,6 +408,7 @@
         std::int64_t m_incarnation;
         std::string m_modelName;
         std::string m_version;
+        std::string m_adapters; // names, with commas between
         std::map<std::uint64_t, work> m_work;
         std::uint64_t m_nextJob = 1;
         std::set<std::string> m_caches;
--- a/tools/lab/demo_command.cpp
+++ b/tools/lab/demo_command.cpp
@@ -1,7 +1,10 @@
 // demo: a whole deployment under a swinging mix, and a table of how it went.
 #include "commands.h"
 
+#include "observe/span.h"
+
 #include <cstdio>
+#include <fstream>
 
 namespace tamarack::lab {
 
@@ -20,6 +23,38 @@
 
     void row(const char* name, const std::string& value) { std::printf("  %-34s %s\n", name, value.c_str()); }
 
+    /// Makes one more call under a trace of its own and prints the spans of caller, node and target.
+    void printTrace(const harness::deployment_run& run, const mix_settings& mix)
+    {
+        span_id_source ids(static_cast<std::uint64_t>(wallNanoseconds()));
+        const auto context = ids.child({});
+        std::vector<endpoint> nodes;
+        for (const auto& vm : run.vms())
+            nodes.push_back(run.callerAddress(vm));
+        harness::test_caller caller(nodes, mix.seed);
+        harness::call_spec spec;
+        spec.model = mix.model;
+        spec.prompt = "a traced request " + std::string(9000, 'x');
+        spec.maxTokens = 20;
+        spec.traceparent = formatTraceparent(context);
+        const auto startedAt = wallNanoseconds();
+        caller.call(spec);
+        span_writer(run.spanFile("caller"), "caller")
+            .write({ context, "", "caller's request", startedAt, wallNanoseconds(), {} });
+        std::vector<std::string> lines;
+        auto names = run.vms();
+        names.push_back("caller");
+        for (const auto& target : run.allTargets())
+            names.push_back(target);
+        for (const auto& name : names) {
+            std::ifstream stream(run.spanFile(name));
+            for (std::string line; std::getline(stream, line);)
+                lines.push_back(line);
+        }
+        std::printf(
+            "\none request, trace %s\n%s", context.traceId.c_str(), formatTraceTree(lines, context.traceId).c_str());
+    }
+
     std::string quantiles(latency_list& list)
     {
         char text[80];
@@ -83,6 +118,7 @@
     row("doubled", std::to_string(result.doubled));
     row("role changes",
         std::to_string(roleChanges(run, deployment == "vodoslet" ? "jazyk" : "stammbaum-lm") - changesBefore));
+    printTrace(run, mix);
     for (const auto& [detail, times] : result.wrongDetails)
         std::printf("  %d x %s\n", times, detail.c_str());
     const bool isClean
--- a/tools/lab/faults_command.cpp
+++ b/tools/lab/faults_command.cpp
@@ -34,7 +34,7 @@
             healAll();
             const auto engine = any(m_run.targetsOf(m_run.text()["services"][0]["name"]));
             const auto node = any(m_run.vms());
-            switch (m_random.below(8)) {
+            switch (m_random.below(10)) {
             case 0:
                 return killAndRestart(node, true);
             case 1:
@@ -49,6 +49,17 @@
                 return platform({ { "log", "lose_answers" } }, "log loses answers");
             case 6:
                 return platform({ { "vm_list", "down" }, { "log", "slow" } }, "VM list down, log slow");
+            case 7:
+                ++counts["service loses an answer"];
+                harness::callJson(m_run.targetAddress(any(m_run.targetsOf(m_run.text()["services"][1]["name"]))),
+                    "POST", "/fault", { { "next", "lose_answer" } });
+                return;
+            case 8:
+                ++counts["planned change of adapters"];
+                m_run.publish({ { "services",
+                    { { m_run.text()["services"][0]["name"].get<std::string>(),
+                        { { "adapters", { "adapter-" + std::to_string(m_adapter++) } } } } } } });
+                return;
             default:
                 ++counts["engine cuts a stream"];
                 harness::callJson(m_run.targetAddress(engine), "POST", "/fault", { { "next", "cut" } });
@@ -89,6 +100,7 @@
         harness::deployment_run& m_run;
         random_source m_random;
         QTimer m_timer;
+        int m_adapter = 1;
         std::vector<std::string> m_frozen;
     };
 
--- a/tools/lab/scale_command.cpp
+++ b/tools/lab/scale_command.cpp
@@ -126,6 +126,27 @@
         std::fflush(stdout);
     }
 
+    /// The most appends in any second after an outage of the log.
+    void measureRecovery(const arguments& given, int nodes)
+    {
+        harness::deployment_run run(optionsFor(given, nodes));
+        if (!run.start().empty())
+            return;
+        const auto appends
+            = [&] { return harness::callJson(run.platformAddress(), "GET", "/counts").value("appends", 0); };
+        harness::callJson(run.platformAddress(), "POST", "/fault", { { "log", "down" } });
+        harness::waitUntil([] { return false; }, std::chrono::seconds(15)); // the leases lapse
+        harness::callJson(run.platformAddress(), "POST", "/fault", { { "log", "up" } });
+        int most = 0;
+        for (int second = 0; second < 12; ++second) {
+            const int before = appends();
+            harness::waitUntil([] { return false; }, std::chrono::seconds(1));
+            most = std::max(most, appends() - before);
+        }
+        std::printf("%3d nodes, 15 s without the log: at most %d appends in a second after it\n", nodes, most);
+        std::fflush(stdout);
+    }
+
 }
 
 int runScale(const arguments& given)
@@ -134,6 +155,8 @@
         measureNodes(given, nodes);
     for (const double length : { 2.0, 6.0, 12.0 })
         measureTakeOver(given, length);
+    for (const int nodes : { 3, 30 })
+        measureRecovery(given, nodes);
     return 0;
 }
 
