--- a/libs/decide/include/decide/control_system.h
+++ b/libs/decide/include/decide/control_system.h
@@ -119,6 +119,7 @@
     log_offset m_lastSnapshot;
     instant m_nextSnapshot;
     bool m_isStopping = false;
+    bool m_looksOlder = false; // peers have heard of a newer life of this node
 };
 
 }
--- a/libs/decide/src/control_system.cpp
+++ b/libs/decide/src/control_system.cpp
@@ -48,6 +48,8 @@
 
 void control_system::incarnationHeard(const instance_id& instance, instant now)
 {
+    // The wall clock was set back before this process started: to its peers it looks like a former life of this node.
+    m_looksOlder |= instance.node == m_self.instance.node && instance.incarnation > m_self.instance.incarnation;
     m_orders.incarnationSeen(instance, now);
 }
 
@@ -299,6 +301,8 @@
         raised.push_back({ "log_gap", "records expired before this node read them, and no snapshot bridges the gap" });
     if (!m_configurationError.empty())
         raised.push_back({ "configuration_invalid", m_configurationError });
+    if (m_looksOlder)
+        raised.push_back({ "incarnation_too_low", "peers know a newer life of this node; its clock was set back" });
     const auto state = m_ready.state(now);
     if (state == readiness_state::behind || state == readiness_state::cut_off)
         raised.push_back({ "not_ready", std::string(toString(state)) });
--- a/libs/settings/include/settings/deployment.h
+++ b/libs/settings/include/settings/deployment.h
@@ -70,7 +70,6 @@
     double urgentDeadline = 5.0;
     double accountRequestsPerSecond = 100.0;
     double accountBurst = 200.0;
-    double leavingGrace = 3.0;
     int maxDepth = 4; ///< nested calls deeper than this are refused
 };
 
--- a/libs/settings/src/deployment_reader.cpp
+++ b/libs/settings/src/deployment_reader.cpp
@@ -50,7 +50,7 @@
     } };
 
     using p = policy_entry;
-    const std::array<field<p>, 16> policyFields { {
+    const std::array<field<p>, 15> policyFields { {
         { "urgent_share", &p::urgentShare, false, 0, 0.9 },
         { "nested_share", &p::nestedShare, false, 0, 0.9 },
         { "retry_budget", &p::retryBudget, false, 0, 1 },
@@ -65,7 +65,6 @@
         { "urgent_deadline", &p::urgentDeadline, false, 0.01, 3600 },
         { "account_requests_per_second", &p::accountRequestsPerSecond, false, 0.001, 1e9 },
         { "account_burst", &p::accountBurst, false, 1, 1e9 },
-        { "leaving_grace", &p::leavingGrace, false, 0, 60 },
         { "max_depth", &p::maxDepth, false, 1, 64 },
     } };
 
