--- a/libs/decide/include/decide/membership.h
+++ b/libs/decide/include/decide/membership.h
@@ -64,6 +64,8 @@
     std::vector<const peer_state*> alive(instant now) const;
     /// Whether heartbeats have come from this node lately.
     bool isAlive(const std::string& vm, instant now) const;
+    /// Whether the platform calls the node's VM leaving.
+    bool isLeaving(const std::string& vm) const;
     /// The newest life known of a node; invalid if none.
     instance_id newest(const std::string& vm) const;
     const peer_state* find(const std::string& vm) const;
@@ -80,7 +82,6 @@
         bool wasHeard = false;
         bool isListed = false;
         bool isListedLeaving = false;
-        instant listedAt;
     };
 
     std::string m_self;
--- a/libs/decide/src/membership.cpp
+++ b/libs/decide/src/membership.cpp
@@ -28,14 +28,13 @@
 void membership::listed(const std::vector<listed_vm>& vms, instant now)
 {
     for (auto& [name, known] : m_peers)
-        known.isListed = false;
+        known.isListed = known.isListedLeaving = false;
     for (const auto& vm : vms) {
         if (vm.kind != "entry" || vm.name == m_self)
             continue;
         peer& known = m_peers[vm.name];
         known.isListed = true;
         known.isListedLeaving = vm.isLeaving;
-        known.listedAt = now;
         if (known.wasHeard)
             continue;
         known.state.instance.node = vm.name;
@@ -67,6 +66,12 @@
     return found != m_peers.end() && found->second.wasHeard && now < found->second.heardAt + m_settings.peerTimeout;
 }
 
+bool membership::isLeaving(const std::string& vm) const
+{
+    const auto found = m_peers.find(vm);
+    return found != m_peers.end() && found->second.isListedLeaving;
+}
+
 instance_id membership::newest(const std::string& vm) const
 {
     const auto found = m_peers.find(vm);
--- a/libs/decide/tests/test_membership.cpp
+++ b/libs/decide/tests/test_membership.cpp
@@ -43,6 +43,9 @@
     REQUIRE(to.size() == 1);
     CHECK(to[0].vm == "b");
     CHECK(members.alive(at(0)).empty());
+    CHECK_FALSE(members.isLeaving("b"));
+    members.listed({ { "b", "10.0.0.1", "z", "entry", 1, 2, true } }, at(1));
+    CHECK(members.isLeaving("b"));
 }
 
 TEST_CASE("test_heartbeats_per_round_do_not_grow_with_the_fleet")
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -116,7 +116,7 @@
     const auto account = queryValue(request.target, "account");
     std::vector<peer_state> usable;
     for (const auto* peer : m_control.members().alive(now)) {
-        if (peer->isReady && !peer->isStopping)
+        if (peer->isReady && !peer->isStopping && !m_control.members().isLeaving(peer->instance.node))
             usable.push_back(*peer);
     }
     if (m_control.ready().takesWork(now)) {
--- a/libs/node/src/relay.cpp
+++ b/libs/node/src/relay.cpp
@@ -5,6 +5,7 @@
 
 #include "base/contract.h"
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 
@@ -19,6 +20,14 @@
     constexpr int statusUnavailable = 503;
     constexpr std::string_view endOfStream = "[DONE]";
 
+    /// Headers of one connection, or of the protocol between node and target, end here.
+    bool isPassedOn(std::string_view name)
+    {
+        constexpr std::array<std::string_view, 9> kept { "connection", "keep-alive", "transfer-encoding", "trailer",
+            "upgrade", "content-length", "x-attempt-id", "x-ran", "proxy-connection" };
+        return std::none_of(kept.begin(), kept.end(), [&](auto own) { return equalsIgnoreCase(own, name); });
+    }
+
     std::string_view toString(request_stage stage)
     {
         constexpr std::array<std::string_view, 3> names { "whole", "prefill", "decode" };
@@ -149,9 +158,9 @@
     if (head.status == statusKvMissing && attempt->command.stage == request_stage::decode)
         return conclude(attempt, attempt_result::kv_missing);
     attempt->buffered.status = head.status;
-    for (const char* kept : { "content-type", "x-run-count" }) {
-        if (head.headers.has(kept))
-            attempt->buffered.headers.set(kept, std::string(head.headers.find(kept)));
+    for (const auto& header : head.headers.entries) {
+        if (isPassedOn(header.name))
+            attempt->buffered.headers.entries.push_back(header);
     }
     attempt->isStreaming = m_input.isStream && head.status == 200 && attempt->command.stage != request_stage::prefill;
     if (attempt->isStreaming)
--- a/tests/process/test_path.cpp
+++ b/tests/process/test_path.cpp
@@ -38,6 +38,14 @@
         CHECK(answer->status == 200);
         CHECK(nlohmann::json::parse(answer->body).contains("text"));
     }
+    SECTION("a plain service's own headers reach the caller, those of the connection do not")
+    {
+        const auto answer
+            = harness::call(run->callerAddress(run->vms().front()), "POST", "/services/teren/valves", "{}");
+        REQUIRE(answer);
+        CHECK(answer->headers.find("x-service").starts_with("teren-"));
+        CHECK_FALSE(answer->headers.has("x-attempt-id"));
+    }
     SECTION("one trace spans caller, node and target")
     {
         auto spec = streamCall("traced");
--- a/tests/standins/service_standin.cpp
+++ b/tests/standins/service_standin.cpp
@@ -40,6 +40,7 @@
         {
             http_response response;
             response.headers.set("Content-Type", "application/json");
+            response.headers.set("x-service", m_options.name);
             if (!attempt.empty())
                 response.headers.set("x-attempt-id", std::string(attempt));
             response.body = body.dump();
