--- a/apps/tamarackctl/log_reader.cpp
+++ b/apps/tamarackctl/log_reader.cpp
@@ -45,6 +45,16 @@
     }
 }
 
+bool log_reader::readState() { return readToEnd() && !m_follower.hasGap(); }
+
+std::string log_reader::problem() const
+{
+    if (m_follower.hasGap())
+        return "the log's beginning has expired and no snapshot follows yet (the nodes write one every "
+               "snapshot_interval)";
+    return "the log does not answer";
+}
+
 std::optional<std::int64_t> log_reader::append(const record_body& body)
 {
     QEventLoop loop;
--- a/apps/tamarackctl/log_reader.h
+++ b/apps/tamarackctl/log_reader.h
@@ -17,6 +17,10 @@
 
     /// Reads to the end of the log. False if it does not answer.
     bool readToEnd();
+    /// The same; false also if the log's beginning has expired and no snapshot tells what it established.
+    bool readState();
+    /// Why readState() was false.
+    std::string problem() const;
     /// Appends; nothing when the outcome is not known.
     std::optional<std::int64_t> append(const record_body& body);
     /// The verdict on the record with this sequence, once it was read.
--- a/apps/tamarackctl/publish_command.cpp
+++ b/apps/tamarackctl/publish_command.cpp
@@ -67,8 +67,8 @@
         return complain(exitFailed, "not published: " + std::to_string(errors->size()) + " error(s)");
     }
     log_reader log(given["log"].as<std::string>(), given["stream"].as<std::string>());
-    if (!log.readToEnd())
-        return complain(exitUnreachable, "the log does not answer; nothing was published");
+    if (!log.readState())
+        return complain(exitUnreachable, log.problem() + "; nothing was published");
     const auto present = log.follower().state().configuration().version;
     const auto base = given.count("base") ? given["base"].as<std::uint64_t>() : present;
     if (base != present)
@@ -93,8 +93,8 @@
     if (!number)
         return complain(exitUsage, "ORDER must be the order's number, as status shows it");
     log_reader log(given["log"].as<std::string>(), given["stream"].as<std::string>());
-    if (!log.readToEnd())
-        return complain(exitUnreachable, "the log does not answer; nothing was done");
+    if (!log.readState())
+        return complain(exitUnreachable, log.problem() + "; nothing was done");
     const auto& open = log.follower().state().orders(target);
     if (!open.isOpen || open.last.value != static_cast<std::int64_t>(*number))
         return complain(exitFailed, target + " has no open order " + order);
--- a/apps/tamarackctl/text_command.cpp
+++ b/apps/tamarackctl/text_command.cpp
@@ -83,8 +83,8 @@
     if (!readFile(operand(given, 0), text))
         return exitUsage;
     log_reader log(given["log"].as<std::string>(), given["stream"].as<std::string>());
-    if (!log.readToEnd())
-        return complain(exitUnreachable, "the log does not answer; nothing was compared");
+    if (!log.readState())
+        return complain(exitUnreachable, log.problem() + "; nothing was compared");
     const auto& inForce = log.follower().state().configuration();
     std::cout << "in force: version " << inForce.version << " by " << inForce.author << "\n"
               << describeDifference(inForce.text, text);
--- a/libs/base/tests/test_base.cpp
+++ b/libs/base/tests/test_base.cpp
@@ -5,6 +5,7 @@
 #include "base/random_source.h"
 
 #include <catch2/catch.hpp>
+#include <ctime>
 #include <set>
 
 using namespace tamarack;
@@ -47,3 +48,19 @@
         CHECK(a.next() == b.next());
     CHECK(a.unit() < 1);
 }
+
+TEST_CASE("test_decisions_run_on_a_clock_that_no_one_sets")
+{
+    // Symptom: two lease holders after a clock was set, or a VM was suspended.
+    // Cause: a clock that jumps, or that stands still while the VM sleeps. CLOCK_BOOTTIME does neither.
+    const auto read = [] {
+        timespec now {};
+        clock_gettime(CLOCK_BOOTTIME, &now);
+        const auto whole = std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+        return std::chrono::duration_cast<duration>(whole);
+    };
+    const auto before = read();
+    const auto now = boot_clock::now().time_since_epoch();
+    CHECK(before <= now);
+    CHECK(now <= read());
+}
--- a/tests/harness/test_caller.cpp
+++ b/tests/harness/test_caller.cpp
@@ -175,7 +175,7 @@
     if (call->nextEvent > 0)
         ++call->result.resumes;
     exchange_options options;
-    options.silenceTimeout = call->isStream && call->nextEvent > 0 ? streamSilence : fromSeconds(call->spec.patience);
+    options.silenceTimeout = call->isStream ? streamSilence : fromSeconds(call->spec.patience);
     exchange_handlers handlers;
     handlers.onHead = [call](const http_response_head& head) { call->status = head.status; };
     handlers.onBody = [call](std::string_view bytes) {
--- a/tests/process/test_configuration.cpp
+++ b/tests/process/test_configuration.cpp
@@ -149,3 +149,41 @@
     const auto status = run->status(run->vms().front());
     CHECK(status.value("configuration_version", 0) == 3);
 }
+
+TEST_CASE("test_process_outage_longer_than_the_logs_retention")
+{
+    // Symptom: after a long outage no node accepts a publication any more.
+    // Sequence: the log is down until all its records have expired, then it is up again, and empty.
+    // Cause: what the nodes know was taken to be on the log.
+    const auto run = startSmall("long_outage");
+    REQUIRE(run->publish(policyChange(32)) == 0);
+    REQUIRE(waitUntil([&] { return allServe(*run, 2); }));
+    const auto hasAlarm = [&](const char* name) {
+        return run->status(run->vms().front())["alarms"].dump().find(name) != std::string::npos;
+    };
+    fault(*run, { { "log", "down" } });
+    REQUIRE(waitUntil([&] { return hasAlarm("log_unreachable"); }));
+    harness::test_caller caller(callerAddresses(*run), 1);
+    CHECK(caller.call(streamCall("in the outage")).end == call_end::whole);
+
+    SECTION("nothing was appended meanwhile: all goes on")
+    {
+        fault(*run, { { "expire", true } });
+        fault(*run, { { "log", "up" } });
+        // The holder's next snapshot brings the state back to the log, so that operators can publish again.
+        REQUIRE(waitUntil([&] { return run->publish(policyChange(33)) == 0; }));
+        CHECK(waitUntil([&] { return allServe(*run, 3); }));
+        run->kill(run->vms().front());
+        run->startNode(run->vms().front());
+        CHECK(waitUntil([&] { return run->isReady(run->vms().front()); }));
+    }
+    SECTION("records were lost unread: the gap is shown, requests go on")
+    {
+        fault(*run, { { "append", "a record that nobody will read" } });
+        fault(*run, { { "expire", true } });
+        fault(*run, { { "log", "up" } });
+        REQUIRE(waitUntil([&] { return hasAlarm("log_gap"); }));
+        CHECK(caller.call(streamCall("over the gap")).end == call_end::whole);
+        CHECK(allServe(*run, 2));
+    }
+}
--- a/tests/process/test_failures.cpp
+++ b/tests/process/test_failures.cpp
@@ -86,6 +86,27 @@
     CHECK(tries > 9); // some were on the killed node
 }
 
+TEST_CASE("test_process_frozen_node_is_left_and_callers_resume_elsewhere")
+{
+    // Symptom: a caller's stream stands still for ever.
+    // Sequence: the node is frozen in mid-stream; the connection stays open and says nothing more.
+    // Cause: nothing tells a long pause from a dead connection but signs of life, which the caller has to miss.
+    const auto run = startSmall("frozen_node");
+    harness::test_caller caller(callerAddresses(*run), 3);
+    std::vector<harness::call_result> results;
+    for (int i = 0; i < 9; ++i)
+        caller.send(
+            streamCall("silent " + std::to_string(i), 150), [&](const auto& result) { results.push_back(result); });
+    const auto victim = run->vms().front();
+    REQUIRE(waitUntil([&] { return run->status(victim)["requests"].value("held", 0) > 0; }));
+    run->freeze(victim);
+    REQUIRE(waitUntil([&] { return results.size() == 9; }, std::chrono::seconds(90)));
+    for (const auto& result : results)
+        CHECK(result.end == call_end::whole);
+    run->thaw(victim);
+    CHECK(waitUntil([&] { return run->isReady(victim); }));
+}
+
 TEST_CASE("test_process_frozen_engine_is_left")
 {
     // Symptom: a caller waits for ever.
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -136,6 +136,12 @@
             m_logState = body.value("log", m_logState);
             m_vmListState = body.value("vm_list", m_vmListState);
             m_options.retention = body.value("retention", m_options.retention);
+            if (body.contains("append"))
+                append(body["append"]); // by somebody who still reaches the log
+            if (body.value("expire", false)) {
+                m_first += static_cast<std::int64_t>(m_records.size());
+                m_records.clear();
+            }
             caller->sendWhole(answer(200, json::object()));
         }
 
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -33,7 +33,8 @@
 };
 
 /// The log, the VM list and the weight store. Faults: POST /fault with {"log": "up" | "down" | "slow" | "lose_answers"
-/// | "late"}, {"vm_list": "up" | "down"}, {"retention": N}.
+/// | "late"}, {"vm_list": "up" | "down"}, {"retention": N}, {"append": RECORD},
+/// {"expire": true} (all records).
 std::unique_ptr<standin> makePlatform(const standin_options& options);
 /// A model engine. Faults: POST /fault with {"next": "cut" | "silent" | "crossed" | "lose_answer" | "truncate"},
 /// {"leaving": true}, {"crash": true}.
