A target that came back is used again by every node

Cause: heartbeats spread that a target leaves, never that it no longer does, so nodes that do not ask it themselves kept the old word; with six to nine nodes that is every second one. Change: the newest report's word counts either way. The new test failed before and passes; each target has one watcher a zone, and loads reach nodes that ask nobody, are tested with it.

--- a/libs/node/src/load_exchange.cpp
+++ b/libs/node/src/load_exchange.cpp
@@ -93,9 +93,8 @@
         if (role <= static_cast<int>(engine_role::decode))
             m_targets.role[row] = static_cast<engine_role>(role);
         m_targets.isChanging[row] = (entry.flags & flagChanging) != 0;
-        // Leaving only spreads; a target that came back is learned from its own status.
-        if (entry.flags & flagLeaving)
-            m_targets.isLeaving[row] = 1;
+        // The newest report's word counts, either way: a target that came back is given work again by every node.
+        m_targets.isLeaving[row] = (entry.flags & flagLeaving) != 0;
     }
 }
 
