Connections that go silent while new ones work; names without metaphors

A link stand-in before each target loses track of all open connections, in use or idle, under six streams and six calls: all streams whole, keyed calls whole or unknown, none twice.

--- a/libs/decide/include/decide/control_system.h
+++ b/libs/decide/include/decide/control_system.h
@@ -86,14 +86,14 @@
     void onRecord(const log_record& record, verdict v);
     void takeConfiguration(instant now, control_output& out);
     void assignLeases(instant now);
-    struct wish {
+    struct pending_change {
         std::string target;
         target_order order;
     };
 
     /// Whether the service's change under way still goes on.
-    bool isWishUnderWay(const std::string& service);
-    void makeWish(const service_entry& service, const std::string& target, target_order order);
+    bool isChangeUnderWay(const std::string& service);
+    void startChange(const service_entry& service, const std::string& target, target_order order);
     void planService(const service_entry& service, instant now);
     void planRoles(const service_entry& service, const std::vector<planned_engine>& engines, instant now);
     bool planWeights(const service_entry& service, const std::vector<planned_engine>& engines);
@@ -114,7 +114,7 @@
     std::map<std::string, target_view> m_views;
     std::map<std::string, role_planner> m_planners; // by service
     std::map<std::string, role_demand> m_demand; // by service
-    std::map<std::string, wish> m_wishes; // the change under way, by service: one at a time
+    std::map<std::string, pending_change> m_changes; // the change under way, by service: one at a time
     instant m_now; // of the page being read
     log_offset m_lastSnapshot;
     instant m_nextSnapshot;
--- a/libs/decide/src/control_system.cpp
+++ b/libs/decide/src/control_system.cpp
@@ -179,7 +179,7 @@
             const auto present = found->second.settings.find(order.kind);
             if (present == found->second.settings.end() || present->second == order.value)
                 continue;
-            makeWish(service, engine.name, order);
+            startChange(service, engine.name, order);
             return true;
         }
     }
@@ -190,8 +190,8 @@
 {
     if (service.prefillTargets == 0)
         return;
-    const auto wish = [&](const planned_engine& engine, engine_role role) {
-        makeWish(service, engine.name, { order_kind::role, std::string(toString(role)) });
+    const auto order = [&](const planned_engine& engine, engine_role role) {
+        startChange(service, engine.name, { order_kind::role, std::string(toString(role)) });
     };
     // First the split that the text starts with; the rest stays mixed. From then on the planner moves it.
     int prefill = 0;
@@ -203,29 +203,29 @@
     const bool isSplitMade = prefill + decode >= service.prefillTargets + service.decodeTargets;
     for (const auto& engine : engines) {
         if (!isSplitMade && engine.isAvailable && engine.role == engine_role::mixed)
-            return wish(engine, prefill < service.prefillTargets ? engine_role::prefill : engine_role::decode);
+            return order(engine, prefill < service.prefillTargets ? engine_role::prefill : engine_role::decode);
     }
     if (!m_configuration->policy.planRoles)
         return;
     auto& planner = m_planners.try_emplace(service.name, m_configuration->policy).first->second;
     if (const auto change = planner.plan(engines, m_demand[service.name], now)) {
         const auto isIt = [&](const auto& engine) { return engine.name == change->target; };
-        wish(*std::find_if(engines.begin(), engines.end(), isIt), change->role);
+        order(*std::find_if(engines.begin(), engines.end(), isIt), change->role);
     }
 }
 
-void control_system::makeWish(const service_entry& service, const std::string& target, target_order order)
+void control_system::startChange(const service_entry& service, const std::string& target, target_order order)
 {
     m_orders.want(target, leaseName(service.name), service.checksFencing, order);
-    m_wishes[service.name] = { target, std::move(order) };
+    m_changes[service.name] = { target, std::move(order) };
 }
 
-bool control_system::isWishUnderWay(const std::string& service)
+bool control_system::isChangeUnderWay(const std::string& service)
 {
-    const auto wished = m_wishes.find(service);
-    if (wished == m_wishes.end())
+    const auto pending = m_changes.find(service);
+    if (pending == m_changes.end())
         return false;
-    const auto& [target, order] = wished->second;
+    const auto& [target, order] = pending->second;
     const auto view = m_views.find(target);
     const bool isKnown = view != m_views.end() && view->second.isKnown;
     const auto present
@@ -234,13 +234,13 @@
     if (isKnown && (!isDone || agreed().orders(target).isOpen))
         return true;
     m_orders.forget(target);
-    m_wishes.erase(wished);
+    m_changes.erase(pending);
     return false;
 }
 
 void control_system::planService(const service_entry& service, instant now)
 {
-    if (isWishUnderWay(service.name))
+    if (isChangeUnderWay(service.name))
         return;
     const auto engines = enginesOf(service);
     const bool isChanging = std::any_of(engines.begin(), engines.end(), [](const auto& e) { return e.isChanging; });
--- a/libs/decide/src/role_planner.cpp
+++ b/libs/decide/src/role_planner.cpp
@@ -11,7 +11,7 @@
     constexpr double levelSeconds = 5; // time constant of the demand's average
     constexpr double trendSeconds = 20;
     constexpr double lookAheadSeconds = 10;
-    constexpr double settleSeconds = 2; // a wish must last this long
+    constexpr double settleSeconds = 2; // the need of a change must last this long
     // What an engine gets done of the other role's work, against one of that role (stand-in engines, tools/bench).
     constexpr double decodeRolePrefillShare = 0.3;
     constexpr double prefillRoleDecodeShare = 0.15;
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -64,7 +64,7 @@
 }
 
 caller_api::caller_api(const node_settings& settings, const control_system& control, const traffic_system& traffic,
-    key_desk& keys, metrics& counters, request_submitter submit, admission_check refusal)
+    idempotency_handler& keys, metrics& counters, request_submitter submit, admission_check refusal)
     : m_settings(settings)
     , m_control(control)
     , m_traffic(traffic)
--- a/libs/node/src/caller_api.h
+++ b/libs/node/src/caller_api.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "completion_request.h"
-#include "key_desk.h"
+#include "idempotency_handler.h"
 #include "relay.h"
 
 #include "decide/control_system.h"
@@ -23,7 +23,7 @@
 class caller_api {
 public:
     caller_api(const node_settings& settings, const control_system& control, const traffic_system& traffic,
-        key_desk& keys, metrics& counters, request_submitter submit, admission_check refusal);
+        idempotency_handler& keys, metrics& counters, request_submitter submit, admission_check refusal);
 
     void handle(http_request request, std::shared_ptr<response_writer> caller);
     /// The answer to input that is no request.
@@ -46,7 +46,7 @@
     const node_settings& m_settings;
     const control_system& m_control;
     const traffic_system& m_traffic;
-    key_desk& m_keys;
+    idempotency_handler& m_keys;
     metrics& m_counters;
     request_submitter m_submit;
     admission_check m_refusal;
--- a/libs/node/src/key_desk.cpp
+++ b/libs/node/src/idempotency_handler.cpp
@@ -1,5 +1,5 @@
 // At-most-once requests.
-#include "key_desk.h"
+#include "idempotency_handler.h"
 
 #include "problem_answer.h"
 
@@ -30,7 +30,7 @@
 
 }
 
-key_desk::key_desk(
+idempotency_handler::idempotency_handler(
     key_registry& keys, peer_transport& peers, const membership& members, metrics& counters, duration timeout)
     : m_keys(keys)
     , m_peers(peers)
@@ -40,9 +40,9 @@
 {
 }
 
-std::string key_desk::homeHeader() const { return toString(m_keys.issue(boot_clock::now())); }
+std::string idempotency_handler::homeHeader() const { return toString(m_keys.issue(boot_clock::now())); }
 
-void key_desk::refuse(
+void idempotency_handler::refuse(
     const std::shared_ptr<response_writer>& caller, error_kind kind, std::string_view detail, const std::string& extra)
 {
     m_counters.count("tamarack_refused_total", { { "kind", std::string(answerFor(kind).type) } });
@@ -51,8 +51,8 @@
     caller->sendWhole(answer);
 }
 
-void key_desk::admit(const std::string& key, const std::string& homeText, std::shared_ptr<response_writer> caller,
-    std::function<void()> run)
+void idempotency_handler::admit(const std::string& key, const std::string& homeText,
+    std::shared_ptr<response_writer> caller, std::function<void()> run)
 {
     const auto home = parseKeyHome(homeText);
     if (key.empty() || !home) {
@@ -70,7 +70,7 @@
     askHome(key, *home, std::move(caller), std::move(run));
 }
 
-void key_desk::askHome(
+void idempotency_handler::askHome(
     const std::string& key, const key_home& home, std::shared_ptr<response_writer> caller, std::function<void()> run)
 {
     const peer_state* peer = m_members.find(home.instance.node);
@@ -88,8 +88,8 @@
         });
 }
 
-void key_desk::follow(const std::string& key, const key_answer& answer, const std::shared_ptr<response_writer>& caller,
-    const std::function<void()>& run)
+void idempotency_handler::follow(const std::string& key, const key_answer& answer,
+    const std::shared_ptr<response_writer>& caller, const std::function<void()>& run)
 {
     switch (answer.decision) {
     case key_decision::run:
@@ -116,7 +116,7 @@
     refuse(caller, error_kind::outcome_unknown, "whether this request has run can no longer be told");
 }
 
-void key_desk::finished(const std::string& key, const relay::outcome& outcome)
+void idempotency_handler::finished(const std::string& key, const relay::outcome& outcome)
 {
     const auto now = boot_clock::now();
     const bool hasNotRun = !outcome.answer && answerFor(outcome.error).executed == ran::no;
@@ -141,7 +141,7 @@
         asked(waiting.request, waiting.reply);
 }
 
-void key_desk::asked(const peer_request& request, peer_transport::reply_sender reply)
+void idempotency_handler::asked(const peer_request& request, peer_transport::reply_sender reply)
 {
     if (request.home.instance != m_keys.self())
         return reply({ false, {}, {} }); // that life of this node is over
--- a/libs/node/src/key_desk.h
+++ b/libs/node/src/idempotency_handler.h
@@ -16,9 +16,10 @@
 
 namespace tamarack {
 
-class key_desk {
+class idempotency_handler {
 public:
-    key_desk(key_registry& keys, peer_transport& peers, const membership& members, metrics& counters, duration timeout);
+    idempotency_handler(
+        key_registry& keys, peer_transport& peers, const membership& members, metrics& counters, duration timeout);
 
     /// `run` is called if this node is to run the request, now or after its home agreed; otherwise the caller is
     /// answered.
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -4,7 +4,7 @@
 #include "admin_api.h"
 #include "caller_api.h"
 #include "control_plane.h"
-#include "key_desk.h"
+#include "idempotency_handler.h"
 #include "problem_answer.h"
 
 #include "base/hash.h"
@@ -52,7 +52,7 @@
     traffic_system traffic;
     control_plane control;
     key_registry keys;
-    key_desk desk;
+    idempotency_handler idempotency;
     relay_services services;
     caller_api api;
     http_server server;
@@ -82,10 +82,10 @@
               execute(std::move(commands));
           })
     , keys(instance, settings.keyMemory)
-    , desk(keys, control.peers(), control.decisions().members(), counters, homeTimeout)
+    , idempotency(keys, control.peers(), control.decisions().members(), counters, homeTimeout)
     , services { client, traffic, counters, log, spans, spanIds, targetSilence }
     , api(
-          settings, control.decisions(), traffic, desk, counters,
+          settings, control.decisions(), traffic, idempotency, counters,
           [this](relay_input input, std::shared_ptr<response_writer> caller,
               std::function<void(const relay::outcome&)> onFinished) {
               submit(std::move(input), std::move(caller), std::move(onFinished));
@@ -100,7 +100,7 @@
     , admin(settings, control, traffic, counters, [this] { drain(); })
 {
     control.setKeyHandler([this](const peer_request& request, peer_transport::reply_sender reply) {
-        desk.asked(request, std::move(reply));
+        idempotency.asked(request, std::move(reply));
     });
     QObject::connect(&trafficTimer, &QTimer::timeout, [this] { tickTraffic(); });
     QObject::connect(&slowTimer, &QTimer::timeout, [this] { tickSlow(); });
@@ -235,7 +235,7 @@
 void node::state::tickSlow()
 {
     const auto now = boot_clock::now();
-    desk.tick(now);
+    idempotency.tick(now);
     for (const auto& [id, item] : relays)
         item->keepAlive(now);
     if (!isDraining || isStopped)
--- a/tests/harness/deployment_run.cpp
+++ b/tests/harness/deployment_run.cpp
@@ -78,6 +78,11 @@
             const endpoint address { "127.0.0.1", static_cast<std::uint16_t>(freePort()) };
             target["address"] = toString(address);
             m_targets[target["name"]] = address;
+            if (m_options.withLinks) {
+                const int port = freePort();
+                m_links[target["name"]] = port;
+                target["address"] = "127.0.0.1:" + std::to_string(port);
+            }
             m_serviceOf[target["name"]] = service["name"];
         }
         const auto name = service["name"].get<std::string>();
@@ -156,6 +161,9 @@
         return "the platform stand-in does not answer";
     for (const auto& [name, address] : m_targets)
         startTarget(name);
+    for (const auto& [name, port] : m_links)
+        launch("link-" + name, "tamarack_standin",
+            { "link", "--port", std::to_string(port), "--entry", toString(m_targets.at(name)) });
     listVms();
     std::string output;
     if (ctl({ "publish", path("text.json"), "--log", toString(m_platform), "--author", "harness" }, &output) != 0)
@@ -208,6 +216,12 @@
 
 void deployment_run::thaw(const std::string& name) { signal(name, SIGCONT); }
 
+void deployment_run::silenceLinks()
+{
+    for (const auto& [name, port] : m_links)
+        signal("link-" + name, SIGUSR1);
+}
+
 void deployment_run::terminate(const std::string& name) { signal(name, SIGTERM); }
 
 bool deployment_run::isRunning(const std::string& name) const
--- a/tests/harness/deployment_run.h
+++ b/tests/harness/deployment_run.h
@@ -26,6 +26,8 @@
     /// Keep only so many targets of each service; 0: all.
     std::size_t targetsPerService = 0;
     bool withSpans = false;
+    /// Put a link before each target, whose connections silenceLinks() can silence.
+    bool withLinks = false;
 };
 
 /// Ends every process that it started, by pid, when it is destroyed.
@@ -46,6 +48,8 @@
     void kill(const std::string& name);
     void freeze(const std::string& name);
     void thaw(const std::string& name);
+    /// Every open connection to a target goes silent for good; new ones work.
+    void silenceLinks();
     /// SIGTERM: a planned stop of a node.
     void terminate(const std::string& name);
     bool isRunning(const std::string& name) const;
@@ -90,6 +94,7 @@
     endpoint m_platform;
     std::map<std::string, node_ports> m_nodes;
     std::map<std::string, endpoint> m_targets;
+    std::map<std::string, int> m_links; // port before each target, if withLinks
     std::map<std::string, std::string> m_serviceOf; // by target
     std::map<std::string, std::unique_ptr<QProcess>> m_processes;
 };
--- a/tests/process/process_fixture.cpp
+++ b/tests/process/process_fixture.cpp
@@ -6,7 +6,8 @@
 
 namespace tamarack::test {
 
-std::unique_ptr<deployment_run> startSmall(const std::string& name, nlohmann::json servicePatch, std::int64_t retention)
+std::unique_ptr<deployment_run> startSmall(
+    const std::string& name, nlohmann::json servicePatch, std::int64_t retention, bool withLinks)
 {
     harness::run_options options;
     options.textFile = "deploy/vodoslet.json";
@@ -14,6 +15,7 @@
     options.targetsPerService = 3;
     options.retention = retention;
     options.withSpans = true;
+    options.withLinks = withLinks;
     options.changeSeconds = 0.3;
     nlohmann::json engines { { "prefill_targets", 0 }, { "decode_targets", 0 } };
     engines.merge_patch(servicePatch.value("jazyk", nlohmann::json::object()));
--- a/tests/process/process_fixture.h
+++ b/tests/process/process_fixture.h
@@ -16,8 +16,8 @@
 using harness::waitUntil;
 
 /// Three nodes before three engines and three plain services, started; the sample text of Vodoslet with fewer targets.
-std::unique_ptr<deployment_run> startSmall(
-    const std::string& name, nlohmann::json servicePatch = nlohmann::json::object(), std::int64_t retention = 100'000);
+std::unique_ptr<deployment_run> startSmall(const std::string& name,
+    nlohmann::json servicePatch = nlohmann::json::object(), std::int64_t retention = 100'000, bool withLinks = false);
 std::vector<endpoint> callerAddresses(const deployment_run& run);
 call_spec streamCall(const std::string& prompt, int tokens = 40);
 call_spec plainCall();
--- a/tests/process/test_failures.cpp
+++ b/tests/process/test_failures.cpp
@@ -107,6 +107,37 @@
     CHECK(waitUntil([&] { return run->isReady(victim); }));
 }
 
+TEST_CASE("test_process_connections_that_go_silent_are_left")
+{
+    // Symptom: requests wait for ever although every process and the network are well.
+    // Sequence: something between nodes and targets loses track of all open connections, in use or idle; new ones work.
+    // Cause: an open connection was taken for a working one.
+    const auto run = startSmall("silent_links", nlohmann::json::object(), 100'000, true);
+    harness::test_caller caller(callerAddresses(*run), 3);
+    std::vector<harness::call_result> results;
+    const auto note = [&](const harness::call_result& result) { results.push_back(result); };
+    for (int i = 0; i < 6; ++i)
+        caller.send(streamCall("links " + std::to_string(i), 150), note);
+    REQUIRE(waitUntil([&] {
+        int running = 0;
+        for (const auto& target : run->targetsOf("jazyk"))
+            running += run->targetStatus(target).value("running", 0);
+        return running == 6;
+    }));
+    run->silenceLinks();
+    for (int i = 0; i < 3; ++i) {
+        caller.send(plainCall(), note);
+        caller.send(reportCall("silent-" + std::to_string(i)), note);
+    }
+    REQUIRE(waitUntil([&] { return results.size() == 12; }, std::chrono::seconds(90)));
+    for (const auto& result : results) {
+        INFO(result.detail);
+        CHECK((result.end == call_end::whole || result.end == call_end::unknown));
+    }
+    for (int i = 0; i < 3; ++i)
+        CHECK(runsOf(*run, "silent-" + std::to_string(i)) <= 1);
+}
+
 TEST_CASE("test_process_frozen_engine_is_left")
 {
     // Symptom: a caller waits for ever.
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -36,7 +36,7 @@
     std::string kind;
     std::string text;
     options::options_description description("tamarack_standin");
-    description.add_options()("kind", options::value(&kind)->required(), "platform, engine or service")("name",
+    description.add_options()("kind", options::value(&kind)->required(), "platform, engine, service or link")("name",
         options::value(&given.name),
         "")("address", options::value(&given.address), "")("port", options::value(&given.port)->required(), "")(
         "text", options::value(&text), "operators' text, for timings")("service", options::value(&given.service), "")(
@@ -65,6 +65,8 @@
         running = tamarack::standins::makePlatform(given);
     else if (kind == "engine")
         running = tamarack::standins::makeEngine(given, timing);
+    else if (kind == "link")
+        running = tamarack::standins::makeLink(given);
     else if (kind == "service")
         running = tamarack::standins::makeService(given, timing);
     if (!running || running->port() == 0) {
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -41,5 +41,7 @@
 std::unique_ptr<standin> makeEngine(const standin_options& options, const service_entry& timing);
 /// A plain service; counts runs by key, told by GET /runs. Faults as an engine's.
 std::unique_ptr<standin> makeService(const standin_options& options, const service_entry& timing);
+/// A link to `options.entry`; SIGUSR1 silences its open connections.
+std::unique_ptr<standin> makeLink(const standin_options& options);
 
 }
