--- a/tests/harness/deployment_run.cpp
+++ b/tests/harness/deployment_run.cpp
@@ -6,7 +6,7 @@
 #include <QUdpSocket>
 #include <csignal>
 #include <fstream>
-#include <set>
+#include <unistd.h>
 
 namespace tamarack::harness {
 
@@ -16,16 +16,20 @@
 
     constexpr int killWaitMilliseconds = 5000;
 
-    /// A port that was free a moment ago, for TCP and UDP, and that this process has not given out yet.
+    /// A port that was free a moment ago, for TCP and UDP, and that this process has not given out yet. Below the range
+    /// from which the kernel takes ports for outgoing connections: one of those could hold a port while its process is
+    /// being restarted.
     int freePort()
     {
-        static std::set<int> given;
+        constexpr int first = 20'000;
+        constexpr int count = 12'000;
+        static int next = static_cast<int>(getpid() * 97LL % count);
         for (;;) {
+            const int port = first + next++ % count;
             QTcpServer tcp;
             QUdpSocket udp;
-            tcp.listen(QHostAddress::LocalHost, 0);
-            const int port = tcp.serverPort();
-            if (udp.bind(QHostAddress::LocalHost, static_cast<quint16>(port)) && given.insert(port).second)
+            const auto number = static_cast<quint16>(port);
+            if (tcp.listen(QHostAddress::LocalHost, number) && udp.bind(QHostAddress::LocalHost, number))
                 return port;
         }
     }
