Bound answers that are not streamed; mutations that only processes show

Above 8 MiB it is dropped, counted and told as attempt-timeout or outcome-unknown, with a test. tools/mutations.py now also takes mechanisms away under the process tests.

--- a/libs/node/src/relay.cpp
+++ b/libs/node/src/relay.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+    constexpr std::size_t mostBufferedBytes = 8 * 1024 * 1024; // of an answer that is not streamed
     constexpr qint64 pauseAboveBytes = 512 * 1024;
     constexpr qint64 resumeBelowBytes = 64 * 1024;
     constexpr duration keepAliveAfter = std::chrono::seconds(2);
@@ -186,7 +187,11 @@
         return;
     if (!attempt->isStreaming) {
         attempt->buffered.body += bytes;
-        return;
+        if (attempt->buffered.body.size() <= mostBufferedBytes)
+            return;
+        // Without a bound one target's endless answer takes the node's memory, and every caller's answer with it.
+        m_services.counters.count("tamarack_answers_too_large_total");
+        return conclude(attempt, attempt_result::maybe_run);
     }
     attempt->splitter.feed(bytes, [&](const stream_event& event) { onEvent(attempt, event); });
     applyBackPressure();
--- a/tests/process/test_bad_input.cpp
+++ b/tests/process/test_bad_input.cpp
@@ -112,6 +112,14 @@
         for (const auto& each : run->vms())
             CHECK(waitUntil([&] { return metricOf(*run, each, "tamarack_log_undecodable") >= 5; }));
     }
+    SECTION("an answer above the bound is dropped, and said so")
+    {
+        const auto answer = harness::call(node, "POST", "/services/teren/large", "{}");
+        REQUIRE(answer);
+        CHECK(answer->status == 504);
+        CHECK(answer->body.find("\"ran\":\"unknown\"") != std::string::npos);
+        CHECK(metricOf(*run, vm, "tamarack_answers_too_large_total") >= 1);
+    }
     harness::test_caller caller(callerAddresses(*run), 1);
     CHECK(caller.call(streamCall("still here")).end == call_end::whole);
     for (const auto& each : run->vms())
--- a/tests/standins/service_standin.cpp
+++ b/tests/standins/service_standin.cpp
@@ -100,6 +100,10 @@
                     return callModel(request, caller);
                 --m_running;
                 writeSpan(request, startedAt);
+                constexpr std::size_t largeBytes = 9 * 1024 * 1024;
+                if (request.path() == "/large")
+                    return send(
+                        caller, { { "fill", std::string(largeBytes, 'x') } }, request.headers.find("x-attempt-id"));
                 send(caller,
                     { { "service", m_options.name }, { "path", request.target }, { "bytes", request.body.size() } },
                     request.headers.find("x-attempt-id"));
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Removes one mechanism after another in a scratch copy and shows which proof then fails.
 
-Usage: tools/mutations.py SCRATCH_DIR [NAME...]
+Usage: tools/mutations.py SCRATCH_DIR [NAME | test_decide | test_process]...
 Prints a line a mutation: the tests that failed. A mutation that no test notices ends the run with exit code 1.
 """
 import os
@@ -48,14 +48,52 @@
      "    if (!m_isSearching && m_state.next() < page.first) {\n", "    if (false) {\n"),
 ]
 
+# Mutations that only processes show, with the cases to run.
+PROCESS_MUTATIONS = [
+    ("order-without-drain", DECIDE + "order_system.cpp",
+     "    if (isUnsent && !isDrained(target, now))\n        return;\n", "",
+     "test_process_version_change_cuts_nothing"),
+    ("stop-at-once", "libs/node/src/node.cpp",
+     "    if (!isPastAccepting || !((isIdle && hasReleased) || isOverdue))\n        return;\n", "    (void)isPastAccepting;\n    (void)isIdle;\n    (void)isOverdue;\n    (void)hasReleased;\n",
+     "test_process_rolling_replacement_of_all_nodes_cuts_nothing"),
+    ("end-of-connection-for-end-of-answer", "libs/node/src/relay.cpp",
+     "    if (!attempt->sawEnd)\n        return conclude(attempt, attempt_result::cut);\n", "",
+     "test_process_answers_are_whole_although_targets_fail"),
+    ("repeat-events-after-resume", "libs/node/src/relay.cpp",
+     "        if (*event.id < m_nextEvent)\n            return;", "        if (false)\n            return;",
+     "test_process_answers_are_whole_although_targets_fail"),
+    ("home-not-asked", "libs/node/src/idempotency_handler.cpp",
+     "    askHome(key, *home, std::move(caller), std::move(run));\n", "    run();\n",
+     "test_process_non_idempotent_calls_run_at_most_once"),
+    ("leaving-not-marked", "libs/node/src/control_plane.cpp",
+     "        if (listed != m_listedLeaving.end() && listed->second)\n            targets.isLeaving[row] = 1;\n", "",
+     "test_process_leaving_target_gets_no_new_work"),
+    ("no-state-from-peers", "libs/node/src/control_plane.cpp",
+     "    if (isAhead && (lacksLog || lacksVersion))\n", "    if (isAhead && lacksLog && lacksVersion && false)\n",
+     "test_process_node_started_during_an_outage_serves_the_configuration_in_force"),
+    ("ready-although-cut-off", DECIDE + "readiness.cpp",
+     "        return readiness_state::cut_off;\n", "        return readiness_state::ready;\n",
+     "test_process_node_cut_off_from_log_and_peers_refuses"),
+    ("no-snapshots", DECIDE + "control_system.cpp",
+     "    out.appends.push_back(snapshot_record { agreed().data() });\n", "",
+     "test_process_outage_longer_than_the_logs_retention"),
+    ("silence-is-no-failure", "libs/node/src/node.cpp",
+     "    constexpr duration targetSilence = 5s;\n", "    constexpr duration targetSilence = 3600s;\n",
+     "test_process_connections_that_go_silent_are_left"),
+    ("late-holder-trusts-itself", DECIDE + "lease_system.cpp",
+     "    return state.lease(lease).holder == m_self && now < found->second.trustedUntil;\n",
+     "    return state.lease(lease).holder == m_self;\n",
+     "test_process_frozen_lease_holder_gives_no_late_order"),
+]
+
 
 def run(command, directory):
     return subprocess.run(command, cwd=directory, capture_output=True, text=True, check=False)
 
 
-def failing_tests(build):
-    result = run(["bin/test_decide", "-r", "compact"], build)
-    lines = run(["bin/test_decide", "-r", "xml"], build).stdout.splitlines() if result.returncode else []
+def failing_tests(build, program, cases):
+    result = run(["bin/" + program, "-r", "xml"] + cases, build)
+    lines = result.stdout.splitlines()
     failed, name = [], ""
     for line in lines:
         if "<TestCase name=" in line:
@@ -73,8 +111,10 @@
     build = os.path.join(scratch, "build")
     run(["cmake", "-S", scratch, "-B", build, "-G", "Ninja"], scratch)
     unnoticed = 0
-    for name, file, text, replacement in MUTATIONS:
-        if wanted and name not in wanted:
+    jobs = [(*item, "test_decide", []) for item in MUTATIONS]
+    jobs += [(*item[:4], "test_process", [item[4]]) for item in PROCESS_MUTATIONS]
+    for name, file, text, replacement, program, cases in jobs:
+        if wanted and name not in wanted and program not in wanted:
             continue
         path = os.path.join(scratch, file)
         original = open(path).read()
@@ -84,8 +124,9 @@
             continue
         with open(path, "w") as changed:
             changed.write(original.replace(text, replacement))
-        built = run(["ninja", "-C", build, "-j", "2", "test_decide"], scratch)
-        failed = failing_tests(build) if built.returncode == 0 else []
+        targets = [program] if program == "test_decide" else [program, "tamarackrelay", "tamarackctl", "tamarack_standin"]
+        built = run(["ninja", "-C", build, "-j", "3"] + targets, scratch)
+        failed = failing_tests(build, program, cases) if built.returncode == 0 else []
         print(f"{name}: " + (", ".join(failed) if failed else "NOT NOTICED" if built.returncode == 0 else "does not build"),
               flush=True)
         unnoticed += not failed
