--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -14,7 +14,6 @@
     constexpr duration statusTimeout = 1s;
     constexpr duration pullTimeout = 2s;
     constexpr duration tickInterval = 50ms;
-    constexpr duration metricsInterval = 250ms;
     constexpr std::size_t loadsPerHeartbeat = 48;
     constexpr std::size_t digestPerHeartbeat = 6;
     constexpr int silencesUntilBlocked = 2;
@@ -359,10 +358,7 @@
         else
             m_control.orderAnswered(order.order, delivery_result::not_sent);
     }
-    if (now >= m_nextMetrics) {
-        m_nextMetrics = now + metricsInterval;
-        publishMetrics(now);
-    }
+    publishMetrics(now);
 }
 
 void control_plane::publishMetrics(instant now)
--- a/libs/node/src/control_plane.h
+++ b/libs/node/src/control_plane.h
@@ -81,7 +81,6 @@
     std::map<std::string, int> m_silences; // polls in a row without an answer, by target
     std::map<std::string, bool> m_listedLeaving; // targets that the VM list calls leaving
     std::set<std::string> m_raised; // alarms that are on
-    instant m_nextMetrics;
     std::uint64_t m_sequence = 0;
     std::size_t m_digestTurn = 0;
     bool m_isReading = false;
