Tests that the node, not only the caller, keeps answers whole

Cause: with the end-of-stream check taken away no process test failed, since the callers of the tests resume by themselves; and no engine ever resumed from the start. Change: cut and truncated streams must need one try of the caller, and a resumed answer that begins anew must not be repeated (a new fault of the stand-in).

--- a/tests/process/test_failures.cpp
+++ b/tests/process/test_failures.cpp
@@ -46,10 +46,30 @@
         const auto result = caller.call(streamCall(std::string("despite ") + next));
         INFO(next << " " << result.detail);
         CHECK(result.end == call_end::whole);
+        // The node resumes by itself; the caller must not have to notice.
+        const bool isCut = next == std::string("cut") || next == std::string("truncate");
+        if (isCut)
+            CHECK(result.tries == 1);
         faultAtAll(*run, "jazyk", "");
     }
 }
 
+TEST_CASE("test_process_resumed_answer_that_begins_anew_is_not_repeated")
+{
+    // Symptom: a summary says its first sentences twice.
+    // Sequence: a stream is cut; the engine that resumes it sends it from the start.
+    // Cause: events were passed on without a look at their ids.
+    const auto run = startSmall("begins_anew");
+    harness::test_caller caller(callerAddresses(*run), 3);
+    for (const auto& target : run->targetsOf("jazyk"))
+        harness::callJson(
+            run->targetAddress(target), "POST", "/fault", { { "next", "cut" }, { "ignore_offset", true } });
+    const auto result = caller.call(streamCall("begins anew"));
+    INFO(result.detail);
+    CHECK(result.end == call_end::whole);
+    CHECK(result.tries == 1);
+}
+
 TEST_CASE("test_process_engine_killed_in_mid_stream")
 {
     const auto run = startSmall("engine_killed");
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -154,6 +154,8 @@
             item.attempt = std::string(request.headers.find("x-attempt-id"));
             item.end = answerTokens(item.prompt, body.value("max_tokens", 256));
             item.next = static_cast<std::int64_t>(parseNumber(request.headers.find("x-resume-offset")).value_or(0));
+            if (m_ignoresOffset)
+                item.next = 0;
             item.isStream = body.value("stream", false);
             item.isPrefill = request.headers.find("x-stage") == "prefill";
             item.parent = parseTraceparent(request.headers.find("traceparent"));
@@ -390,6 +392,7 @@
             const auto body = json::parse(request.body, nullptr, false);
             m_nextFault = body.value("next", m_nextFault);
             m_isLeaving = body.value("leaving", m_isLeaving);
+            m_ignoresOffset = body.value("ignore_offset", m_ignoresOffset);
             caller->sendWhole(answer(200, json::object()));
             if (body.value("crash", false))
                 QTimer::singleShot(0, [] { QCoreApplication::exit(1); });
@@ -418,6 +421,7 @@
         std::string m_nextFault;
         bool m_isChanging = false;
         bool m_isLeaving = false;
+        bool m_ignoresOffset = false; // a fault: resumed answers begin anew
         std::int64_t m_lastOrder = -1;
         std::int64_t m_highestFence = -1;
         json m_orders = json::array();
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -37,7 +37,7 @@
 /// {"expire": true} (all records).
 std::unique_ptr<standin> makePlatform(const standin_options& options);
 /// A model engine. Faults: POST /fault with {"next": "cut" | "silent" | "crossed" | "lose_answer" | "truncate"},
-/// {"leaving": true}, {"crash": true}.
+/// {"leaving": true}, {"crash": true}, {"ignore_offset": true}.
 std::unique_ptr<standin> makeEngine(const standin_options& options, const service_entry& timing);
 /// A plain service; counts runs by key, told by GET /runs. Faults as an engine's.
 std::unique_ptr<standin> makeService(const standin_options& options, const service_entry& timing);
