Placement from cache events, beginnings fetched between engines, two lanes

Cause: nodes guessed where a prompt's beginning is kept, so a third of all prompt reading was done again; and in overload every request waited behind ones that could not be fast any more. Change: engines' cache events are followed with calls that wait; an engine without the beginning fetches it from one that has it; requests that cannot meet their aim go in a lane that engines take up last; an engine's pace and its fixed time are learned apart.

--- a/libs/gateway/include/gateway/target_protocol.h
+++ b/libs/gateway/include/gateway/target_protocol.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http/http_message.h"
+#include "serving/prompt_cache_map.h"
 #include "serving/serving_request.h"
 
 #include <optional>
@@ -17,6 +18,7 @@
     serving::attempt_stage stage = serving::attempt_stage::whole;
     std::string_view cacheSource; ///< stage decode: `ip:port` of the engine that holds the KV cache
     std::string_view cacheName;
+    std::string_view fetchFrom; ///< `ip:port` of an engine that keeps the prompt's beginning; empty: none
     duration timeLeft = duration::zero();
     int urgency = 0; ///< 0 goes first
     std::string_view resumeAfter; ///< id of the last event the caller has; empty: none
@@ -42,6 +44,14 @@
     std::optional<std::uint64_t> bodyBytes; ///< empty: the body is chunked or ends with the connection
 };
 
+/// What an engine tells of its cache.
+struct cache_report {
+    std::uint64_t epoch = 0; ///< changes when the engine has lost its memory
+    std::uint64_t next = 0; ///< number of the first event that is not in here
+    bool isGapped = false; ///< events before these are not kept any more
+    std::vector<serving::cache_event> events; ///< the oldest first
+};
+
 class target_protocol {
 public:
     virtual ~target_protocol() = default;
@@ -53,6 +63,10 @@
     /// Name of the exported KV cache in the answer to stage prefill; empty if there is none.
     virtual std::string decodePrefill(std::string_view body) const = 0;
     virtual http_request releaseCache(std::string_view cacheName, std::string_view instance) const = 0;
+    /// Asks an engine for cache events from number `next` on; it answers after `wait` at the latest.
+    virtual http_request cacheEvents(std::uint64_t next, duration wait, std::string_view instance) const = 0;
+    /// Empty if the body is no report.
+    virtual std::optional<cache_report> decodeCacheEvents(std::string_view body) const = 0;
 };
 
 }
--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -32,6 +32,11 @@
     constexpr std::array<std::string_view, static_cast<std::size_t>(flow_end::count)> endNames { "answered",
         "target_failure", "refused", "cut", "caller_gone" };
 
+    std::int64_t millisecondsSince(instant begin)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - begin).count();
+    }
+
     template <class Names, class Value> std::string nameOf(const Names& names, Value value)
     {
         return std::string(names[static_cast<std::size_t>(value)]);
@@ -87,6 +92,8 @@
         spec.cacheSource = fleet.address[command.cache.source.value];
         spec.cacheName = command.cache.name;
     }
+    if (command.fetchFrom.isValid())
+        spec.fetchFrom = fleet.address[command.fetchFrom.value];
     spec.timeLeft = command.timeLeft;
     spec.urgency = command.urgency;
     spec.resumeAfter = m_lastEvent;
@@ -131,7 +138,18 @@
         if (const auto self = weak.lock())
             self->onFailure(attempt, failure);
     };
-    const auto& address = m_services.decisions.fleet().address[command.target.value];
+    const auto& fleet = m_services.decisions.fleet();
+    m_services.log.info("attempt_started",
+        { { "request", m_decoded.id }, { "target", fleet.instance[command.target.value] },
+            { "stage", nameOf(stageNames, command.stage) }, { "work", static_cast<std::int64_t>(command.work) },
+            { "work_before", static_cast<std::int64_t>(command.workBefore) },
+            { "running", fleet.running(command.target) },
+            { "fetch_from", command.fetchFrom.isValid() ? fleet.instance[command.fetchFrom.value] : std::string() },
+            { "predicted_ms", static_cast<std::int64_t>(command.predictedSeconds * 1000) },
+            { "urgency", command.urgency },
+            { "left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(command.timeLeft).count() } });
+    const auto& address = fleet.address[command.target.value];
+    attempt->startedAt = boot_clock::now();
     attempt->exchange = m_services.client.start(
         parseEndpoint(address), m_services.targets.attempt(m_request, specOf(command)), options, std::move(handlers));
 }
@@ -208,6 +226,7 @@
     if (attempt != m_attempt)
         return;
     if (!attempt->isRelayed) {
+        attempt->firstMs = millisecondsSince(attempt->startedAt);
         m_services.decisions.began(m_id, attempt->command.attempt, boot_clock::now());
         beginAnswer(attempt);
     }
@@ -282,7 +301,8 @@
     m_services.log.info("attempt_ended",
         { { "request", m_decoded.id }, { "target", fleet.instance[attempt->command.target.value] },
             { "stage", nameOf(stageNames, attempt->command.stage) }, { "result", nameOf(resultNames, result) },
-            { "status", attempt->answer.status } });
+            { "status", attempt->answer.status }, { "took_ms", millisecondsSince(attempt->startedAt) },
+            { "first_ms", attempt->firstMs } });
     if (m_on.onAttemptEnded)
         m_on.onAttemptEnded(attempt->command.attempt, result, cacheName);
 }
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -64,6 +64,8 @@
         std::string body; // kept until it is known what to do with it
         event_splitter splitter;
         bool isRelayed = false; // bytes of it went to the caller
+        instant startedAt;
+        std::int64_t firstMs = -1; // from the start to the first event of a stream
     };
     using attempt_ptr = std::shared_ptr<attempt_state>;
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -1,6 +1,7 @@
 // Wires the parts together, and carries out what the decisions say.
 #include "gateway/gateway.h"
 
+#include "cache_watch.h"
 #include "caller_flow.h"
 #include "peer_mesh.h"
 #include "shared_view.h"
@@ -101,6 +102,7 @@
     shared_view view;
     peer_mesh peers;
     flow_services services;
+    cache_watch caches;
     http_server callers;
     http_server ready;
     http_server entries;
@@ -154,6 +156,7 @@
           [this](std::shared_ptr<const serving::serving_configuration> configuration) { configure(configuration); })
     , peers([this](node_heartbeat message) { heard(std::move(message)); })
     , services { client, decisions, ports.callers, ports.targets, counters, log }
+    , caches(client, ports.targets, decisions, counters, log)
     , callers(
           {},
           [this](http_request request, std::shared_ptr<response_writer> caller) {
@@ -410,6 +413,7 @@
     view.tick(now);
     nodes.tick(now);
     decisions.setKnownNodes(nodes.knownCount());
+    caches.tick(now);
     serving::command_list commands;
     decisions.tick(now, commands);
     execute(std::move(commands));
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -14,8 +14,8 @@
 
     /// Another version is another format: what cannot be read is dropped, and the nodes of a version know each other.
     constexpr char formatVersion = 1;
-    /// 1,472 bytes fit into a datagram that is not split; an entry takes 10, the rest is the sender.
-    constexpr std::size_t mostEntries = 120;
+    /// 1,472 bytes fit into a datagram that is not split; an entry takes 14, the rest is the sender.
+    constexpr std::size_t mostEntries = 90;
 
     template <class Message> std::string encode(const Message& message)
     {
@@ -55,7 +55,7 @@
 
     template <class Archive> void serialize(Archive& archive, work_entry& m)
     {
-        archive(m.target, m.running, m.workTokens);
+        archive(m.target, m.running, m.fastTokens, m.lateTokens);
     }
 
 }
@@ -74,7 +74,7 @@
     auto& work = message.work;
     if (work.size() > mostEntries) {
         std::nth_element(work.begin(), work.begin() + mostEntries, work.end(),
-            [](const auto& a, const auto& b) { return a.workTokens > b.workTokens; });
+            [](const auto& a, const auto& b) { return a.fastTokens + a.lateTokens > b.fastTokens + b.lateTokens; });
         work.resize(mostEntries);
     }
     return encode(message);
--- a/libs/http/include/http/http_message.h
+++ b/libs/http/include/http/http_message.h
@@ -47,5 +47,7 @@
 bool equalsIgnoreCase(std::string_view a, std::string_view b);
 /// A decimal number without sign or blanks, or nothing.
 std::optional<std::uint64_t> parseNumber(std::string_view text);
+/// The same for hexadecimal digits.
+std::optional<std::uint64_t> parseHexadecimal(std::string_view text);
 
 }
--- a/libs/http/src/http_message.cpp
+++ b/libs/http/src/http_message.cpp
@@ -44,13 +44,21 @@
     return whole.substr(0, whole.find('?'));
 }
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (text.empty() || error != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return value;
+namespace {
+
+    std::optional<std::uint64_t> parseDigits(std::string_view text, int base)
+    {
+        std::uint64_t value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+        if (text.empty() || error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return value;
+    }
+
 }
 
+std::optional<std::uint64_t> parseNumber(std::string_view text) { return parseDigits(text, 10); }
+
+std::optional<std::uint64_t> parseHexadecimal(std::string_view text) { return parseDigits(text, 16); }
+
 }
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -47,13 +47,17 @@
 
     bool isCurrent(request_id request, attempt_id attempt) const;
     void loadTold(target_id target, const told_load& load) { m_fleet.told[target.value] = load; }
+    void cacheTold(target_id engine, const std::vector<cache_event>& events) { m_caches.told(engine, events); }
+    void cacheLost(target_id engine) { m_caches.forget(engine); }
     const fleet_table& fleet() const { return m_fleet; }
     std::vector<work_entry> ownWork() const { return m_peers.own(); }
     std::size_t held() const { return m_book.held(); }
     std::size_t waiting() const { return m_waiting.size(); }
 
 private:
-    placement_need needOf(std::size_t row) const;
+    placement_need needOf(std::size_t row, instant now) const;
+    /// Sums what is left of this node's work at each target.
+    void sumOwnWork(instant now);
     retry_allowance& allowanceOf(const std::string& service);
     bool tryStart(std::size_t row, instant now, command_list& out);
     bool startDecode(std::size_t row, instant now, command_list& out);
@@ -64,6 +68,7 @@
     void countSend(std::size_t row, instant now);
     void dispatch(instant now, command_list& out);
     void settle(std::size_t row, attempt_result result, const std::string& cacheName, instant now, command_list& out);
+    void learn(const current_attempt& attempt, instant now);
     void succeeded(std::size_t row);
     void prefilled(std::size_t row, const std::string& cacheName, instant now, command_list& out);
     void retryOrEnd(std::size_t row, bool countsAsSend, error_kind kind, instant now, command_list& out);
@@ -90,6 +95,7 @@
     std::vector<request_id> m_waiting; // in order of arrival
     std::uint64_t m_nextAttempt = 1;
     int m_knownNodes = 1;
+    instant m_nextSum; // of own work; not before
 };
 
 }
--- a/libs/serving/include/serving/engine_pace.h
+++ b/libs/serving/include/serving/engine_pace.h
@@ -18,13 +18,22 @@
 
     /// Seconds that the engine takes for one token of work.
     double secondsPerToken(target_id id) const;
-    /// The prompt was read `elapsed` after it was sent, behind `workBefore` tokens of others.
-    void learned(target_id id, double work, double workBefore, duration elapsed);
+    /// Seconds that pass for each request besides, during which the engine reads others.
+    double baseSeconds(target_id id) const;
+    /// The prompt was read `elapsed` after it was sent; `work` is its own and what was before it.
+    void learned(target_id id, double work, duration elapsed);
     void forget(target_id id);
 
 private:
+    struct engine {
+        double secondsPerToken = 0; // 0: nothing learned yet
+        double baseSeconds = 0;
+    };
+
+    engine known(target_id id) const;
+
     const fleet_table& m_fleet;
-    std::vector<double> m_secondsPerToken; // by row; 0: nothing learned yet
+    std::vector<engine> m_engines; // by row
 };
 
 }
--- a/libs/serving/include/serving/fleet_table.h
+++ b/libs/serving/include/serving/fleet_table.h
@@ -20,6 +20,14 @@
     int slots = 0;
 };
 
+/// Tokens of prompt work, by the lane in which targets take it up.
+struct lane_work {
+    double fast = 0; ///< of requests that can still be fast
+    double late = 0; ///< of those that cannot; done when nothing else waits
+
+    double all() const { return fast + late; }
+};
+
 /// A row keeps its id as long as the target is listed or this node has work there. Rows are then used again.
 class fleet_table {
 public:
@@ -41,11 +49,12 @@
     /// Requests that the target is thought to hold, from all nodes.
     int running(target_id id) const { return ownRunning[id.value] + peersRunning[id.value]; }
     /// Prompt work in tokens that the target is thought to have before it, from all nodes.
-    double work(target_id id) const { return ownWork[id.value] + peersWork[id.value]; }
-    void began(target_id id, double workTokens);
-    /// The prompt has been read.
-    void workDone(target_id id, double workTokens);
+    double work(target_id id) const { return ownWork[id.value].all() + peersWork[id.value].all(); }
+    /// The part of it that goes before requests that cannot be fast any more.
+    double fastWork(target_id id) const { return ownWork[id.value].fast + peersWork[id.value].fast; }
+    void began(target_id id) { ownRunning[id.value] += 1; }
     void ended(target_id id);
+    void clearOwnWork();
 
     // Columns, all of one length.
     std::vector<std::string> instance;
@@ -59,9 +68,9 @@
     std::vector<std::uint8_t> isDraining;
     std::vector<instant> blockedUntil; // after failures
     std::vector<int> ownRunning;
-    std::vector<double> ownWork;
+    std::vector<lane_work> ownWork;
     std::vector<int> peersRunning;
-    std::vector<double> peersWork;
+    std::vector<lane_work> peersWork;
     std::vector<told_load> told;
 
 private:
--- a/libs/serving/include/serving/peer_work.h
+++ b/libs/serving/include/serving/peer_work.h
@@ -13,7 +13,8 @@
 struct work_entry {
     std::uint32_t target = 0; ///< shortHash() of its instance
     std::uint16_t running = 0;
-    std::uint32_t workTokens = 0; ///< prompt work not done yet
+    std::uint32_t fastTokens = 0; ///< prompt work not done yet, by lane
+    std::uint32_t lateTokens = 0;
 };
 
 /// Sums the peers' work into the fleet's columns. A peer that fell silent is forgotten: what it had under way ends
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -14,15 +14,18 @@
 /// What a choice has to know of a request.
 struct placement_need {
     const serving_request& request;
-    const shared_beginning& beginning;
     target_id avoid; ///< failed just now; taken only if there is no other
+    double secondsToAim = 0; ///< left of the time in which an answer is fast
 };
 
 struct target_choice {
     target_id target; ///< invalid if no target takes the request now
     attempt_stage stage = attempt_stage::whole;
+    work_lane lane = work_lane::fast;
     double work = 0; ///< tokens of prompt work that this puts on the target
+    double workBefore = 0; ///< that goes before it there
     double seconds = 0; ///< predicted, until the stage's answer begins
+    target_id fetchFrom; ///< where the target gets the prompt's beginning; invalid: it keeps it, or reads it
 };
 
 /// What placement reads; outlives it.
@@ -52,11 +55,10 @@
     bool hasRoom(target_id id, const placement_need& need) const;
     target_choice choosePlain(const placement_need& need, instant now);
     target_choice chooseEngine(const placement_need& need, instant now);
-    target_choice wholeAt(target_id id, const placement_need& need) const;
-    target_choice prefillAt(target_id id, const placement_need& need) const;
-    std::int64_t keptTokens(target_id id, const placement_need& need, target_id home) const;
-    /// The engine of the role on which all nodes look first for a beginning.
-    target_id homeOf(const shared_beginning& beginning, std::initializer_list<target_role> roles) const;
+    /// The engine that keeps most of the prompt's beginning; invalid if none keeps any of it.
+    target_id bestKeeper(const placement_need& need) const;
+    /// What it takes to read the prompt at an engine, its beginning fetched from `keeper` where that is better.
+    target_choice reading(target_id id, target_id keeper, const placement_need& need) const;
 
     placement_inputs m_inputs;
     random_source m_random;
--- a/libs/serving/include/serving/prompt_cache_map.h
+++ b/libs/serving/include/serving/prompt_cache_map.h
@@ -1,4 +1,5 @@
-// Which beginnings of prompts each engine is thought to keep in its memory.
+// Which parts of prompts each engine keeps in its memory, as its cache events tell it and as this node's own requests
+// make likely.
 #pragma once
 
 #include "base/ids.h"
@@ -10,35 +11,41 @@
 
 namespace tamarack::serving {
 
-/// A prompt's beginning that requests share: all its parts but the last.
-struct shared_beginning {
-    std::uint64_t key = 0; ///< over its parts in order; 0 if there is none worth steering by
-    std::int64_t tokens = 0;
+/// One event of an engine's cache.
+struct cache_event {
+    std::uint64_t part = 0;
+    std::int64_t tokens = 0; ///< kept after the event; 0: the part is gone
 };
 
-shared_beginning sharedBeginningOf(const prompt& text);
-
-/// Learned from what this node itself had read where. Each engine's beginnings are bounded by its memory; the least
-/// recently used yield, as they do at the engine.
+/// Parts below `fewestTokens` are not followed: reading them again takes some milliseconds, and there are very many.
+/// Events come late and a few never come, so what is thought here can be wrong either way.
 class prompt_cache_map {
 public:
-    /// `capacityTokens` is the part of an engine's memory that beginnings may take.
-    void wasRead(target_id engine, const shared_beginning& beginning, std::int64_t capacityTokens, instant now);
-    bool isThere(target_id engine, const shared_beginning& beginning) const;
+    static constexpr std::int64_t fewestTokens = 512;
+
+    /// This node has sent the prompt there, and it will be read before what is sent after it.
+    void sent(target_id engine, const prompt& text);
+    /// The engine has read the prompt.
+    void wasRead(target_id engine, const prompt& text);
+    void told(target_id engine, const std::vector<cache_event>& events);
+    /// Tokens of the prompt's beginning that need not be read again; parts count only if all before them are kept.
+    std::int64_t keptTokens(target_id engine, const prompt& text) const;
+    /// The same for what the engine has now, so that another one can fetch it.
+    std::int64_t fetchableTokens(target_id engine, const prompt& text) const;
     /// The engine has lost its memory, or the row is another engine's now.
     void forget(target_id engine);
 
 private:
-    struct kept_beginning {
+    struct kept_part {
         std::int64_t tokens = 0;
-        instant usedAt;
-    };
-    struct engine_memory {
-        std::unordered_map<std::uint64_t, kept_beginning> beginnings;
-        std::int64_t tokens = 0; // of all of them
+        bool isThere = false; // else it is still to be read
     };
+    using kept_parts = std::unordered_map<std::uint64_t, kept_part>;
+
+    kept_parts& partsOf(target_id engine);
+    std::int64_t countTokens(target_id engine, const prompt& text, bool onlyThere) const;
 
-    std::vector<engine_memory> m_byRow;
+    std::vector<kept_parts> m_byRow;
 };
 
 }
--- a/libs/serving/include/serving/request_book.h
+++ b/libs/serving/include/serving/request_book.h
@@ -1,7 +1,6 @@
 // The requests that this node holds, one row each, in columns.
 #pragma once
 
-#include "serving/prompt_cache_map.h"
 #include "serving/serving_request.h"
 
 #include <vector>
@@ -32,9 +31,12 @@
     attempt_id id;
     target_id target;
     attempt_stage stage = attempt_stage::whole;
-    double work = 0; ///< charged to the target, in tokens; 0 once the prompt was read
-    double workBefore = 0; ///< at the target when it was sent
+    work_lane lane = work_lane::fast;
+    double work = 0; ///< of reading its prompt, in tokens; 0 once that is done
+    double workBefore = 0; ///< at the target, in its lane and those before it, when it was sent
     instant sentAt;
+    instant readFrom; ///< predicted: its prompt is being read between these
+    instant readUntil;
     instant stallsAt; ///< without a sign of the target until then, it is left
     bool hasBegun = false; ///< its answer has begun
 };
@@ -53,7 +55,6 @@
     // Columns, all of one length.
     std::vector<request_phase> phase;
     std::vector<serving_request> request;
-    std::vector<shared_beginning> beginning; // of the request's prompt
     std::vector<request_times> times;
     std::vector<request_progress> progress;
     std::vector<current_attempt> current; // its id is invalid while the request waits
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -23,17 +23,26 @@
     constexpr duration shortestReturn = 200ms;
     constexpr duration returnSpread = 300ms;
     constexpr duration noTargetReturn = 1s;
-    /// Of an engine's memory: the rest is for running requests.
-    constexpr double cacheShare = 0.7;
-    constexpr int firstUrgency = 2;
+    /// Of the aim: predictions are about this far off.
+    constexpr double aimMargin = 0.1;
+    /// Own work is summed anew at most this often.
+    constexpr duration workSumInterval = 5ms;
+    constexpr double overdueShare = 0.15;
+    /// Engines take up the lowest first. An answer whose prompt was read elsewhere goes before all; then the routes by
+    /// their priority; then what is late.
+    constexpr int decodeUrgency = 0;
+    constexpr int firstUrgency = 1;
+    constexpr int lastFastUrgency = 6;
+    constexpr int firstLateUrgency = 7;
     constexpr int lastUrgency = 9;
 
-    std::int64_t cacheCapacity(const serving_request& request)
+    int urgencyOf(const target_choice& choice, int priority)
     {
-        const auto* profile = request.configuration->findService(request.service);
-        if (!profile || !profile->engine)
-            return 0;
-        return static_cast<std::int64_t>(static_cast<double>(profile->engine->cacheTokens) * cacheShare);
+        if (choice.stage == attempt_stage::decode)
+            return decodeUrgency;
+        if (choice.lane == work_lane::late)
+            return std::min(firstLateUrgency + priority, lastUrgency);
+        return std::min(firstUrgency + priority, lastFastUrgency);
     }
 
 }
@@ -78,14 +87,39 @@
     return m_allowances.try_emplace(service, m_retryBound).first->second;
 }
 
-placement_need dispatcher::needOf(std::size_t row) const
+placement_need dispatcher::needOf(std::size_t row, instant now) const
 {
-    return { m_book.request[row], m_book.beginning[row], m_book.progress[row].avoid };
+    const auto& times = m_book.times[row];
+    const double margin = aimMargin * seconds(times.aimAt - times.arrivedAt);
+    return { m_book.request[row], m_book.progress[row].avoid, seconds(times.aimAt - now) - margin };
+}
+
+// What is left of a prompt's work at a target is not told; it is reckoned from the time at which the target should come
+// to it. What should have been done and is not counts for a part still.
+void dispatcher::sumOwnWork(instant now)
+{
+    if (now < m_nextSum)
+        return;
+    m_nextSum = now + workSumInterval;
+    m_fleet.clearOwnWork();
+    for (std::size_t row = 0; row < m_book.rows(); ++row) {
+        const auto& current = m_book.current[row];
+        if (m_book.phase[row] != request_phase::running || current.work <= 0)
+            continue;
+        const double span = seconds(current.readUntil - current.readFrom);
+        const double left = span > 0 ? seconds(current.readUntil - now) / span : 1;
+        auto& sum = m_fleet.ownWork[current.target.value];
+        if (current.lane == work_lane::late)
+            sum.late += current.work;
+        else
+            sum.fast += current.work * std::clamp(left, overdueShare, 1.0);
+    }
 }
 
 request_id dispatcher::arrive(serving_request request, instant now, command_list& out)
 {
     m_peers.refresh(now);
+    sumOwnWork(now);
     allowanceOf(request.service).requested(now);
     const request_id id = m_book.add(std::move(request), now);
     const auto row = static_cast<std::size_t>(m_book.row(id));
@@ -123,7 +157,7 @@
 {
     if (!m_book.progress[row].cache.name.empty())
         return startDecode(row, now, out);
-    auto choice = m_placement.chooseFirst(needOf(row), now);
+    auto choice = m_placement.chooseFirst(needOf(row, now), now);
     if (!choice.target.isValid())
         return false;
     const auto timeLeft = m_book.times[row].answerBy - now;
@@ -138,7 +172,7 @@
 
 bool dispatcher::startDecode(std::size_t row, instant now, command_list& out)
 {
-    const auto choice = m_placement.chooseDecode(needOf(row), m_book.progress[row].cache.source, now);
+    const auto choice = m_placement.chooseDecode(needOf(row, now), m_book.progress[row].cache.source, now);
     if (!choice.target.isValid())
         return false;
     start(row, choice, now, out);
@@ -164,13 +198,26 @@
     if (choice.stage == attempt_stage::prefill)
         progress.hasTriedPrefill = true;
     m_book.phase[row] = request_phase::running;
-    current = { { m_nextAttempt++ }, choice.target, choice.stage, choice.work, m_fleet.work(choice.target), now, {},
-        false };
+    current = {};
+    current.id = { m_nextAttempt++ };
+    current.target = choice.target;
+    current.stage = choice.stage;
+    current.lane = choice.lane;
+    current.work = choice.work;
+    current.workBefore = choice.workBefore;
+    current.sentAt = now;
+    const double pace = m_pace.secondsPerToken(choice.target);
+    current.readFrom = now + fromSeconds(choice.workBefore * pace);
+    current.readUntil = current.readFrom + fromSeconds(choice.work * pace);
     duration patience = fromSeconds(stallFactor * choice.seconds) + stallSlack;
     if (m_fleet.role[choice.target.value] == target_role::plain)
         patience = fromSeconds(plainStallShareOfAim * seconds(request.route->aim));
     current.stallsAt = now + patience;
-    m_fleet.began(choice.target, choice.work);
+    m_fleet.began(choice.target);
+    auto& ownWork = m_fleet.ownWork[choice.target.value];
+    (choice.lane == work_lane::late ? ownWork.late : ownWork.fast) += choice.work;
+    if (request.text && choice.lane == work_lane::fast)
+        m_caches.sent(choice.target, *request.text);
     start_attempt command;
     command.request = m_book.idOf(row);
     command.attempt = current.id;
@@ -178,9 +225,14 @@
     command.stage = choice.stage;
     if (choice.stage == attempt_stage::decode)
         command.cache = progress.cache;
+    command.fetchFrom = choice.fetchFrom;
     command.timeLeft = m_book.times[row].answerBy - now;
-    command.urgency = std::min(firstUrgency + request.route->priority, lastUrgency);
+    command.lane = choice.lane;
+    command.urgency = urgencyOf(choice, request.route->priority);
     command.onFreshConnection = !request.route->isRepeatable && choice.stage != attempt_stage::prefill;
+    command.predictedSeconds = choice.seconds;
+    command.work = choice.work;
+    command.workBefore = current.workBefore;
     out.push_back(std::move(command));
 }
 
@@ -189,7 +241,6 @@
     auto& current = m_book.current[row];
     if (!current.id.isValid())
         return;
-    m_fleet.workDone(current.target, current.work);
     m_fleet.ended(current.target);
     current = {};
     m_book.phase[row] = request_phase::waiting;
@@ -260,16 +311,23 @@
 {
     if (!isCurrent(request, attempt))
         return;
-    auto& current = m_book.current[static_cast<std::size_t>(m_book.row(request))];
+    const auto row = static_cast<std::size_t>(m_book.row(request));
+    auto& current = m_book.current[row];
     if (current.hasBegun || current.stage == attempt_stage::prefill)
         return;
     current.hasBegun = true;
     if (current.stage == attempt_stage::whole && current.work > 0)
-        m_pace.learned(current.target, current.work, current.workBefore, now - current.sentAt);
-    m_fleet.workDone(current.target, current.work);
+        learn(current, now);
+    if (const auto& text = m_book.request[row].text)
+        m_caches.wasRead(current.target, *text);
     current.work = 0;
-    const auto row = static_cast<std::size_t>(m_book.row(request));
-    m_caches.wasRead(current.target, m_book.beginning[row], cacheCapacity(m_book.request[row]), now);
+}
+
+// A late request waits for any number of others that come after it, so its time says nothing of the engine.
+void dispatcher::learn(const current_attempt& attempt, instant now)
+{
+    if (attempt.lane == work_lane::fast)
+        m_pace.learned(attempt.target, attempt.work + attempt.workBefore, now - attempt.sentAt);
 }
 
 void dispatcher::started(request_id request, attempt_id attempt)
@@ -284,6 +342,7 @@
     if (!isCurrent(request, attempt))
         return;
     m_peers.refresh(now);
+    sumOwnWork(now);
     settle(static_cast<std::size_t>(m_book.row(request)), result, cacheName, now, out);
     dispatch(now, out); // a place may have become free
 }
@@ -356,8 +415,9 @@
 {
     const auto attempt = m_book.current[row];
     m_health.succeeded(attempt.target);
-    m_pace.learned(attempt.target, attempt.work, attempt.workBefore, now - attempt.sentAt);
-    m_caches.wasRead(attempt.target, m_book.beginning[row], cacheCapacity(m_book.request[row]), now);
+    learn(attempt, now);
+    if (const auto& text = m_book.request[row].text)
+        m_caches.wasRead(attempt.target, *text);
     releaseAttempt(row);
     m_book.progress[row].cache = { attempt.target, cacheName };
     if (!startDecode(row, now, out))
@@ -422,6 +482,7 @@
 void dispatcher::tick(instant now, command_list& out)
 {
     m_peers.refresh(now);
+    sumOwnWork(now);
     for (std::size_t row = 0; row < m_book.rows(); ++row) {
         if (m_book.phase[row] != request_phase::free)
             checkTimes(row, now, out);
--- a/libs/serving/src/engine_pace.cpp
+++ b/libs/serving/src/engine_pace.cpp
@@ -9,15 +9,20 @@
 
     /// Looking at a million earlier tokens costs about as much as reading 32; both users' engines are near it.
     constexpr double workPerPair = 32e-6;
-    /// Until the first answers: between the paces of the users' engines, 61 and 93 tokens a millisecond. Engines that
-    /// also write answers read half as fast.
-    constexpr double firstPrefillPace = 1.0 / 75'000;
-    constexpr double firstDecodePace = 1.0 / 35'000;
-    /// Small samples tell of fixed costs rather than of the pace.
-    constexpr double fewestSampleTokens = 2'000;
+    /// Until the first answers: as measured at the slower of the users' engines, steps included. Engines that also
+    /// write answers read half as fast.
+    constexpr double firstPrefillPace = 1.0 / 55'000;
+    constexpr double firstDecodePace = 1.0 / 27'000;
+    /// As measured at the users' engines, 80 and 90 ms.
+    constexpr double firstBase = 0.09;
+    /// Below the first, samples tell of what passes for each request; above the second, of the pace.
+    constexpr double mostBaseTokens = 1'000;
+    constexpr double fewestPaceTokens = 4'000;
+    /// About the last ten samples count.
     constexpr double sampleWeight = 0.1;
     /// A sample this far off tells of a queue that was misjudged, not of the engine.
-    constexpr double farthestRatio = 4;
+    constexpr double farthestRatio = 3;
+    constexpr double longestBase = 0.3;
 
 }
 
@@ -34,29 +39,40 @@
 {
 }
 
-double engine_pace::secondsPerToken(target_id id) const
+engine_pace::engine engine_pace::known(target_id id) const
 {
-    if (id.value < m_secondsPerToken.size() && m_secondsPerToken[id.value] > 0)
-        return m_secondsPerToken[id.value];
-    return m_fleet.role[id.value] == target_role::decode ? firstDecodePace : firstPrefillPace;
+    if (id.value < m_engines.size() && m_engines[id.value].secondsPerToken > 0)
+        return m_engines[id.value];
+    const bool alsoWrites = m_fleet.role[id.value] == target_role::decode;
+    return { alsoWrites ? firstDecodePace : firstPrefillPace, firstBase };
 }
 
-void engine_pace::learned(target_id id, double work, double workBefore, duration elapsed)
+double engine_pace::secondsPerToken(target_id id) const { return known(id).secondsPerToken; }
+
+double engine_pace::baseSeconds(target_id id) const { return known(id).baseSeconds; }
+
+void engine_pace::learned(target_id id, double work, duration elapsed)
 {
-    if (work + workBefore < fewestSampleTokens)
-        return;
-    if (id.value >= m_secondsPerToken.size())
-        m_secondsPerToken.resize(id.value + 1, 0);
-    const double known = secondsPerToken(id);
-    const double sample = seconds(elapsed) / (work + workBefore);
-    const double bounded = std::clamp(sample, known / farthestRatio, known * farthestRatio);
-    m_secondsPerToken[id.value] = known + sampleWeight * (bounded - known);
+    if (id.value >= m_engines.size())
+        m_engines.resize(id.value + 1);
+    engine now = known(id);
+    if (work < mostBaseTokens) {
+        const double sample = std::clamp(seconds(elapsed) - work * now.secondsPerToken, 0.0, longestBase);
+        now.baseSeconds += sampleWeight * (sample - now.baseSeconds);
+    }
+    if (work > fewestPaceTokens) {
+        const double sample = (seconds(elapsed) - now.baseSeconds) / work;
+        const double bounded
+            = std::clamp(sample, now.secondsPerToken / farthestRatio, now.secondsPerToken * farthestRatio);
+        now.secondsPerToken += sampleWeight * (bounded - now.secondsPerToken);
+    }
+    m_engines[id.value] = now;
 }
 
 void engine_pace::forget(target_id id)
 {
-    if (id.value < m_secondsPerToken.size())
-        m_secondsPerToken[id.value] = 0;
+    if (id.value < m_engines.size())
+        m_engines[id.value] = {};
 }
 
 }
--- a/libs/serving/src/peer_work.cpp
+++ b/libs/serving/src/peer_work.cpp
@@ -41,14 +41,15 @@
         return;
     m_isChanged = false;
     std::fill(m_fleet.peersRunning.begin(), m_fleet.peersRunning.end(), 0);
-    std::fill(m_fleet.peersWork.begin(), m_fleet.peersWork.end(), 0);
+    std::fill(m_fleet.peersWork.begin(), m_fleet.peersWork.end(), lane_work {});
     for (const auto& [peer, told] : m_byPeer) {
         for (const auto& entry : told.entries) {
             const target_id id = m_fleet.findHash(entry.target);
             if (!id.isValid())
                 continue;
             m_fleet.peersRunning[id.value] += entry.running;
-            m_fleet.peersWork[id.value] += entry.workTokens;
+            m_fleet.peersWork[id.value].fast += entry.fastTokens;
+            m_fleet.peersWork[id.value].late += entry.lateTokens;
         }
     }
 }
@@ -59,7 +60,8 @@
     for (std::uint32_t row = 0; row < m_fleet.size(); ++row) {
         if (m_fleet.ownRunning[row] > 0)
             out.push_back({ m_fleet.instanceHash[row], saturated<std::uint16_t>(m_fleet.ownRunning[row]),
-                saturated<std::uint32_t>(m_fleet.ownWork[row]) });
+                saturated<std::uint32_t>(m_fleet.ownWork[row].fast),
+                saturated<std::uint32_t>(m_fleet.ownWork[row].late) });
     }
     return out;
 }
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -1,8 +1,6 @@
 // Costs and choices.
 #include "serving/placement.h"
 
-#include "base/hash.h"
-
 #include <algorithm>
 #include <limits>
 
@@ -20,6 +18,11 @@
     /// Two zones: the transfer takes twice as long, and bytes between zones are dear.
     constexpr double otherZoneMoveSeconds = 0.06;
     constexpr double otherZoneSeconds = 0.01;
+    /// To fetch a beginning of some 13,000 tokens from another engine.
+    constexpr double fetchSeconds = 0.025;
+    constexpr double fetchPenaltySeconds = 0.02;
+    /// A fast answer anywhere is better than a late one.
+    constexpr double lateSeconds = 10;
     /// A decode step grows by this for each request it serves.
     constexpr double stepSecondsPerRunning = 0.0002;
     /// Reading a beginning again takes the engine from others as well as from this request.
@@ -102,47 +105,52 @@
     return best;
 }
 
-target_id placement::homeOf(const shared_beginning& beginning, std::initializer_list<target_role> roles) const
+target_id placement::bestKeeper(const placement_need& need) const
 {
-    const auto& fleet = m_inputs.fleet;
-    target_id home;
-    std::uint64_t heaviest = 0;
+    target_id best;
+    std::int64_t most = 0;
+    if (!need.request.text)
+        return best;
     for (const auto row : m_candidates) {
-        if (std::find(roles.begin(), roles.end(), fleet.role[row]) == roles.end())
-            continue;
-        const auto weight = stableHash(fleet.instance[row], beginning.key);
-        if (home.isValid() && weight <= heaviest)
+        const auto kept = m_inputs.caches.fetchableTokens({ row }, *need.request.text);
+        if (kept <= most)
             continue;
-        heaviest = weight;
-        home = { row };
+        most = kept;
+        best = { row };
     }
-    return home;
-}
-
-std::int64_t placement::keptTokens(target_id id, const placement_need& need, target_id home) const
-{
-    const bool isKept = id == home || m_inputs.caches.isThere(id, need.beginning);
-    return isKept ? need.beginning.tokens : 0;
-}
-
-target_choice placement::wholeAt(target_id id, const placement_need& need) const
-{
-    const auto kept = m_inputs.caches.isThere(id, need.beginning) ? need.beginning.tokens : 0;
-    const double pace = m_inputs.pace.secondsPerToken(id);
-    target_choice choice { id, attempt_stage::whole, 0, 0 };
-    choice.work = need.request.text ? promptWork(kept, need.request.text->inputTokens) : 0;
-    choice.seconds
-        = (m_inputs.fleet.work(id) + choice.work) * pace + m_inputs.fleet.running(id) * stepSecondsPerRunning;
-    return choice;
+    return best;
 }
 
-target_choice placement::prefillAt(target_id id, const placement_need& need) const
+target_choice placement::reading(target_id id, target_id keeper, const placement_need& need) const
 {
+    const auto& fleet = m_inputs.fleet;
+    target_choice choice;
+    choice.target = id;
+    if (need.request.text) {
+        const auto& text = *need.request.text;
+        auto kept = m_inputs.caches.keptTokens(id, text);
+        const auto elsewhere = keeper.isValid() ? m_inputs.caches.fetchableTokens(keeper, text) : 0;
+        if (elsewhere > kept) {
+            kept = elsewhere;
+            choice.fetchFrom = keeper;
+            choice.seconds += fetchSeconds;
+        }
+        choice.work = promptWork(kept, text.inputTokens);
+    }
     const double pace = m_inputs.pace.secondsPerToken(id);
-    const target_id home = homeOf(need.beginning, { target_role::prefill });
-    target_choice choice { id, attempt_stage::prefill, 0, 0 };
-    choice.work = promptWork(keptTokens(id, need, home), need.request.text->inputTokens);
-    choice.seconds = (m_inputs.fleet.work(id) + choice.work) * pace + moveSeconds;
+    choice.seconds += m_inputs.pace.baseSeconds(id) + choice.work * pace;
+    choice.seconds += fleet.running(id) * stepSecondsPerRunning;
+    if (fleet.role[id.value] == target_role::prefill) {
+        choice.stage = attempt_stage::prefill;
+        choice.seconds += moveSeconds;
+    }
+    // Work that is late anyway lets the rest go first, so it counts only for others like it.
+    choice.workBefore = fleet.fastWork(id);
+    if (choice.seconds + choice.workBefore * pace > need.secondsToAim) {
+        choice.lane = work_lane::late;
+        choice.workBefore = fleet.work(id);
+    }
+    choice.seconds += choice.workBefore * pace;
     return choice;
 }
 
@@ -150,17 +158,21 @@
 {
     const auto& fleet = m_inputs.fleet;
     const bool isSmall = !need.request.text || need.request.text->inputTokens < smallPromptTokens;
+    const target_id keeper = bestKeeper(need);
     target_choice best;
     double lowest = std::numeric_limits<double>::max();
     for (const auto row : m_candidates) {
         const target_id id { row };
-        const bool isPrefill = fleet.role[row] == target_role::prefill;
-        if (!hasRoom(id, need) || (isPrefill && isSmall))
+        if (!hasRoom(id, need) || (isSmall && fleet.role[row] == target_role::prefill))
             continue;
-        const auto choice = isPrefill ? prefillAt(id, need) : wholeAt(id, need);
+        const auto choice = reading(id, keeper, need);
         double cost = choice.seconds + sharedWorkWeight * choice.work * m_inputs.pace.secondsPerToken(id);
         cost += noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id);
-        if (isPrefill)
+        if (choice.lane == work_lane::late)
+            cost += lateSeconds;
+        if (choice.fetchFrom.isValid())
+            cost += fetchPenaltySeconds;
+        if (choice.stage == attempt_stage::prefill)
             cost += movePenaltySeconds;
         if (!fleet.isLocal(id))
             cost += otherZoneSeconds;
@@ -190,7 +202,9 @@
         if (cost >= lowest)
             continue;
         lowest = cost;
-        best = { id, attempt_stage::decode, 0, wait };
+        best.target = id;
+        best.stage = attempt_stage::decode;
+        best.seconds = wait;
     }
     return best;
 }
--- a/libs/serving/src/prompt_cache_map.cpp
+++ b/libs/serving/src/prompt_cache_map.cpp
@@ -1,61 +1,81 @@
-// Beginnings by engine, least recently used first to go.
+// Parts by engine.
 #include "serving/prompt_cache_map.h"
 
-#include "base/hash.h"
-
 #include <algorithm>
 
 namespace tamarack::serving {
 
-namespace {
-
-    /// Reading fewer tokens again takes some milliseconds; balance between engines is worth more.
-    constexpr std::int64_t fewestTokens = 512;
+prompt_cache_map::kept_parts& prompt_cache_map::partsOf(target_id engine)
+{
+    if (engine.value >= m_byRow.size())
+        m_byRow.resize(engine.value + 1);
+    return m_byRow[engine.value];
+}
 
+// The last part is the request's own and will not be asked for again.
+void prompt_cache_map::sent(target_id engine, const prompt& text)
+{
+    auto& parts = partsOf(engine);
+    for (std::size_t i = 0; i + 1 < text.parts.size(); ++i) {
+        if (text.parts[i].tokens >= fewestTokens)
+            parts.try_emplace(text.parts[i].id, kept_part { text.parts[i].tokens, false });
+    }
 }
 
-shared_beginning sharedBeginningOf(const prompt& text)
+void prompt_cache_map::wasRead(target_id engine, const prompt& text)
 {
-    shared_beginning beginning;
+    auto& parts = partsOf(engine);
     for (std::size_t i = 0; i + 1 < text.parts.size(); ++i) {
-        const auto& part = text.parts[i];
-        const std::string_view id(reinterpret_cast<const char*>(&part.id), sizeof part.id);
-        beginning.key = stableHash(id, beginning.key);
-        beginning.tokens += part.tokens;
+        if (text.parts[i].tokens >= fewestTokens)
+            parts[text.parts[i].id] = { text.parts[i].tokens, true };
     }
-    if (beginning.tokens < fewestTokens)
-        return {};
-    return beginning;
 }
 
-void prompt_cache_map::wasRead(
-    target_id engine, const shared_beginning& beginning, std::int64_t capacityTokens, instant now)
+void prompt_cache_map::told(target_id engine, const std::vector<cache_event>& events)
+{
+    auto& parts = partsOf(engine);
+    for (const auto& event : events) {
+        if (event.tokens >= fewestTokens)
+            parts[event.part] = { event.tokens, true };
+        else
+            parts.erase(event.part);
+    }
+}
+
+std::int64_t prompt_cache_map::countTokens(target_id engine, const prompt& text, bool onlyThere) const
 {
-    if (beginning.key == 0)
-        return;
     if (engine.value >= m_byRow.size())
-        m_byRow.resize(engine.value + 1);
-    auto& memory = m_byRow[engine.value];
-    auto& kept = memory.beginnings[beginning.key];
-    memory.tokens += beginning.tokens - kept.tokens;
-    kept = { beginning.tokens, now };
-    while (memory.tokens > capacityTokens && memory.beginnings.size() > 1) {
-        const auto oldest = std::min_element(memory.beginnings.begin(), memory.beginnings.end(),
-            [](const auto& a, const auto& b) { return a.second.usedAt < b.second.usedAt; });
-        memory.tokens -= oldest->second.tokens;
-        memory.beginnings.erase(oldest);
+        return 0;
+    const auto& parts = m_byRow[engine.value];
+    std::int64_t kept = 0;
+    for (std::size_t i = 0; i + 1 < text.parts.size(); ++i) {
+        const auto& part = text.parts[i];
+        if (part.tokens < fewestTokens)
+            continue; // as good as kept
+        const auto found = parts.find(part.id);
+        if (found == parts.end() || (onlyThere && !found->second.isThere))
+            break;
+        kept += std::min(found->second.tokens, part.tokens);
+        if (found->second.tokens < part.tokens)
+            break;
     }
+    return kept;
+}
+
+std::int64_t prompt_cache_map::keptTokens(target_id engine, const prompt& text) const
+{
+    return countTokens(engine, text, false);
 }
 
-bool prompt_cache_map::isThere(target_id engine, const shared_beginning& beginning) const
+std::int64_t prompt_cache_map::fetchableTokens(target_id engine, const prompt& text) const
 {
-    return engine.value < m_byRow.size() && m_byRow[engine.value].beginnings.contains(beginning.key);
+    return countTokens(engine, text, true);
 }
 
 void prompt_cache_map::forget(target_id engine)
 {
     if (engine.value < m_byRow.size())
-        m_byRow[engine.value] = {};
+        m_byRow[engine.value].clear();
 }
 
 }
--- a/libs/serving/src/request_book.cpp
+++ b/libs/serving/src/request_book.cpp
@@ -11,7 +11,6 @@
         m_free.push_back(static_cast<std::uint32_t>(rows()));
         phase.push_back(request_phase::free);
         request.emplace_back();
-        beginning.emplace_back();
         times.emplace_back();
         progress.emplace_back();
         current.emplace_back();
@@ -24,7 +23,6 @@
     if (route.timeout > duration::zero())
         longest = std::min(longest, route.timeout);
     times[at] = { now, now + std::min(route.aim, longest), now + longest };
-    beginning[at] = added.text ? sharedBeginningOf(*added.text) : shared_beginning {};
     request[at] = std::move(added);
     phase[at] = request_phase::waiting;
     progress[at] = {};
