Decisions on the platform's path: tests in virtual time; what has surely not run is refused with a promise

Cause: a prefill that broke off with no attempt left ended as 504, which promises nothing, although nothing had run; a target that could not be reached ended as 502.

--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -289,6 +289,9 @@
         return refuse(row, error_kind::answer_cut, duration::zero(), out);
     if (progress.mayHaveRun && !route.isRepeatable)
         kind = error_kind::outcome_unknown;
+    // The caller may come back for what has surely not run, and is told so.
+    if (!progress.mayHaveRun && answerFor(kind).executed != ran::no)
+        kind = error_kind::overloaded;
     refuse(row, kind, answerFor(kind).retryAfter, out);
 }
 
@@ -365,7 +368,7 @@
         m_health.failed(attempt.target, now);
         if (couldRun)
             --progress.sends; // it never arrived
-        return retryOrEnd(row, false, error_kind::target_unreachable, now, out);
+        return retryOrEnd(row, false, error_kind::no_target, now, out);
     case attempt_result::rejected:
     case attempt_result::misdirected:
         if (result == attempt_result::rejected)
--- /dev/null
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -0,0 +1,327 @@
+// The life of requests: what is promised, what may be sent again, what is stopped.
+#include "serving_fixture.h"
+
+using namespace tamarack;
+using namespace tamarack::serving;
+using namespace tamarack::serving::tests;
+
+namespace {
+
+constexpr std::size_t lookUp = 0;
+constexpr std::size_t report = 1;
+constexpr std::size_t summary = 2;
+constexpr std::size_t tag = 3;
+
+struct started_request {
+    request_id id;
+    start_attempt start;
+};
+
+/// Sends a request that starts at once.
+started_request begin(dispatch_world& world, serving_request request, instant now)
+{
+    command_list out;
+    const auto id = world.decisions.arrive(std::move(request), now, out);
+    const auto* start = find<start_attempt>(out);
+    REQUIRE(start);
+    return { id, *start };
+}
+
+}
+
+TEST_CASE("test_refusals_that_say_not_run_are_true")
+{
+    // Symptom: a caller sends a report again, since it was told that it has not run, and it runs twice.
+    // Sequence: the target takes the report and breaks off, answers with a failure, or stays silent until time is up.
+    // Cause: an error that says "not run" after bytes of the request had left.
+    struct {
+        attempt_result result;
+        bool mayPromise;
+    } const cases[] {
+        { attempt_result::unreached, true },
+        { attempt_result::rejected, true },
+        { attempt_result::misdirected, true },
+        { attempt_result::broken, false },
+        { attempt_result::cut, false },
+    };
+    for (const auto& item : cases) {
+        INFO(static_cast<int>(item.result));
+        dispatch_world world;
+        world.addPlain("p1");
+        const auto request = begin(world, world.make(report), at(0s));
+        command_list out;
+        world.decisions.ended(request.id, request.start.attempt, item.result, {}, at(5ms), out);
+        // Without another target it is refused at the latest when it was held long enough.
+        world.decisions.tick(at(500ms), out);
+        if (const auto* again = find<start_attempt>(out)) {
+            CHECK(item.mayPromise);
+            world.decisions.ended(request.id, again->attempt, item.result, {}, at(501ms), out);
+            world.decisions.tick(at(590ms), out);
+        }
+        const auto* refusal = find<refuse_request>(out);
+        REQUIRE(refusal);
+        CHECK((answerFor(refusal->kind).executed == ran::no) == item.mayPromise);
+        CHECK(world.decisions.held() == 0);
+    }
+}
+
+TEST_CASE("test_request_that_may_run_once_is_not_sent_again_after_bytes_left")
+{
+    for (const auto result : { attempt_result::broken, attempt_result::failure_answer, attempt_result::cut }) {
+        INFO(static_cast<int>(result));
+        dispatch_world world;
+        world.addPlain("p1");
+        world.addPlain("p2");
+        const auto request = begin(world, world.make(report), at(0s));
+        command_list out;
+        world.decisions.ended(request.id, request.start.attempt, result, {}, at(5ms), out);
+        CHECK(count<start_attempt>(out) == 0);
+        CHECK(world.decisions.held() == 0);
+    }
+}
+
+TEST_CASE("test_request_that_may_be_repeated_goes_to_another_target")
+{
+    for (const auto result : { attempt_result::broken, attempt_result::failure_answer, attempt_result::rejected,
+             attempt_result::unreached }) {
+        INFO(static_cast<int>(result));
+        dispatch_world world;
+        world.addPlain("p1");
+        world.addPlain("p2");
+        const auto request = begin(world, world.make(lookUp), at(0s));
+        command_list out;
+        world.decisions.ended(request.id, request.start.attempt, result, {}, at(5ms), out);
+        const auto* again = find<start_attempt>(out);
+        REQUIRE(again);
+        CHECK(again->target != request.start.target);
+    }
+}
+
+TEST_CASE("test_route_bounds_how_many_targets_get_a_request")
+{
+    dispatch_world world;
+    for (const char* name : { "p1", "p2", "p3" })
+        world.addPlain(name);
+    const auto request = begin(world, world.make(lookUp), at(0s));
+    command_list out;
+    world.decisions.ended(request.id, request.start.attempt, attempt_result::broken, {}, at(5ms), out);
+    const auto* again = find<start_attempt>(out);
+    REQUIRE(again);
+    command_list last;
+    world.decisions.ended(request.id, again->attempt, attempt_result::broken, {}, at(10ms), last);
+    CHECK(count<start_attempt>(last) == 0);
+    CHECK(count<refuse_request>(last) == 1);
+}
+
+TEST_CASE("test_failure_of_a_target_is_passed_on_when_nothing_better_can_be_had")
+{
+    dispatch_world world;
+    world.addPlain("p1");
+    const auto request = begin(world, world.make(report), at(0s));
+    command_list out;
+    world.decisions.ended(request.id, request.start.attempt, attempt_result::failure_answer, {}, at(5ms), out);
+    CHECK(count<pass_failure_on>(out) == 1);
+    CHECK(count<refuse_request>(out) == 0);
+}
+
+TEST_CASE("test_retries_stop_when_the_shared_allowance_is_spent")
+{
+    auto settings = dispatch_world::settings();
+    settings.retries = { 0, 5, 10s };
+    dispatch_world world(settings);
+    world.addPlain("p1");
+    world.addPlain("p2");
+    int retried = 0;
+    for (int i = 0; i < 50; ++i) {
+        const instant now = at(i * 20ms);
+        const auto request = begin(world, world.make(lookUp), now);
+        command_list out;
+        world.decisions.ended(request.id, request.start.attempt, attempt_result::failure_answer, {}, now + 1ms, out);
+        const auto* again = find<start_attempt>(out);
+        retried += again != nullptr;
+        if (again)
+            world.decisions.ended(request.id, again->attempt, attempt_result::answered, {}, now + 2ms, out);
+    }
+    CHECK(retried == 4);
+}
+
+TEST_CASE("test_answer_is_due_at_the_routes_timeout")
+{
+    dispatch_world world;
+    world.addPlain("p1");
+    const auto request = begin(world, world.make(report, 5s), at(0s));
+    command_list out;
+    world.decisions.tick(at(599ms), out);
+    CHECK(out.empty());
+    world.decisions.tick(at(600ms), out);
+    CHECK(count<stop_attempt>(out) == 1);
+    const auto* refusal = find<refuse_request>(out);
+    REQUIRE(refusal);
+    CHECK(refusal->kind == error_kind::attempt_timeout);
+}
+
+TEST_CASE("test_targets_get_no_more_time_than_is_left")
+{
+    dispatch_world world;
+    world.addPlain("p1");
+    world.addPlain("p2");
+    const auto request = begin(world, world.make(lookUp, 300ms), at(0s));
+    CHECK(request.start.timeLeft == 300ms);
+    command_list out;
+    world.decisions.ended(request.id, request.start.attempt, attempt_result::unreached, {}, at(100ms), out);
+    const auto* again = find<start_attempt>(out);
+    REQUIRE(again);
+    CHECK(again->timeLeft == 200ms);
+}
+
+TEST_CASE("test_leaving_targets_get_nothing_new")
+{
+    dispatch_world world;
+    world.addPlain("p1");
+    auto draining = targetRecord("p1", "plain", target_role::plain, 6);
+    draining.isDraining = true;
+    world.decisions.targetListed(draining);
+    world.addPlain("p2");
+    for (int i = 0; i < 20; ++i) {
+        const auto request = begin(world, world.make(lookUp), at(i * 1ms));
+        CHECK(world.nameOf(request.start.target) == "p2");
+        command_list out;
+        world.decisions.ended(request.id, request.start.attempt, attempt_result::answered, {}, at(i * 1ms), out);
+    }
+    world.decisions.targetGone("p2", at(1s));
+    command_list out;
+    world.decisions.arrive(world.make(lookUp), at(1s), out);
+    CHECK(count<start_attempt>(out) == 0);
+}
+
+TEST_CASE("test_caller_that_leaves_stops_its_attempt_and_frees_its_place")
+{
+    dispatch_world world;
+    world.addPlain("p1");
+    const auto request = begin(world, world.make(lookUp), at(0s));
+    CHECK(world.decisions.fleet().running(request.start.target) == 1);
+    command_list out;
+    world.decisions.abandoned(request.id, at(1ms), out);
+    CHECK(count<stop_attempt>(out) == 1);
+    CHECK(world.decisions.fleet().running(request.start.target) == 0);
+    CHECK(world.decisions.held() == 0);
+}
+
+TEST_CASE("test_prompt_read_at_one_engine_is_answered_by_another")
+{
+    dispatch_world world;
+    world.addEngine("prefill", target_role::prefill);
+    world.addEngine("decode", target_role::decode);
+    const auto request = begin(world, world.makePrompt(summary, 7, 13'000, 4'000), at(0s));
+    CHECK(world.nameOf(request.start.target) == "prefill");
+    CHECK(request.start.stage == attempt_stage::prefill);
+    command_list out;
+    world.decisions.ended(request.id, request.start.attempt, attempt_result::prefilled, "kv-1", at(300ms), out);
+    const auto* decode = find<start_attempt>(out);
+    REQUIRE(decode);
+    CHECK(world.nameOf(decode->target) == "decode");
+    CHECK(decode->stage == attempt_stage::decode);
+    CHECK(decode->cache.name == "kv-1");
+    CHECK(decode->onFreshConnection);
+    command_list end;
+    world.decisions.ended(request.id, decode->attempt, attempt_result::answered, {}, at(500ms), end);
+    CHECK(count<release_cache>(end) == 0);
+}
+
+TEST_CASE("test_cache_that_nobody_takes_is_released")
+{
+    // Symptom: engines fill up with KV caches, and have no room for requests.
+    // Sequence: a prompt is read; its caller leaves, or the engine that should take it rejects it.
+    // Cause: nobody frees what was exported.
+    for (const bool callerLeaves : { false, true }) {
+        INFO(callerLeaves);
+        dispatch_world world;
+        world.addEngine("prefill", target_role::prefill);
+        world.addEngine("decode", target_role::decode);
+        const auto request = begin(world, world.makePrompt(summary, 7, 13'000, 4'000), at(0s));
+        command_list out;
+        world.decisions.ended(request.id, request.start.attempt, attempt_result::prefilled, "kv-1", at(300ms), out);
+        const auto* decode = find<start_attempt>(out);
+        REQUIRE(decode);
+        command_list end;
+        if (callerLeaves)
+            world.decisions.abandoned(request.id, at(310ms), end);
+        else
+            world.decisions.ended(request.id, decode->attempt, attempt_result::rejected, {}, at(310ms), end);
+        const auto* released = find<release_cache>(end);
+        REQUIRE(released);
+        CHECK(released->cache.name == "kv-1");
+    }
+}
+
+TEST_CASE("test_prompt_that_an_engine_may_have_read_has_not_run")
+{
+    dispatch_world world;
+    world.addEngine("prefill", target_role::prefill);
+    const auto request = begin(world, world.makePrompt(summary, 7, 13'000, 4'000), at(0s));
+    command_list out;
+    world.decisions.ended(request.id, request.start.attempt, attempt_result::broken, {}, at(300ms), out);
+    world.decisions.tick(at(5900ms), out);
+    world.decisions.tick(at(6001ms), out);
+    const auto* refusal = find<refuse_request>(out);
+    REQUIRE(refusal);
+    CHECK(answerFor(refusal->kind).executed == ran::no);
+}
+
+TEST_CASE("test_small_prompts_are_answered_whole_by_one_engine")
+{
+    dispatch_world world;
+    world.addEngine("prefill", target_role::prefill);
+    world.addEngine("decode", target_role::decode);
+    const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
+    CHECK(world.nameOf(request.start.target) == "decode");
+    CHECK(request.start.stage == attempt_stage::whole);
+}
+
+TEST_CASE("test_stream_that_can_be_resumed_goes_on_elsewhere_when_cut")
+{
+    dispatch_world world;
+    world.addEngine("d1", target_role::decode);
+    world.addEngine("d2", target_role::decode);
+    const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
+    world.decisions.began(request.id, request.start.attempt, at(100ms));
+    world.decisions.started(request.id, request.start.attempt);
+    command_list out;
+    world.decisions.ended(request.id, request.start.attempt, attempt_result::cut, {}, at(110ms), out);
+    const auto* again = find<start_attempt>(out);
+    REQUIRE(again);
+    CHECK(again->target != request.start.target);
+}
+
+TEST_CASE("test_silent_target_is_left_when_the_request_may_be_repeated")
+{
+    // Symptom: a look-up waits for its whole deadline although other targets are free.
+    // Sequence: a target takes requests and answers nothing; its health answers are good.
+    // Cause: nobody looks at how long an attempt has been silent.
+    dispatch_world world;
+    world.addPlain("p1");
+    world.addPlain("p2");
+    const auto request = begin(world, world.make(lookUp), at(0s));
+    command_list out;
+    for (int i = 1; i <= 20 && !find<start_attempt>(out); ++i)
+        world.decisions.tick(at(i * 10ms), out);
+    const auto* again = find<start_attempt>(out);
+    REQUIRE(again);
+    CHECK(again->target != request.start.target);
+    CHECK(count<stop_attempt>(out) == 1);
+}
+
+TEST_CASE("test_events_of_attempts_that_are_over_have_no_effect")
+{
+    dispatch_world world;
+    world.addPlain("p1");
+    world.addPlain("p2");
+    const auto request = begin(world, world.make(lookUp), at(0s));
+    command_list out;
+    world.decisions.ended(request.id, request.start.attempt, attempt_result::broken, {}, at(5ms), out);
+    const auto held = world.decisions.held();
+    command_list late;
+    world.decisions.ended(request.id, request.start.attempt, attempt_result::answered, {}, at(6ms), late);
+    CHECK(late.empty());
+    CHECK(world.decisions.held() == held);
+}
--- /dev/null
+++ b/libs/serving/tests/test_node_directory.cpp
@@ -0,0 +1,89 @@
+// Nodes, registered and heard.
+#include "serving_fixture.h"
+
+#include "serving/node_directory.h"
+
+using namespace tamarack;
+using namespace tamarack::serving;
+using namespace tamarack::serving::tests;
+
+namespace {
+
+node_state node(const std::string& vm, std::uint64_t incarnation = 1, bool isReady = true)
+{
+    node_state out;
+    out.vm = vm;
+    out.incarnation = incarnation;
+    out.address = "10.0.0." + vm.substr(vm.size() - 1);
+    out.callerPort = 80;
+    out.isReady = isReady;
+    return out;
+}
+
+}
+
+TEST_CASE("test_registered_node_is_known_but_not_alive_until_heard")
+{
+    node_directory nodes("n0", {});
+    nodes.registered(node("n1"), at(0s));
+    CHECK(nodes.knownCount() == 2);
+    CHECK(nodes.alive(at(0s)).empty());
+    CHECK(nodes.recipients(at(1s)).size() == 1);
+    nodes.heard(node("n1"), at(1s));
+    CHECK(nodes.alive(at(1s)).size() == 1);
+    CHECK(nodes.alive(at(3s)).empty());
+    CHECK(nodes.knownCount() == 2);
+}
+
+TEST_CASE("test_heartbeat_of_a_former_life_has_no_effect")
+{
+    // Symptom: callers are sent to a node that has just stopped.
+    // Sequence: a node stops and starts again; a heartbeat of its former life, which said ready, arrives late.
+    // Cause: heartbeats are believed in the order in which they arrive.
+    node_directory nodes("n0", {});
+    nodes.heard(node("n1", 8, false), at(0s));
+    nodes.heard(node("n1", 7, true), at(10ms));
+    REQUIRE(nodes.alive(at(20ms)).size() == 1);
+    CHECK_FALSE(nodes.alive(at(20ms)).front().isReady);
+}
+
+TEST_CASE("test_node_without_a_number_of_its_own_yet_is_heard")
+{
+    node_directory nodes("n0", {});
+    nodes.heard(node("n1", 8), at(0s));
+    nodes.heard(node("n1", 0), at(1s));
+    CHECK(nodes.alive(at(1s)).size() == 1);
+}
+
+TEST_CASE("test_registration_carried_out_late_does_not_move_a_living_node")
+{
+    node_directory nodes("n0", {});
+    nodes.heard(node("n1", 8), at(0s));
+    auto late = node("n1");
+    late.address = "10.9.9.9";
+    nodes.registered(late, at(100ms));
+    CHECK(nodes.alive(at(100ms)).front().address == "10.0.0.1");
+}
+
+TEST_CASE("test_nodes_that_are_away_get_few_heartbeats")
+{
+    node_directory nodes("n0", {});
+    nodes.registered(node("n1"), at(0s));
+    int sent = 0;
+    for (int i = 0; i < 50; ++i)
+        sent += static_cast<int>(nodes.recipients(at(i * 100ms)).size());
+    CHECK(sent == 5);
+}
+
+TEST_CASE("test_entry_addresses_are_bounded_and_take_turns")
+{
+    std::vector<node_state> ready;
+    for (int i = 0; i < 5; ++i)
+        ready.push_back(node("n" + std::to_string(i)));
+    CHECK(entryAddresses(ready, 64, 0).size() == 5);
+    const auto first = entryAddresses(ready, 2, 0);
+    const auto second = entryAddresses(ready, 2, 1);
+    CHECK(first.size() == 2);
+    CHECK(first != second);
+    CHECK(entryAddresses({}, 64, 0).empty());
+}
--- /dev/null
+++ b/libs/serving/tests/test_target_list.cpp
@@ -0,0 +1,87 @@
+// Which records of targets are believed.
+#include "serving_fixture.h"
+
+#include "serving/target_list.h"
+
+using namespace tamarack;
+using namespace tamarack::serving;
+using namespace tamarack::serving::tests;
+
+namespace {
+
+constexpr auto grace = 2500ms;
+
+target_record record(std::uint64_t sequence, bool isDraining = false)
+{
+    auto out = targetRecord("t1", "plain", target_role::plain, 6);
+    out.sequence = sequence;
+    out.isDraining = isDraining;
+    return out;
+}
+
+}
+
+TEST_CASE("test_records_that_change_nothing_are_not_told")
+{
+    target_list list(grace);
+    CHECK(list.listed(record(1), at(0s)).listed.size() == 1);
+    CHECK(list.listed(record(2), at(1s)).listed.empty());
+    CHECK(list.listed(record(3, true), at(2s)).listed.size() == 1);
+}
+
+TEST_CASE("test_late_record_does_not_bring_a_draining_target_back")
+{
+    // Symptom: a target that has left gets requests, which are lost with it.
+    // Sequence: it says that it drains; an older record, which said that it takes work, arrives after that one.
+    // Cause: records are believed in the order in which they arrive.
+    target_list list(grace);
+    list.listed(record(5), at(0s));
+    list.listed(record(7, true), at(1s));
+    CHECK(list.listed(record(6), at(2s)).listed.empty());
+}
+
+TEST_CASE("test_late_record_does_not_bring_a_gone_target_back")
+{
+    target_list list(grace);
+    list.listed(record(5), at(0s));
+    CHECK(list.dropped("t1", at(1s)).gone.size() == 1);
+    CHECK(list.dropped("t1", at(1s)).gone.empty());
+    CHECK(list.listed(record(5), at(2s)).listed.empty());
+    CHECK(list.listed(record(6), at(3s)).listed.size() == 1);
+}
+
+TEST_CASE("test_entries_that_lapsed_while_the_store_was_away_may_come_back")
+{
+    // Symptom: after an outage of the store every request is refused, although all targets work.
+    // Sequence: the store is away for longer than entries last; it returns; its list is empty until the targets have
+    // written again.
+    // Cause: a missing entry is taken for a target that is gone.
+    target_list list(grace);
+    list.listed(record(5), at(0s));
+    list.storeReturned(at(10s));
+    CHECK(list.dropped("t1", at(10s)).gone.empty());
+    CHECK(list.tick(at(11s)).gone.empty());
+    list.listed(record(6), at(12s));
+    CHECK(list.tick(at(20s)).gone.empty());
+}
+
+TEST_CASE("test_entries_that_stay_missing_after_an_outage_are_gone")
+{
+    target_list list(grace);
+    list.listed(record(5), at(0s));
+    list.storeReturned(at(10s));
+    CHECK(list.snapshot({}, at(10s)).gone.empty());
+    CHECK(list.tick(at(12s)).gone.empty());
+    CHECK(list.tick(at(13s)).gone == std::vector<std::string> { "t1" });
+}
+
+TEST_CASE("test_snapshot_says_what_is_gone")
+{
+    target_list list(grace);
+    list.listed(record(5), at(0s));
+    auto other = targetRecord("t2", "plain", target_role::plain, 6);
+    const auto changes = list.snapshot({ other }, at(1s));
+    CHECK(changes.gone == std::vector<std::string> { "t1" });
+    REQUIRE(changes.listed.size() == 1);
+    CHECK(changes.listed.front().instance == "t2");
+}
