Logs on standard output: a closed table of events, a bound for each group, writes that never wait

Cause: logs went to standard error through a write that waits for its reader, without a bound. Change: events in one table with level, group and fields; a sink of our own behind Boost.Log that polls before it writes and keeps lines up to a bound; per-group bounds a second, with the count of what was left out.

--- a/libs/gateway/src/cache_watch.cpp
+++ b/libs/gateway/src/cache_watch.cpp
@@ -85,7 +85,7 @@
 {
     const bool isRestarted = engine.hasEpoch && report.epoch != engine.epoch;
     if (isRestarted || report.isGapped)
-        m_log.info("cache_view_restarted",
+        m_log.write(log_event::cache_view_restarted,
             { { "target", instance }, { "restarted", isRestarted }, { "gap", report.isGapped } });
     if (isRestarted)
         m_decisions.cacheLost(engine.row);
--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -32,10 +32,9 @@
     constexpr std::array<std::string_view, static_cast<std::size_t>(flow_end::count)> endNames { "answered",
         "target_failure", "refused", "cut", "caller_gone" };
 
-    std::int64_t millisecondsSince(instant begin)
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - begin).count();
-    }
+    std::int64_t milliseconds(duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
+
+    std::int64_t millisecondsSince(instant begin) { return milliseconds(boot_clock::now() - begin); }
 
     template <class Names, class Value> std::string nameOf(const Names& names, Value value)
     {
@@ -66,6 +65,14 @@
         m_attempt->exchange->cancel();
 }
 
+void caller_flow::taken(std::string_view service, std::uint64_t version) const
+{
+    m_services.log.write(log_event::request_taken,
+        { { "request", m_decoded.id }, { "route", m_routeName }, { "service", service }, { "version", version },
+            { "left_ms", m_decoded.patience ? milliseconds(*m_decoded.patience) : -1 },
+            { "tokens", m_decoded.text ? m_decoded.text->inputTokens : 0 } });
+}
+
 void caller_flow::bind(request_id id, callbacks handlers)
 {
     m_id = id;
@@ -106,6 +113,7 @@
     auto attempt = std::make_shared<attempt_state>();
     attempt->command = command;
     m_attempt = attempt;
+    ++m_attempts;
     m_isPaused = false;
     exchange_options options;
     options.connectTimeout = connectTimeout;
@@ -119,7 +127,7 @@
         if (!self || self->m_services.targets.answers(head, self->m_decoded.id))
             return true;
         self->m_services.counters.count("tamarack_foreign_answers_total");
-        self->m_services.log.info("foreign_answer_dropped", { { "request", self->m_decoded.id } });
+        self->m_services.log.write(log_event::foreign_answer_dropped, { { "request", self->m_decoded.id } });
         return false;
     };
     handlers.onHead = [weak, attempt](const http_response_head& head) {
@@ -139,15 +147,15 @@
             self->onFailure(attempt, failure);
     };
     const auto& fleet = m_services.decisions.fleet();
-    m_services.log.info("attempt_started",
+    m_services.log.write(log_event::attempt_started,
         { { "request", m_decoded.id }, { "target", fleet.instance[command.target.value] },
             { "stage", nameOf(stageNames, command.stage) }, { "work", static_cast<std::int64_t>(command.work) },
             { "work_before", static_cast<std::int64_t>(command.workBefore) },
             { "running", fleet.running(command.target) },
             { "fetch_from", command.fetchFrom.isValid() ? fleet.instance[command.fetchFrom.value] : std::string() },
             { "predicted_ms", static_cast<std::int64_t>(command.predictedSeconds * 1000) },
-            { "urgency", command.urgency },
-            { "left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(command.timeLeft).count() } });
+            { "urgency", command.urgency }, { "lane", command.lane == serving::work_lane::late ? "late" : "fast" },
+            { "left_ms", milliseconds(command.timeLeft) } });
     const auto& address = fleet.address[command.target.value];
     attempt->startedAt = boot_clock::now();
     attempt->exchange = m_services.client.start(
@@ -277,7 +285,7 @@
 {
     if (attempt != m_attempt)
         return;
-    m_services.log.debug("attempt_failed", { { "request", m_decoded.id }, { "reason", failure.reason } });
+    attempt->failureReason = failure.reason;
     if (!failure.mayHaveReachedPeer)
         return conclude(attempt, attempt_result::unreached);
     conclude(attempt, m_caller->hasStarted() ? attempt_result::cut : attempt_result::broken);
@@ -298,11 +306,19 @@
     m_services.counters.count("tamarack_target_attempts_total",
         { { "service", fleet.service[attempt->command.target.value] },
             { "stage", nameOf(stageNames, attempt->command.stage) }, { "result", nameOf(resultNames, result) } });
-    m_services.log.info("attempt_ended",
-        { { "request", m_decoded.id }, { "target", fleet.instance[attempt->command.target.value] },
-            { "stage", nameOf(stageNames, attempt->command.stage) }, { "result", nameOf(resultNames, result) },
-            { "status", attempt->answer.status }, { "took_ms", millisecondsSince(attempt->startedAt) },
-            { "first_ms", attempt->firstMs } });
+    const bool isGood = result == attempt_result::answered || result == attempt_result::prefilled;
+    if (isGood) {
+        m_services.log.write(log_event::attempt_ended,
+            { { "request", m_decoded.id }, { "target", fleet.instance[attempt->command.target.value] },
+                { "stage", nameOf(stageNames, attempt->command.stage) }, { "status", attempt->answer.status },
+                { "first_ms", attempt->firstMs }, { "took_ms", millisecondsSince(attempt->startedAt) } });
+    } else {
+        m_services.log.write(log_event::attempt_failed,
+            { { "request", m_decoded.id }, { "target", fleet.instance[attempt->command.target.value] },
+                { "stage", nameOf(stageNames, attempt->command.stage) }, { "result", nameOf(resultNames, result) },
+                { "reason", attempt->failureReason }, { "status", attempt->answer.status },
+                { "took_ms", millisecondsSince(attempt->startedAt) } });
+    }
     if (m_on.onAttemptEnded)
         m_on.onAttemptEnded(attempt->command.attempt, result, cacheName);
 }
@@ -325,11 +341,10 @@
         m_caller->abortWhenWritten();
         return finish(flow_end::cut);
     }
-    m_services.log.info("request_refused",
+    m_services.log.write(log_event::request_refused,
         { { "request", m_decoded.id }, { "route", m_routeName }, { "kind", answerFor(kind).type },
-            { "retry_after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter).count() },
-            { "held_ms",
-                std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - m_startedAt).count() } });
+            { "retry_after_ms", milliseconds(retryAfter) }, { "held_ms", millisecondsSince(m_startedAt) },
+            { "waiting", m_services.decisions.waiting() } });
     m_services.counters.count("tamarack_refused_total", { { "kind", std::string(answerFor(kind).type) } });
     m_caller->sendWhole(m_services.callers.refusal(kind, answerFor(kind).title, retryAfter));
     finish(flow_end::refused);
@@ -359,9 +374,16 @@
     const auto name = std::string(toString(end));
     m_services.counters.count("tamarack_requests_total", { { "outcome", name } });
     m_services.counters.observeSeconds("tamarack_request_seconds", took, { { "outcome", name } });
-    m_services.log.info("request_ended",
-        { { "request", m_decoded.id }, { "route", m_routeName }, { "outcome", name },
-            { "took_ms", static_cast<std::int64_t>(took * 1000) } });
+    // A refusal has its own line.
+    if (end == flow_end::answered) {
+        m_services.log.write(log_event::request_ended,
+            { { "request", m_decoded.id }, { "route", m_routeName }, { "took_ms", millisecondsSince(m_startedAt) },
+                { "attempts", m_attempts } });
+    } else if (end != flow_end::refused) {
+        m_services.log.write(log_event::request_failed,
+            { { "request", m_decoded.id }, { "route", m_routeName }, { "outcome", name },
+                { "took_ms", millisecondsSince(m_startedAt) }, { "attempts", m_attempts } });
+    }
     if (m_on.onFinished)
         m_on.onFinished();
 }
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -44,6 +44,8 @@
         std::shared_ptr<response_writer> caller);
     ~caller_flow();
 
+    /// Logs that the request was taken.
+    void taken(std::string_view service, std::uint64_t version) const;
     void bind(request_id id, callbacks handlers);
     void start(const serving::start_attempt& command);
     void stop(attempt_id attempt);
@@ -66,6 +68,7 @@
         bool isRelayed = false; // bytes of it went to the caller
         instant startedAt;
         std::int64_t firstMs = -1; // from the start to the first event of a stream
+        std::string failureReason;
     };
     using attempt_ptr = std::shared_ptr<attempt_state>;
 
@@ -97,6 +100,7 @@
     attempt_ptr m_failure; // the last one that ended with the target's own failure
     std::string m_lastEvent; // id of the last event that the caller has
     instant m_startedAt;
+    int m_attempts = 0;
     bool m_isFinished = false;
     bool m_isPaused = false;
 };
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -49,6 +49,8 @@
 
     QHostAddress addressOf(const endpoint& place) { return QHostAddress(QString::fromStdString(place.address)); }
 
+    std::int64_t milliseconds(duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
+
     http_response plainText(int status, std::string body = {})
     {
         http_response response { status, {}, std::move(body) };
@@ -90,6 +92,7 @@
     void pullFrom(const endpoint& peer);
     void checkDrain(instant now);
     void logReadiness();
+    void logHealth(const serving::health_change& change);
 
     gateway_settings settings;
     gateway_ports ports;
@@ -136,6 +139,16 @@
         return out;
     }
 
+    logger_options loggerOptions(const gateway_settings& settings)
+    {
+        logger_options out;
+        out.vm = settings.vm;
+        // The store gives a process its incarnation only later; the start tells the lives of a node apart until then.
+        out.instance = settings.vm + "/" + std::to_string(boot_clock::now().time_since_epoch().count());
+        out.isUnbuffered = false;
+        return out;
+    }
+
     http_response noRequest(error_kind kind, std::string_view detail)
     {
         return plainText(answerFor(kind).status, std::string(detail) + "\n");
@@ -149,7 +162,7 @@
     , ports(implementations)
     , client(connections)
     , onStopped(std::move(stopped))
-    , log(log_level::info, settings.vm, settings.vm)
+    , log(loggerOptions(settings))
     , decisions(dispatcherSettings(settings))
     , nodes(settings.vm, {})
     , view({ ports.records, ports.store, decisions, nodes, counters, log }, settings,
@@ -200,7 +213,7 @@
     }
     if (!peers.listen(settings.peers))
         return toString(settings.peers) + " cannot be listened on";
-    log.info("node_started",
+    log.write(log_event::node_started,
         { { "availability_zone", settings.availabilityZone }, { "callers", toString(settings.callers) } });
     view.start();
     registerSelf();
@@ -267,8 +280,9 @@
     auto& call = std::get<caller_request>(decoded);
     const auto* route = view.configuration()->findRoute(call.host, call.path);
     if (!route) {
-        log.info("request_without_route",
-            { { "request", call.id }, { "path", call.path }, { "version", view.configuration()->version() } });
+        log.write(log_event::request_without_route,
+            { { "request", call.id }, { "host", call.host }, { "path", call.path },
+                { "version", view.configuration()->version() } });
         return refuse(caller, error_kind::unknown_service, "no route for " + call.path);
     }
     submit(std::move(request), std::move(call), *route, std::move(caller));
@@ -289,6 +303,7 @@
     serving::command_list commands;
     auto flow
         = std::make_shared<caller_flow>(services, std::move(request), std::move(decoded), route, std::move(caller));
+    flow->taken(wanted.service, wanted.configuration->version());
     const request_id id = decisions.arrive(std::move(wanted), boot_clock::now(), commands);
     caller_flow::callbacks callbacks;
     callbacks.onAttemptEnded
@@ -370,7 +385,7 @@
         [this](const http_response* response, const exchange_failure& failure) {
             // The engine frees it by itself after some seconds; there is nothing more to do.
             if (!response)
-                log.debug("cache_not_released", { { "reason", failure.reason } });
+                log.write(log_event::cache_not_released, { { "reason", failure.reason } });
         });
 }
 
@@ -411,7 +426,10 @@
 {
     const auto now = boot_clock::now();
     view.tick(now);
-    nodes.tick(now);
+    for (const auto& lost : nodes.tick(now))
+        log.write(log_event::peer_lost, { { "peer", lost.vm }, { "silent_ms", milliseconds(lost.silence) } });
+    for (const auto& change : decisions.takeHealthChanges())
+        logHealth(change);
     decisions.setKnownNodes(nodes.knownCount());
     caches.tick(now);
     serving::command_list commands;
@@ -420,6 +438,17 @@
     logReadiness();
     if (isDraining)
         checkDrain(now);
+    log.flush();
+}
+
+void gateway::state::logHealth(const serving::health_change& change)
+{
+    const auto& instance = decisions.fleet().instance[change.target.value];
+    if (change.blockedFor == duration::zero())
+        return log.write(log_event::target_returned, { { "target", instance } });
+    log.write(log_event::target_blocked,
+        { { "target", instance }, { "reason", change.reason }, { "failures", change.failuresInARow },
+            { "for_ms", milliseconds(change.blockedFor) } });
 }
 
 void gateway::state::logReadiness()
@@ -428,7 +457,7 @@
         return;
     wasReady = isReady();
     counters.set("tamarack_ready", wasReady ? 1 : 0);
-    log.info("readiness_changed",
+    log.write(log_event::readiness_changed,
         { { "ready", wasReady }, { "configuration", view.hasConfiguration() }, { "targets", view.hasTargets() },
             { "stopping", isDraining } });
 }
@@ -444,6 +473,9 @@
 void gateway::state::heard(node_heartbeat message)
 {
     const auto now = boot_clock::now();
+    if (!nodes.isAlive(message.sender.vm, now))
+        log.write(
+            log_event::peer_reached, { { "peer", message.sender.vm }, { "incarnation", message.sender.incarnation } });
     nodes.heard(message.sender, now);
     decisions.peerTold(message.sender.vm, std::move(message.work), now);
     const auto known = view.hasConfiguration() ? view.configuration()->version() : 0;
@@ -455,12 +487,12 @@
 {
     ports.store.append(store_topic::nodes, settings.vm, encodeNode(self()), [this](store_result<std::int64_t> result) {
         if (const auto* error = std::get_if<store_error>(&result)) {
-            log.warning("registration_failed", { { "reason", toString(*error) } });
+            log.write(log_event::registration_failed, { { "reason", toString(*error) } });
             registrationTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(registrationPause));
             return;
         }
         incarnation = static_cast<std::uint64_t>(std::get<std::int64_t>(result)) + 1;
-        log.info("registered", { { "incarnation", incarnation } });
+        log.write(log_event::registered, { { "incarnation", incarnation } });
     });
 }
 
@@ -493,10 +525,10 @@
         [this, peer](const http_response* response, const exchange_failure& failure) {
             const auto decoded = response ? decodeState(response->body) : std::nullopt;
             if (!decoded) {
-                log.info("state_not_pulled", { { "peer", toString(peer) }, { "reason", failure.reason } });
+                log.write(log_event::state_not_pulled, { { "peer", toString(peer) }, { "reason", failure.reason } });
                 return;
             }
-            log.info("state_pulled", { { "peer", toString(peer) }, { "targets", decoded->targets.size() } });
+            log.write(log_event::state_pulled, { { "peer", toString(peer) }, { "targets", decoded->targets.size() } });
             view.take(*decoded);
         });
 }
@@ -507,7 +539,7 @@
         return;
     isDraining = true;
     drainingSince = boot_clock::now();
-    log.info("drain_started", { { "held", decisions.held() }, { "connections", callers.connectionCount() } });
+    log.write(log_event::drain_started, { { "held", decisions.held() }, { "connections", callers.connectionCount() } });
     callers.beginDrain();
     beat(); // peers stop naming this node at once
 }
@@ -526,7 +558,8 @@
     isStopped = true;
     callers.stopListening();
     callers.closeIdle();
-    log.info("drain_finished", { { "held", decisions.held() }, { "connections", callers.connectionCount() } });
+    log.write(
+        log_event::drain_finished, { { "held", decisions.held() }, { "connections", callers.connectionCount() } });
     QTimer::singleShot(std::chrono::duration_cast<std::chrono::milliseconds>(lastFlush), [this] { onStopped(); });
 }
 
@@ -545,7 +578,7 @@
     m_state->settings.stopBound = settings.stopBound;
     m_state->settings.longestEntryLifetime = settings.longestEntryLifetime;
     m_state->callers.setLimits(m_state->limits());
-    m_state->log.info("settings_reloaded");
+    m_state->log.write(log_event::settings_reloaded);
 }
 
 void gateway::drain() { m_state->drain(); }
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -75,9 +75,9 @@
 void shared_view::reachChanged(std::string_view topic, bool isReachable, std::string_view reason)
 {
     if (isReachable) {
-        m_parts.log.info("store_reached", { { "topic", topic } });
+        m_parts.log.write(log_event::store_reached, { { "topic", topic } });
     } else {
-        m_parts.log.warning("store_lost", { { "topic", topic }, { "reason", reason } });
+        m_parts.log.write(log_event::store_lost, { { "topic", topic }, { "reason", reason } });
     }
     if (isReachable && topic == "targets" && m_hasTargets)
         m_targetList.storeReturned(boot_clock::now());
@@ -90,7 +90,7 @@
     auto decoded = m_parts.records.decodeConfiguration(*record.value);
     if (const auto* fault = std::get_if<record_fault>(&decoded)) {
         m_parts.counters.count("tamarack_configuration_faults_total");
-        m_parts.log.error("configuration_invalid",
+        m_parts.log.write(log_event::configuration_invalid,
             { { "offset", record.offset }, { "field", fault->field }, { "message", fault->message } });
         return;
     }
@@ -101,7 +101,7 @@
     m_configuration = std::move(configuration);
     m_configurationRecord = record;
     m_parts.counters.set("tamarack_configuration_version", static_cast<double>(m_configuration->version()));
-    m_parts.log.info("configuration_in_force",
+    m_parts.log.write(log_event::configuration_in_force,
         { { "version", m_configuration->version() }, { "offset", record.offset },
             { "routes", m_configuration->routes().size() } });
     m_onConfiguration(m_configuration);
@@ -111,14 +111,14 @@
 {
     for (const auto& record : changes.listed) {
         m_parts.decisions.targetListed(record);
-        m_parts.log.info("target_listed",
+        m_parts.log.write(log_event::target_listed,
             { { "target", record.instance }, { "service", record.service }, { "address", record.address },
                 { "draining", record.isDraining }, { "role", static_cast<int>(record.role) },
                 { "sequence", record.sequence } });
     }
     for (const auto& instance : changes.gone) {
         m_parts.decisions.targetGone(instance, boot_clock::now());
-        m_parts.log.info("target_gone", { { "target", instance } });
+        m_parts.log.write(log_event::target_gone, { { "target", instance } });
     }
 }
 
@@ -132,7 +132,7 @@
     auto decoded = m_parts.records.decodeTarget(record.key, *record.value);
     if (const auto* fault = std::get_if<record_fault>(&decoded)) {
         m_parts.counters.count("tamarack_target_record_faults_total");
-        m_parts.log.warning("target_record_invalid",
+        m_parts.log.write(log_event::target_record_invalid,
             { { "target", record.key }, { "field", fault->field }, { "message", fault->message } });
         return;
     }
@@ -149,7 +149,7 @@
             continue;
         auto decoded = m_parts.records.decodeTarget(record.key, *record.value);
         if (const auto* fault = std::get_if<record_fault>(&decoded)) {
-            m_parts.log.warning("target_record_invalid",
+            m_parts.log.write(log_event::target_record_invalid,
                 { { "target", record.key }, { "field", fault->field }, { "message", fault->message } });
             continue;
         }
--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -344,7 +344,7 @@
     sumDemand(now);
     auto output = m_control.tick(now);
     if (output.configuration) {
-        m_log.info("configuration_in_force",
+        m_log.write(log_event::configuration_in_force,
             { { "version", m_control.servedVersion() }, { "deployment", output.configuration->name } });
         m_onConfiguration(output.configuration);
     }
@@ -368,13 +368,13 @@
     for (const auto& item : m_control.alarms(now)) {
         raised.insert(item.name);
         if (!m_raised.contains(item.name))
-            m_log.warning("alarm_raised", { { "alarm", item.name }, { "detail", item.detail } });
+            m_log.write(log_event::alarm_raised, { { "alarm", item.name }, { "detail", item.detail } });
         m_counters.set("tamarack_alarm", 1, { { "name", item.name } });
     }
     for (const auto& name : m_raised) {
         if (raised.contains(name))
             continue;
-        m_log.info("alarm_cleared", { { "alarm", name } });
+        m_log.write(log_event::alarm_cleared, { { "alarm", name } });
         m_counters.set("tamarack_alarm", 0, { { "name", name } });
     }
     m_raised = std::move(raised);
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -24,6 +24,15 @@
     constexpr duration homeTimeout = 3s;
     constexpr duration releaseTimeout = 3s;
 
+    logger_options loggerOptions(const node_settings& settings, const instance_id& instance)
+    {
+        logger_options out;
+        out.lowest = parseLogLevel(settings.logLevel);
+        out.vm = settings.vm;
+        out.instance = toString(instance);
+        return out;
+    }
+
 }
 
 struct node::state {
@@ -71,7 +80,7 @@
     : settings(std::move(given))
     , instance { settings.vm, incarnation }
     , onStopped(std::move(stopped))
-    , log(parseLogLevel(settings.logLevel), settings.vm, toString(instance))
+    , log(loggerOptions(settings, instance))
     , spans(settings.spanFile, "tamarackrelay " + settings.vm)
     , spanIds(stableHash(toString(instance), static_cast<std::uint64_t>(wallNanoseconds())))
     , traffic(settings.vm, settings.availabilityZone, stableHash(toString(instance)))
@@ -117,7 +126,7 @@
         return "peer_port " + std::to_string(settings.peerPort) + " cannot be listened on";
     trafficTimer.start(trafficTick);
     slowTimer.start(keepAliveTick);
-    log.info("node_started",
+    log.write(log_event::node_started,
         { { "availability_zone", settings.availabilityZone }, { "address", settings.address },
             { "caller_port", settings.callerPort } });
     return {};
@@ -130,7 +139,7 @@
     isDraining = true;
     drainingSince = boot_clock::now();
     control.stop();
-    log.info("drain_started", { { "held", traffic.held() } });
+    log.write(log_event::drain_started, { { "held", traffic.held() } });
 }
 
 // A caller that got this address just before the drain may come with it until the address's lifetime has passed.
@@ -248,7 +257,7 @@
     if (!isPastAccepting || !((isIdle && hasReleased) || isOverdue))
         return;
     isStopped = true;
-    log.info("drain_finished", { { "held", traffic.held() } });
+    log.write(log_event::drain_finished, { { "held", traffic.held() } });
     onStopped();
 }
 
--- a/libs/node/src/order_deliverer.cpp
+++ b/libs/node/src/order_deliverer.cpp
@@ -29,7 +29,7 @@
     request.body = body.dump();
     exchange_options options;
     options.freshConnection = true;
-    m_log.info("order_sent",
+    m_log.write(log_event::order_sent,
         { { "target", order.target }, { "order", order.order.value }, { "set", std::string(toString(order.what.kind)) },
             { "value", order.what.value } });
     m_client.fetch(
@@ -43,11 +43,11 @@
 {
     if (response) {
         const bool isAccepted = response->status >= 200 && response->status < 300;
-        m_log.info("order_answered",
+        m_log.write(log_event::order_answered,
             { { "target", order.target }, { "order", order.order.value }, { "status", response->status } });
         return m_onResult(order.order, isAccepted ? delivery_result::accepted : delivery_result::refused);
     }
-    m_log.warning("order_unanswered",
+    m_log.write(log_event::order_unanswered,
         { { "target", order.target }, { "order", order.order.value }, { "reason", failure.reason } });
     if (!failure.mayHaveReachedPeer)
         return m_onResult(order.order, delivery_result::not_sent);
--- a/libs/node/src/relay.cpp
+++ b/libs/node/src/relay.cpp
@@ -293,7 +293,7 @@
 {
     if (!isCurrent(attempt))
         return;
-    m_services.log.debug("attempt_failed",
+    m_services.log.write(log_event::attempt_failed,
         { { "reason", failure.reason }, { "may_have_reached", failure.mayHaveReachedPeer },
             { "target", m_services.traffic.targets().name[attempt->command.target.value] } });
     if (!failure.mayHaveReachedPeer)
--- /dev/null
+++ b/libs/observe/include/observe/log_event.h
@@ -0,0 +1,77 @@
+// The closed list of what the programs log: each event's name, level, group and fields.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace tamarack {
+
+enum class log_level : unsigned char { debug, info, warning, error };
+
+/// Groups have bounds of their own, so that lines on requests that were served never displace the others.
+enum class log_group : unsigned char {
+    lifecycle, ///< start, stop, reload, dependencies
+    belief, ///< what the process believes of targets, peers, versions
+    failed, ///< requests that were refused, failed or cut, and attempts that did not succeed
+    served, ///< everything else on requests
+    count
+};
+
+enum class log_event : unsigned char {
+    node_started,
+    drain_started,
+    drain_finished,
+    settings_reloaded,
+    settings_invalid,
+    registered,
+    registration_failed,
+    store_reached,
+    store_lost,
+    peer_reached,
+    peer_lost,
+    readiness_changed,
+    state_pulled,
+    state_not_pulled,
+    lines_left_out,
+    configuration_in_force,
+    configuration_invalid,
+    target_listed,
+    target_gone,
+    target_record_invalid,
+    target_blocked,
+    target_returned,
+    cache_view_restarted,
+    cache_not_released,
+    alarm_raised,
+    alarm_cleared,
+    order_sent,
+    order_answered,
+    order_unanswered,
+    request_refused,
+    request_failed,
+    request_without_route,
+    attempt_failed,
+    foreign_answer_dropped,
+    request_taken,
+    request_waits,
+    attempt_started,
+    attempt_ended,
+    request_ended,
+    count
+};
+
+struct log_event_info {
+    log_event event;
+    std::string_view name;
+    log_level level;
+    log_group group;
+    std::string_view fields; ///< besides those of every line, for the docs
+};
+
+/// The row for `event`. The table is complete and in the order of the enumeration.
+const log_event_info& infoOf(log_event event);
+std::span<const log_event_info> logEvents();
+std::string_view toString(log_group group);
+
+}
--- /dev/null
+++ b/libs/observe/src/log_event.cpp
@@ -0,0 +1,82 @@
+// The table of events.
+#include "observe/log_event.h"
+
+#include <array>
+
+namespace tamarack {
+
+namespace {
+
+    using enum log_level;
+    using enum log_group;
+
+    constexpr std::array<log_event_info, static_cast<std::size_t>(log_event::count)> table { {
+        { log_event::node_started, "node_started", info, lifecycle, "availability_zone callers caller_port address" },
+        { log_event::drain_started, "drain_started", info, lifecycle, "held connections" },
+        { log_event::drain_finished, "drain_finished", info, lifecycle, "held connections" },
+        { log_event::settings_reloaded, "settings_reloaded", info, lifecycle, "seeds" },
+        { log_event::settings_invalid, "settings_invalid", error, lifecycle, "field message" },
+        { log_event::registered, "registered", info, lifecycle, "incarnation" },
+        { log_event::registration_failed, "registration_failed", warning, lifecycle, "reason" },
+        { log_event::store_reached, "store_reached", info, lifecycle, "topic away_ms" },
+        { log_event::store_lost, "store_lost", warning, lifecycle, "topic reason" },
+        { log_event::peer_reached, "peer_reached", info, lifecycle, "peer incarnation" },
+        { log_event::peer_lost, "peer_lost", warning, lifecycle, "peer silent_ms" },
+        { log_event::readiness_changed, "readiness_changed", info, lifecycle, "ready configuration targets stopping" },
+        { log_event::state_pulled, "state_pulled", info, lifecycle, "peer targets" },
+        { log_event::state_not_pulled, "state_not_pulled", warning, lifecycle, "peer reason" },
+        { log_event::lines_left_out, "lines_left_out", warning, lifecycle, "group lines" },
+        { log_event::configuration_in_force, "configuration_in_force", info, belief,
+            "version offset routes deployment" },
+        { log_event::configuration_invalid, "configuration_invalid", error, belief, "offset field message" },
+        { log_event::target_listed, "target_listed", info, belief, "target service address role draining sequence" },
+        { log_event::target_gone, "target_gone", info, belief, "target" },
+        { log_event::target_record_invalid, "target_record_invalid", warning, belief, "target field message" },
+        { log_event::target_blocked, "target_blocked", warning, belief, "target reason failures for_ms" },
+        { log_event::target_returned, "target_returned", info, belief, "target" },
+        { log_event::cache_view_restarted, "cache_view_restarted", info, belief, "target restarted gap" },
+        { log_event::cache_not_released, "cache_not_released", debug, belief, "reason" },
+        { log_event::alarm_raised, "alarm_raised", warning, lifecycle, "alarm detail" },
+        { log_event::alarm_cleared, "alarm_cleared", info, lifecycle, "alarm" },
+        { log_event::order_sent, "order_sent", info, belief, "target order fence set value" },
+        { log_event::order_answered, "order_answered", info, belief, "target order status" },
+        { log_event::order_unanswered, "order_unanswered", warning, belief, "target order may_have_reached reason" },
+        { log_event::request_refused, "request_refused", info, failed,
+            "request route kind retry_after_ms held_ms waiting version" },
+        { log_event::request_failed, "request_failed", warning, failed, "request route outcome kind took_ms attempts" },
+        { log_event::request_without_route, "request_without_route", info, failed, "request host path version" },
+        { log_event::attempt_failed, "attempt_failed", info, failed,
+            "request target stage result reason status may_have_reached took_ms" },
+        { log_event::foreign_answer_dropped, "foreign_answer_dropped", warning, failed, "request target" },
+        { log_event::request_taken, "request_taken", info, served, "request route service version left_ms tokens" },
+        { log_event::request_waits, "request_waits", info, served, "request waiting" },
+        { log_event::attempt_started, "attempt_started", info, served,
+            "request target stage lane urgency work work_before running predicted_ms left_ms fetch_from list_age_ms" },
+        { log_event::attempt_ended, "attempt_ended", info, served, "request target stage status first_ms took_ms" },
+        { log_event::request_ended, "request_ended", info, served, "request route outcome first_ms took_ms attempts" },
+    } };
+
+    constexpr bool isComplete()
+    {
+        for (std::size_t i = 0; i < table.size(); ++i) {
+            if (static_cast<std::size_t>(table[i].event) != i)
+                return false;
+        }
+        return true;
+    }
+    static_assert(isComplete(), "every event has its row, in the order of the enumeration");
+
+}
+
+const log_event_info& infoOf(log_event event) { return table[static_cast<std::size_t>(event)]; }
+
+std::span<const log_event_info> logEvents() { return table; }
+
+std::string_view toString(log_group group)
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t>(log_group::count)> names { "lifecycle", "belief",
+        "failed", "served" };
+    return names[static_cast<std::size_t>(group)];
+}
+
+}
--- a/libs/observe/src/logger.cpp
+++ b/libs/observe/src/logger.cpp
@@ -1,25 +1,84 @@
-// Boost.Log with a formatter that prints the message alone: the message is the JSON line.
+// Boost.Log with a formatter that prints the message alone, the message being the JSON line, and a sink of our own.
 #include "observe/logger.h"
 
+#include "bounded_output.h"
+
 #include "base/clock.h"
 
 #include <array>
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <iostream>
-#include <nlohmann/json.hpp>
+#include <charconv>
+#include <cstdio>
 
 namespace tamarack {
 
 namespace {
 
     constexpr std::array<std::string_view, 4> levelNames { "debug", "info", "warning", "error" };
-    using sink_type = boost::log::sinks::synchronous_sink<boost::log::sinks::text_ostream_backend>;
+    constexpr auto bucketSpan = std::chrono::seconds(1);
+
+    class output_backend
+        : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::concurrent_feeding> {
+    public:
+        explicit output_backend(detail::bounded_output& output)
+            : m_output(output)
+        {
+        }
+        void consume(const boost::log::record_view&, const string_type& line) { m_output.add(line); }
+
+    private:
+        detail::bounded_output& m_output;
+    };
+
+    using sink_type = boost::log::sinks::unlocked_sink<output_backend>;
+
+    void appendText(std::string& line, std::string_view text)
+    {
+        line += '"';
+        for (const char c : text) {
+            const auto byte = static_cast<unsigned char>(c);
+            if (c == '"' || c == '\\') {
+                line += '\\';
+                line += c;
+            } else if (byte < 0x20 || byte >= 0x7f) {
+                char escaped[8];
+                std::snprintf(escaped, sizeof escaped, "\\u%04x", byte);
+                line += escaped;
+            } else {
+                line += c;
+            }
+        }
+        line += '"';
+    }
+
+    template <class Number> void appendNumber(std::string& line, Number number)
+    {
+        std::array<char, 32> text;
+        const auto end = std::to_chars(text.data(), text.data() + text.size(), number).ptr;
+        line.append(text.data(), end);
+    }
+
+    struct value_writer {
+        std::string& line;
+
+        void operator()(std::int64_t number) const { appendNumber(line, number); }
+        void operator()(double number) const { appendNumber(line, number); }
+        void operator()(bool flag) const { line += flag ? "true" : "false"; }
+        void operator()(std::string_view text) const { appendText(line, text); }
+    };
+
+    void appendField(std::string& line, const log_field& field)
+    {
+        line += ",\"";
+        line += field.key;
+        line += "\":";
+        std::visit(value_writer { line }, field.value);
+    }
 
 }
 
@@ -34,19 +93,19 @@
 
 log_field::log_field(std::string_view k, const std::string& v)
     : key(k)
-    , value(v)
+    , value(std::string_view(v))
 {
 }
 
 log_field::log_field(std::string_view k, std::string_view v)
     : key(k)
-    , value(std::string(v))
+    , value(v)
 {
 }
 
 log_field::log_field(std::string_view k, const char* v)
     : key(k)
-    , value(std::string(v))
+    , value(std::string_view(v))
 {
 }
 
@@ -63,63 +122,110 @@
 }
 
 struct logger::state {
-    log_level lowest;
-    std::string vm;
-    std::string instance;
+    explicit state(logger_options given)
+        : options(std::move(given))
+        , output(options.descriptor, options.bufferBytes)
+    {
+    }
+
+    /// Lines of one group in the present second.
+    struct bucket {
+        instant begin;
+        int lines = 0;
+        std::uint64_t leftOut = 0; // since the last line that told so
+    };
+
+    bool mayWrite(log_group group, instant now);
+    void tellLeftOut(instant now);
+    void emit(const log_event_info& info, std::initializer_list<log_field> fields);
+
+    logger_options options;
+    detail::bounded_output output;
     boost::shared_ptr<sink_type> sink;
-    mutable boost::log::sources::severity_logger_mt<int> source;
+    boost::log::sources::severity_logger<int> source;
+    std::array<bucket, static_cast<std::size_t>(log_group::count)> buckets;
+    std::uint64_t leftOut = 0;
 };
 
-logger::logger(log_level lowest, std::string vm, std::string instance)
-    : m_state(std::make_unique<state>())
+bool logger::state::mayWrite(log_group group, instant now)
 {
-    m_state->lowest = lowest;
-    m_state->vm = std::move(vm);
-    m_state->instance = std::move(instance);
-    auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-    backend->auto_flush(true);
-    m_state->sink = boost::make_shared<sink_type>(backend);
-    m_state->sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
-    boost::log::core::get()->add_sink(m_state->sink);
+    auto& counted = buckets[static_cast<std::size_t>(group)];
+    if (now >= counted.begin + bucketSpan) {
+        counted.begin = now;
+        counted.lines = 0;
+    }
+    if (counted.lines < options.linesPerSecond[static_cast<std::size_t>(group)]) {
+        ++counted.lines;
+        return true;
+    }
+    ++counted.leftOut;
+    ++leftOut;
+    return false;
 }
 
-logger::~logger() { boost::log::core::get()->remove_sink(m_state->sink); }
-
-void logger::write(log_level level, std::string_view event, std::initializer_list<log_field> fields) const
+void logger::state::emit(const log_event_info& info, std::initializer_list<log_field> fields)
 {
-    if (level < m_state->lowest)
-        return;
-    nlohmann::ordered_json line;
-    line["ts_ms"] = wallMilliseconds();
-    line["level"] = levelNames[static_cast<std::size_t>(level)];
-    line["event"] = event;
-    line["vm"] = m_state->vm;
-    line["instance"] = m_state->instance;
+    std::string line = "{\"ts_ms\":";
+    appendNumber(line, wallMilliseconds());
+    line += ",\"level\":\"";
+    line += levelNames[static_cast<std::size_t>(info.level)];
+    line += "\",\"event\":\"";
+    line += info.name;
+    line += "\",\"vm\":";
+    appendText(line, options.vm);
+    line += ",\"instance\":";
+    appendText(line, options.instance);
     for (const auto& field : fields)
-        std::visit([&](const auto& value) { line[std::string(field.key)] = value; }, field.value);
-    const auto text = line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
-    BOOST_LOG_SEV(m_state->source, static_cast<int>(level)) << text;
+        appendField(line, field);
+    line += '}';
+    BOOST_LOG_SEV(source, static_cast<int>(info.level)) << line;
+    if (options.isUnbuffered)
+        output.flush();
 }
 
-void logger::debug(std::string_view event, std::initializer_list<log_field> fields) const
+void logger::state::tellLeftOut(instant now)
 {
-    write(log_level::debug, event, fields);
+    for (std::size_t group = 0; group < buckets.size(); ++group) {
+        auto& counted = buckets[group];
+        if (counted.leftOut == 0 || now < counted.begin + bucketSpan)
+            continue;
+        emit(infoOf(log_event::lines_left_out),
+            { { "group", toString(static_cast<log_group>(group)) }, { "lines", counted.leftOut } });
+        counted.leftOut = 0;
+    }
 }
 
-void logger::info(std::string_view event, std::initializer_list<log_field> fields) const
+logger::logger(logger_options options)
+    : m_state(std::make_unique<state>(std::move(options)))
 {
-    write(log_level::info, event, fields);
+    m_state->sink = boost::make_shared<sink_type>(boost::make_shared<output_backend>(m_state->output));
+    m_state->sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(m_state->sink);
+}
+
+logger::~logger()
+{
+    boost::log::core::get()->remove_sink(m_state->sink);
+    m_state->output.flush();
 }
 
-void logger::warning(std::string_view event, std::initializer_list<log_field> fields) const
+void logger::write(log_event event, std::initializer_list<log_field> fields) const
 {
-    write(log_level::warning, event, fields);
+    const auto& info = infoOf(event);
+    if (info.level < m_state->options.lowest)
+        return;
+    const auto now = boot_clock::now();
+    m_state->tellLeftOut(now);
+    if (m_state->mayWrite(info.group, now))
+        m_state->emit(info, fields);
 }
 
-void logger::error(std::string_view event, std::initializer_list<log_field> fields) const
+void logger::flush() const
 {
-    write(log_level::error, event, fields);
+    m_state->tellLeftOut(boot_clock::now());
+    m_state->output.flush();
 }
 
+std::uint64_t logger::linesLeftOut() const { return m_state->leftOut + m_state->output.dropped(); }
+
 }
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -49,6 +49,7 @@
     void loadTold(target_id target, const told_load& load) { m_fleet.told[target.value] = load; }
     void cacheTold(target_id engine, const std::vector<cache_event>& events) { m_caches.told(engine, events); }
     void cacheLost(target_id engine) { m_caches.forget(engine); }
+    std::vector<health_change> takeHealthChanges() { return m_health.takeChanges(); }
     const fleet_table& fleet() const { return m_fleet; }
     std::vector<work_entry> ownWork() const { return m_peers.own(); }
     std::size_t held() const { return m_book.held(); }
--- a/libs/serving/include/serving/node_directory.h
+++ b/libs/serving/include/serving/node_directory.h
@@ -35,6 +35,12 @@
     duration forgetAfter = std::chrono::minutes(5);
 };
 
+/// A node that was alive and fell silent.
+struct lost_node {
+    std::string vm;
+    duration silence = duration::zero();
+};
+
 /// Heartbeats of a former life are late and have no effect.
 class node_directory {
 public:
@@ -43,7 +49,8 @@
     /// Read from the store; says where a node is, not that it lives.
     void registered(const node_state& node, instant now);
     void heard(const node_state& node, instant now);
-    void tick(instant now);
+    /// Nodes that fell silent since the last call.
+    std::vector<lost_node> tick(instant now);
 
     bool isAlive(const std::string& vm, instant now) const;
     std::vector<node_state> alive(instant now) const;
@@ -61,6 +68,7 @@
         instant knownSince;
         instant sentAt; // the last heartbeat to it
         bool wasHeard = false;
+        bool wasAlive = false; // at the last tick
     };
 
     bool isAlive(const known_node& node, instant now) const;
--- a/libs/serving/include/serving/target_health.h
+++ b/libs/serving/include/serving/target_health.h
@@ -7,6 +7,14 @@
 
 namespace tamarack::serving {
 
+/// A target is left for a while, or used again.
+struct health_change {
+    target_id target;
+    std::string_view reason;
+    int failuresInARow = 0;
+    duration blockedFor = duration::zero(); ///< zero: it is used again
+};
+
 /// Blocks a target for a while after failures in a row; the time doubles while the first attempt after it fails again.
 class target_health {
 public:
@@ -25,15 +33,20 @@
     double failureShare(target_id id) const;
     /// The row is another target's now.
     void forget(target_id id);
+    /// Changes since the last call, for the log.
+    std::vector<health_change> takeChanges();
 
 private:
     void reserveRow(std::size_t row);
     void countAnswer(target_id id, double failure);
+    void block(target_id id, instant now, duration length, std::string_view reason);
 
     fleet_table& m_fleet;
     // Columns by row of the fleet.
     std::vector<int> m_failuresInARow;
     std::vector<double> m_failureShare;
+    std::vector<std::uint8_t> m_isLeft; // a block was told, and no success since
+    std::vector<health_change> m_changes;
 };
 
 }
--- a/libs/serving/src/node_directory.cpp
+++ b/libs/serving/src/node_directory.cpp
@@ -2,6 +2,7 @@
 #include "serving/node_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack::serving {
 
@@ -44,13 +45,20 @@
     known.wasHeard = true;
 }
 
-void node_directory::tick(instant now)
+std::vector<lost_node> node_directory::tick(instant now)
 {
+    std::vector<lost_node> lost;
+    for (auto& [vm, known] : m_nodes) {
+        const bool wasAlive = std::exchange(known.wasAlive, isAlive(known, now));
+        if (wasAlive && !known.wasAlive)
+            lost.push_back({ vm, now - known.heardAt });
+    }
     std::erase_if(m_nodes, [&](const auto& item) {
         const auto& known = item.second;
         const auto last = known.wasHeard ? known.heardAt : known.knownSince;
         return now >= last + m_settings.forgetAfter;
     });
+    return lost;
 }
 
 bool node_directory::isAlive(const known_node& node, instant now) const
--- a/libs/serving/src/target_health.cpp
+++ b/libs/serving/src/target_health.cpp
@@ -2,6 +2,7 @@
 #include "serving/target_health.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack::serving {
 
@@ -33,6 +34,7 @@
         return;
     m_failuresInARow.resize(row + 1, 0);
     m_failureShare.resize(row + 1, 0);
+    m_isLeft.resize(row + 1, 0);
 }
 
 void target_health::countAnswer(target_id id, double failure)
@@ -45,8 +47,19 @@
 {
     countAnswer(id, 0);
     m_failuresInARow[id.value] = 0;
+    if (std::exchange(m_isLeft[id.value], 0))
+        m_changes.push_back({ id, "answered", 0, duration::zero() });
 }
 
+void target_health::block(target_id id, instant now, duration length, std::string_view reason)
+{
+    m_fleet.blockedUntil[id.value] = now + length;
+    m_isLeft[id.value] = 1;
+    m_changes.push_back({ id, reason, m_failuresInARow[id.value], length });
+}
+
+std::vector<health_change> target_health::takeChanges() { return std::exchange(m_changes, {}); }
+
 void target_health::failed(target_id id, instant now)
 {
     countAnswer(id, 1);
@@ -54,7 +67,7 @@
     if (inARow < failuresUntilBlocked)
         return;
     const int doublings = std::min(inARow - failuresUntilBlocked, 4);
-    m_fleet.blockedUntil[id.value] = now + std::min<duration>(firstBlock * (1 << doublings), longestBlock);
+    block(id, now, std::min<duration>(firstBlock * (1 << doublings), longestBlock), "failed");
 }
 
 void target_health::rejected(target_id id, instant now)
@@ -80,6 +93,7 @@
     reserveRow(id.value);
     m_failuresInARow[id.value] = 0;
     m_failureShare[id.value] = 0;
+    m_isLeft[id.value] = 0;
 }
 
 }
--- a/tests/harness/deployment_run.cpp
+++ b/tests/harness/deployment_run.cpp
@@ -105,8 +105,8 @@
     QStringList list;
     for (const auto& argument : arguments)
         list << QString::fromStdString(argument);
-    process->setStandardErrorFile(QString::fromStdString(logFile(name)), QIODevice::Append);
-    process->setStandardOutputFile(QProcess::nullDevice());
+    process->setProcessChannelMode(QProcess::MergedChannels);
+    process->setStandardOutputFile(QString::fromStdString(logFile(name)), QIODevice::Append);
     process->start(QString::fromStdString(std::string(TAMARACK_BIN_DIR) + "/" + program), list);
     process->waitForStarted();
     m_processes[name] = std::move(process);
