Engines' pace from prompts that had one to themselves; engines' queues used

Cause: samples taken behind other work made engines look a third slower than they are (12.5 us a token of work against 18.5), and requests were refused when 12 slots were taken although the engine orders its queue by urgency.

--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -330,7 +330,7 @@
 void dispatcher::learn(const current_attempt& attempt, instant now)
 {
     if (attempt.lane == work_lane::fast)
-        m_pace.learned(attempt.target, attempt.work + attempt.workBefore, now - attempt.sentAt);
+        m_pace.learned(attempt.target, attempt.work, attempt.workBefore, now - attempt.sentAt);
 }
 
 void dispatcher::started(request_id request, attempt_id attempt)
--- a/libs/serving/src/engine_pace.cpp
+++ b/libs/serving/src/engine_pace.cpp
@@ -18,12 +18,20 @@
     /// Below the first, samples tell of what passes for each request; above the second, of the pace.
     constexpr double mostBaseTokens = 1'000;
     constexpr double fewestPaceTokens = 4'000;
-    /// About the last ten samples count.
-    constexpr double sampleWeight = 0.1;
-    /// A sample this far off tells of a queue that was misjudged, not of the engine.
-    constexpr double farthestRatio = 3;
+    /// What else an engine does can only make a prompt take longer, so the engine's own times are at the lower end of the
+    /// samples: they are followed down quickly and up slowly.
+    constexpr double weightDown = 0.2;
+    constexpr double weightUp = 0.02;
+    /// Of a prompt's work, that was before it; above it the sample tells of the queue.
+    constexpr double mostBefore = 0.2;
+    constexpr double fewestSeconds = 1e-6; // a token
     constexpr double longestBase = 0.3;
 
+    double followed(double known, double sample)
+    {
+        return known + (sample < known ? weightDown : weightUp) * (sample - known);
+    }
+
 }
 
 double promptWork(std::int64_t kept, std::int64_t total)
@@ -51,20 +59,21 @@
 
 double engine_pace::baseSeconds(target_id id) const { return known(id).baseSeconds; }
 
-void engine_pace::learned(target_id id, double work, duration elapsed)
+void engine_pace::learned(target_id id, double work, double workBefore, duration elapsed)
 {
+    if (workBefore > mostBefore * std::max(work, mostBaseTokens))
+        return;
     if (id.value >= m_engines.size())
         m_engines.resize(id.value + 1);
     engine now = known(id);
-    if (work < mostBaseTokens) {
-        const double sample = std::clamp(seconds(elapsed) - work * now.secondsPerToken, 0.0, longestBase);
-        now.baseSeconds += sampleWeight * (sample - now.baseSeconds);
+    const double total = work + workBefore;
+    if (total < mostBaseTokens) {
+        const double sample = seconds(elapsed) - total * now.secondsPerToken;
+        now.baseSeconds = followed(now.baseSeconds, std::clamp(sample, 0.0, longestBase));
     }
-    if (work > fewestPaceTokens) {
-        const double sample = (seconds(elapsed) - now.baseSeconds) / work;
-        const double bounded
-            = std::clamp(sample, now.secondsPerToken / farthestRatio, now.secondsPerToken * farthestRatio);
-        now.secondsPerToken += sampleWeight * (bounded - now.secondsPerToken);
+    if (total > fewestPaceTokens) {
+        const double sample = (seconds(elapsed) - now.baseSeconds) / total;
+        now.secondsPerToken = followed(now.secondsPerToken, std::max(sample, fewestSeconds));
     }
     m_engines[id.value] = now;
 }
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -21,6 +21,9 @@
     /// To fetch a beginning of some 13,000 tokens from another engine.
     constexpr double fetchSeconds = 0.025;
     constexpr double fetchPenaltySeconds = 0.02;
+    /// Requests at an engine, in its slots. What waits there is taken up by urgency, so a place in the queue costs the
+    /// urgent ones nothing.
+    constexpr int enginePlaces = 2;
     /// A fast answer anywhere is better than a late one.
     constexpr double lateSeconds = 10;
     /// A decode step grows by this for each request it serves.
@@ -72,7 +75,10 @@
     const int cap = profile ? profile->connectionCap : 0;
     if (cap > 0 && fleet.ownRunning[id.value] >= std::max(1, cap / m_knownNodes))
         return false;
-    return fleet.running(id) < fleet.slots[id.value];
+    // Engines order what waits there by urgency, plain targets do not.
+    const int places = fleet.role[id.value] == target_role::plain ? fleet.slots[id.value]
+                                                                  : enginePlaces * fleet.slots[id.value];
+    return fleet.running(id) < places;
 }
 
 target_choice placement::chooseFirst(const placement_need& need, instant now)
