Small prompts told to peers and read apart when writers are full; overhead of each prompt followed

Cause: an engine that also writes takes up some 43 small prompts a second, while the nodes, each of which knew a sixth of them, thought it idle; engines that only read stood idle meanwhile.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -150,12 +150,11 @@
     m_services.log.write(log_event::attempt_started,
         { { "request", m_decoded.id }, { "target", fleet.instance[command.target.value] },
             { "stage", nameOf(stageNames, command.stage) }, { "work", static_cast<std::int64_t>(command.work) },
-            { "work_before", static_cast<std::int64_t>(command.workBefore) },
+            { "wait_ms", static_cast<std::int64_t>(command.waitSeconds * 1000) },
             { "running", fleet.running(command.target) },
             { "fetch_from", command.fetchFrom.isValid() ? fleet.instance[command.fetchFrom.value] : std::string() },
-            { "predicted_ms", static_cast<std::int64_t>(command.predictedSeconds * 1000) },
-            { "urgency", command.urgency }, { "lane", command.lane == serving::work_lane::late ? "late" : "fast" },
-            { "left_ms", milliseconds(command.timeLeft) } });
+            { "predicted_ms", static_cast<std::int64_t>(command.predictedSeconds * 1000) }, { "late", command.isLate },
+            { "urgency", command.urgency }, { "left_ms", milliseconds(command.timeLeft) } });
     const auto& address = fleet.address[command.target.value];
     attempt->startedAt = boot_clock::now();
     attempt->exchange = m_services.client.start(
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -23,6 +23,8 @@
     constexpr auto decisionInterval = 20ms;
     /// Peers' work is as old as this; an engine reads some 6,000 tokens meanwhile.
     constexpr auto heartbeatInterval = 100ms;
+    /// Prompts sent within this time are told to peers together.
+    constexpr auto notePause = 5ms;
     /// With more peers than this, heartbeats go out less often: each node sends so many datagrams a second.
     constexpr int heartbeatsPerSecond = 160;
     constexpr duration peerLife = 600ms;
@@ -86,7 +88,9 @@
 
     void tick();
     void beat();
-    void heard(node_heartbeat message);
+    void heard(peer_datagram message);
+    void heardBeat(node_heartbeat message);
+    void tellJobs();
     void registerSelf();
     void pullState();
     void pullFrom(const endpoint& peer);
@@ -117,6 +121,7 @@
     QTimer beatTimer;
     QTimer registrationTimer;
     QTimer pullTimer;
+    QTimer noteTimer;
     std::uint64_t incarnation = 0; // 0 until the store has given one
     std::size_t entryTurn = 0;
     std::size_t seedTurn = 0;
@@ -132,6 +137,7 @@
     serving::dispatcher_settings dispatcherSettings(const gateway_settings& settings)
     {
         serving::dispatcher_settings out;
+        out.vm = settings.vm;
         out.availabilityZone = settings.availabilityZone;
         out.seed = stableHash(settings.vm);
         out.retries = { settings.retryRatio, settings.retrySlack, settings.retryWindow };
@@ -167,7 +173,7 @@
     , nodes(settings.vm, {})
     , view({ ports.records, ports.store, decisions, nodes, counters, log }, settings,
           [this](std::shared_ptr<const serving::serving_configuration> configuration) { configure(configuration); })
-    , peers([this](node_heartbeat message) { heard(std::move(message)); })
+    , peers([this](peer_datagram message) { heard(std::move(message)); })
     , services { client, decisions, ports.callers, ports.targets, counters, log }
     , caches(client, ports.targets, decisions, counters, log)
     , callers(
@@ -197,6 +203,8 @@
     QObject::connect(&decisionTimer, &QTimer::timeout, [this] { tick(); });
     QObject::connect(&beatTimer, &QTimer::timeout, [this] { beat(); });
     QObject::connect(&pullTimer, &QTimer::timeout, [this] { pullState(); });
+    noteTimer.setSingleShot(true);
+    QObject::connect(&noteTimer, &QTimer::timeout, [this] { tellJobs(); });
     registrationTimer.setSingleShot(true);
     QObject::connect(&registrationTimer, &QTimer::timeout, [this] { registerSelf(); });
 }
@@ -349,6 +357,9 @@
         executeOne(command);
     }
     isExecuting = false;
+    // Told together with those of the next moment: a datagram for each small prompt would cost more than it tells.
+    if (!noteTimer.isActive())
+        noteTimer.start(notePause);
 }
 
 void gateway::state::executeOne(const serving::command& command)
@@ -465,19 +476,38 @@
 void gateway::state::beat()
 {
     const auto now = boot_clock::now();
-    peers.send(nodes.recipients(now), { self(), decisions.ownWork() });
+    peers.send(nodes.recipients(now), node_heartbeat { self(), decisions.ownLoad(), decisions.ownJobs(now) });
     const int wanted = nodes.knownCount() * 1000 / heartbeatsPerSecond;
     beatTimer.setInterval(std::max(static_cast<int>(heartbeatInterval.count()), wanted));
 }
 
-void gateway::state::heard(node_heartbeat message)
+void gateway::state::heard(peer_datagram message)
+{
+    if (auto* heartbeat = std::get_if<node_heartbeat>(&message))
+        return heardBeat(std::move(*heartbeat));
+    const auto& note = std::get<job_note>(message);
+    decisions.peerSent(note.vm, note.jobs, false, boot_clock::now());
+}
+
+// What goes wrong without it: until the next heartbeat all nodes take the same engine for the one with the least work,
+// and send it their prompts.
+void gateway::state::tellJobs()
+{
+    const auto now = boot_clock::now();
+    auto jobs = decisions.takeNewJobs(now);
+    if (!jobs.empty())
+        peers.send(nodes.alive(now), job_note { settings.vm, std::move(jobs) });
+}
+
+void gateway::state::heardBeat(node_heartbeat message)
 {
     const auto now = boot_clock::now();
     if (!nodes.isAlive(message.sender.vm, now))
         log.write(
             log_event::peer_reached, { { "peer", message.sender.vm }, { "incarnation", message.sender.incarnation } });
     nodes.heard(message.sender, now);
-    decisions.peerTold(message.sender.vm, std::move(message.work), now);
+    decisions.peerTold(message.sender.vm, std::move(message.load), now);
+    decisions.peerSent(message.sender.vm, message.jobs, true, now);
     const auto known = view.hasConfiguration() ? view.configuration()->version() : 0;
     if (message.sender.configurationVersion > known)
         view.versionSeen(message.sender.configurationVersion);
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -5,6 +5,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 #include <sstream>
 
@@ -14,8 +15,9 @@
 
     /// Another version is another format: what cannot be read is dropped, and the nodes of a version know each other.
     constexpr char formatVersion = 1;
-    /// 1,472 bytes fit into a datagram that is not split; an entry takes 14, the rest is the sender.
-    constexpr std::size_t mostEntries = 90;
+    /// 1,472 bytes fit into a datagram that is not split; a load takes 6, a job 15, the sender some 100.
+    constexpr std::size_t mostLoads = 100;
+    constexpr std::size_t mostJobs = 50;
 
     template <class Message> std::string encode(const Message& message)
     {
@@ -53,14 +55,18 @@
             m.isStopping, m.configurationVersion);
     }
 
-    template <class Archive> void serialize(Archive& archive, work_entry& m)
+    template <class Archive> void serialize(Archive& archive, load_entry& m) { archive(m.target, m.running); }
+
+    template <class Archive> void serialize(Archive& archive, told_job& m)
     {
-        archive(m.target, m.running, m.fastTokens, m.lateTokens);
+        archive(m.target, m.number, m.rank, m.work, m.ageMilliseconds);
     }
 
 }
 
-template <class Archive> void serialize(Archive& archive, node_heartbeat& m) { archive(m.sender, m.work); }
+template <class Archive> void serialize(Archive& archive, node_heartbeat& m) { archive(m.sender, m.load, m.jobs); }
+
+template <class Archive> void serialize(Archive& archive, job_note& m) { archive(m.vm, m.jobs); }
 
 template <class Archive> void serialize(Archive& archive, keyed_record& m) { archive(m.offset, m.key, m.value); }
 
@@ -69,18 +75,16 @@
     archive(m.configuration, m.targets, m.nodes);
 }
 
-std::string encodeNodeHeartbeat(node_heartbeat message)
+std::string encodeDatagram(peer_datagram message)
 {
-    auto& work = message.work;
-    if (work.size() > mostEntries) {
-        std::nth_element(work.begin(), work.begin() + mostEntries, work.end(),
-            [](const auto& a, const auto& b) { return a.fastTokens + a.lateTokens > b.fastTokens + b.lateTokens; });
-        work.resize(mostEntries);
+    if (auto* heartbeat = std::get_if<node_heartbeat>(&message)) {
+        heartbeat->load.resize(std::min(heartbeat->load.size(), mostLoads));
+        heartbeat->jobs.resize(std::min(heartbeat->jobs.size(), mostJobs));
     }
     return encode(message);
 }
 
-std::optional<node_heartbeat> decodeNodeHeartbeat(const std::string& bytes) { return decode<node_heartbeat>(bytes); }
+std::optional<peer_datagram> decodeDatagram(const std::string& bytes) { return decode<peer_datagram>(bytes); }
 
 std::string encodeState(const shared_state& state) { return encode(state); }
 
--- a/libs/gateway/src/peer_mesh.cpp
+++ b/libs/gateway/src/peer_mesh.cpp
@@ -5,8 +5,8 @@
 
 namespace tamarack {
 
-peer_mesh::peer_mesh(std::function<void(node_heartbeat)> onHeartbeat)
-    : m_onHeartbeat(std::move(onHeartbeat))
+peer_mesh::peer_mesh(std::function<void(peer_datagram)> onMessage)
+    : m_onMessage(std::move(onMessage))
 {
     QObject::connect(&m_socket, &QUdpSocket::readyRead, [this] { readDatagrams(); });
 }
@@ -16,11 +16,11 @@
     return m_socket.bind(QHostAddress(QString::fromStdString(address.address)), address.port);
 }
 
-void peer_mesh::send(const std::vector<serving::node_state>& recipients, const node_heartbeat& message)
+void peer_mesh::send(const std::vector<serving::node_state>& recipients, const peer_datagram& message)
 {
     if (recipients.empty())
         return;
-    const auto bytes = encodeNodeHeartbeat(message);
+    const auto bytes = encodeDatagram(message);
     for (const auto& node : recipients)
         m_socket.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()),
             QHostAddress(QString::fromStdString(node.address)), node.peerPort);
@@ -31,9 +31,9 @@
     std::array<char, 2048> buffer; // above any heartbeat
     while (m_socket.hasPendingDatagrams()) {
         const auto size = m_socket.readDatagram(buffer.data(), buffer.size());
-        auto message = decodeNodeHeartbeat({ buffer.data(), static_cast<std::size_t>(std::max<qint64>(size, 0)) });
+        auto message = decodeDatagram({ buffer.data(), static_cast<std::size_t>(std::max<qint64>(size, 0)) });
         if (message)
-            m_onHeartbeat(std::move(*message));
+            m_onMessage(std::move(*message));
         else
             ++m_undecodable;
     }
--- a/libs/gateway/src/peer_mesh.h
+++ b/libs/gateway/src/peer_mesh.h
@@ -1,4 +1,4 @@
-// Heartbeats between nodes, over UDP.
+// Heartbeats and notes between nodes, over UDP.
 #pragma once
 
 #include "node_messages.h"
@@ -12,18 +12,18 @@
 
 class peer_mesh {
 public:
-    explicit peer_mesh(std::function<void(node_heartbeat)> onHeartbeat);
+    explicit peer_mesh(std::function<void(peer_datagram)> onMessage);
 
     /// False if the port is taken.
     bool listen(const endpoint& address);
-    void send(const std::vector<serving::node_state>& recipients, const node_heartbeat& message);
-    /// Datagrams that were no heartbeats.
+    void send(const std::vector<serving::node_state>& recipients, const peer_datagram& message);
+    /// Datagrams that were no messages.
     std::uint64_t undecodable() const { return m_undecodable; }
 
 private:
     void readDatagrams();
 
-    std::function<void(node_heartbeat)> m_onHeartbeat;
+    std::function<void(peer_datagram)> m_onMessage;
     QUdpSocket m_socket;
     std::uint64_t m_undecodable = 0;
 };
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -51,7 +51,7 @@
         { log_event::request_taken, "request_taken", info, served, "request route service version left_ms tokens" },
         { log_event::request_waits, "request_waits", info, served, "request waiting" },
         { log_event::attempt_started, "attempt_started", info, served,
-            "request target stage lane urgency work work_before running predicted_ms left_ms fetch_from list_age_ms" },
+            "request target stage late urgency work wait_ms running predicted_ms left_ms fetch_from" },
         { log_event::attempt_ended, "attempt_ended", info, served, "request target stage status first_ms took_ms" },
         { log_event::request_ended, "request_ended", info, served, "request route outcome first_ms took_ms attempts" },
     } };
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -2,7 +2,7 @@
 // thread.
 #pragma once
 
-#include "serving/peer_work.h"
+#include "serving/peer_load.h"
 #include "serving/placement.h"
 #include "serving/request_book.h"
 #include "serving/retry_allowance.h"
@@ -14,6 +14,7 @@
 namespace tamarack::serving {
 
 struct dispatcher_settings {
+    std::string vm;
     std::string availabilityZone;
     std::uint64_t seed = 1;
     retry_bound retries;
@@ -27,7 +28,9 @@
 
     void targetListed(const target_record& record);
     void targetGone(const std::string& instance, instant now);
-    void peerTold(const std::string& peer, std::vector<work_entry> work, instant now);
+    void peerTold(const std::string& peer, std::vector<load_entry> load, instant now);
+    /// Prompts that a peer has sent to engines; `isAll`: and no others.
+    void peerSent(const std::string& peer, const std::vector<told_job>& jobs, bool isAll, instant now);
     /// All nodes known, this one included, whether they seem alive or not.
     void setKnownNodes(int nodes);
 
@@ -51,14 +54,17 @@
     void cacheLost(target_id engine) { m_caches.forget(engine); }
     std::vector<health_change> takeHealthChanges() { return m_health.takeChanges(); }
     const fleet_table& fleet() const { return m_fleet; }
-    std::vector<work_entry> ownWork() const { return m_peers.own(); }
+    std::vector<load_entry> ownLoad() const { return m_peers.own(); }
+    std::vector<told_job> ownJobs(instant now) const { return m_queues.own(now); }
+    /// Prompts sent to engines since the last call, for the peers.
+    std::vector<told_job> takeNewJobs(instant now) { return m_queues.takeNew(now); }
     std::size_t held() const { return m_book.held(); }
     std::size_t waiting() const { return m_waiting.size(); }
 
 private:
     placement_need needOf(std::size_t row, instant now) const;
-    /// Sums what is left of this node's work at each target.
-    void sumOwnWork(instant now);
+    /// The prompt of the present attempt was read, or will not be.
+    void endReading(std::size_t row, instant now, bool wasRead);
     retry_allowance& allowanceOf(const std::string& service);
     bool tryStart(std::size_t row, instant now, command_list& out);
     bool startDecode(std::size_t row, instant now, command_list& out);
@@ -69,7 +75,6 @@
     void countSend(std::size_t row, instant now);
     void dispatch(instant now, command_list& out);
     void settle(std::size_t row, attempt_result result, const std::string& cacheName, instant now, command_list& out);
-    void learn(const current_attempt& attempt, instant now);
     void succeeded(std::size_t row);
     void prefilled(std::size_t row, const std::string& cacheName, instant now, command_list& out);
     void retryOrEnd(std::size_t row, bool countsAsSend, error_kind kind, instant now, command_list& out);
@@ -84,8 +89,9 @@
     duration returnTime(std::size_t row, instant now);
 
     fleet_table m_fleet;
-    peer_work m_peers;
+    peer_load m_peers;
     engine_pace m_pace;
+    read_queues m_queues;
     prompt_cache_map m_caches;
     target_health m_health;
     placement m_placement;
@@ -96,7 +102,6 @@
     std::vector<request_id> m_waiting; // in order of arrival
     std::uint64_t m_nextAttempt = 1;
     int m_knownNodes = 1;
-    instant m_nextSum; // of own work; not before
 };
 
 }
--- a/libs/serving/include/serving/engine_pace.h
+++ b/libs/serving/include/serving/engine_pace.h
@@ -20,8 +20,9 @@
     double secondsPerToken(target_id id) const;
     /// Seconds that pass for each request besides, during which the engine reads others.
     double baseSeconds(target_id id) const;
-    /// The prompt was read `elapsed` after it was sent. Only prompts that had an engine nearly to themselves teach.
-    void learned(target_id id, double work, double workBefore, duration elapsed);
+    /// The prompt was read `elapsed` after it was sent, of which it was thought to wait for others for `waitSeconds`.
+    /// Only prompts that had an engine nearly to themselves teach.
+    void learned(target_id id, double work, double waitSeconds, duration elapsed);
     void forget(target_id id);
 
 private:
--- a/libs/serving/include/serving/fleet_table.h
+++ b/libs/serving/include/serving/fleet_table.h
@@ -20,14 +20,6 @@
     int slots = 0;
 };
 
-/// Tokens of prompt work, by the lane in which targets take it up.
-struct lane_work {
-    double fast = 0; ///< of requests that can still be fast
-    double late = 0; ///< of those that cannot; done when nothing else waits
-
-    double all() const { return fast + late; }
-};
-
 /// A row keeps its id as long as the target is listed or this node has work there. Rows are then used again.
 class fleet_table {
 public:
@@ -48,13 +40,8 @@
     bool takesWork(target_id id, instant now) const;
     /// Requests that the target is thought to hold, from all nodes.
     int running(target_id id) const { return ownRunning[id.value] + peersRunning[id.value]; }
-    /// Prompt work in tokens that the target is thought to have before it, from all nodes.
-    double work(target_id id) const { return ownWork[id.value].all() + peersWork[id.value].all(); }
-    /// The part of it that goes before requests that cannot be fast any more.
-    double fastWork(target_id id) const { return ownWork[id.value].fast + peersWork[id.value].fast; }
     void began(target_id id) { ownRunning[id.value] += 1; }
     void ended(target_id id);
-    void clearOwnWork();
 
     // Columns, all of one length.
     std::vector<std::string> instance;
@@ -68,9 +55,7 @@
     std::vector<std::uint8_t> isDraining;
     std::vector<instant> blockedUntil; // after failures
     std::vector<int> ownRunning;
-    std::vector<lane_work> ownWork;
     std::vector<int> peersRunning;
-    std::vector<lane_work> peersWork;
     std::vector<told_load> told;
 
 private:
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -5,6 +5,7 @@
 #include "serving/engine_pace.h"
 #include "serving/fleet_table.h"
 #include "serving/prompt_cache_map.h"
+#include "serving/read_queues.h"
 #include "serving/target_health.h"
 
 #include <vector>
@@ -21,11 +22,13 @@
 struct target_choice {
     target_id target; ///< invalid if no target takes the request now
     attempt_stage stage = attempt_stage::whole;
-    work_lane lane = work_lane::fast;
+    read_rank rank = read_rank::tiny; ///< of its prompt in the engine's queue
     double work = 0; ///< tokens of prompt work that this puts on the target
-    double workBefore = 0; ///< that goes before it there
+    double waitSeconds = 0; ///< for what the engine reads before it
     double seconds = 0; ///< predicted, until the stage's answer begins
-    target_id fetchFrom; ///< where the target gets the prompt's beginning; invalid: it keeps it, or reads it
+    /// Where the target gets the prompt's beginning if it does not keep it; invalid: nowhere.
+    target_id fetchFrom;
+    bool isFetching = false; ///< it should not keep it
 };
 
 /// What placement reads; outlives it.
@@ -34,6 +37,7 @@
     const engine_pace& pace;
     const prompt_cache_map& caches;
     const target_health& health;
+    read_queues& queues;
 };
 
 class placement {
@@ -50,20 +54,37 @@
     bool hasTargets(const std::string& service) const { return !m_inputs.fleet.rowsOf(service).empty(); }
 
 private:
+    /// What an engine has of a prompt's beginning.
+    struct kept_beginning {
+        target_id engine;
+        std::int64_t tokens = 0;
+    };
+
     /// Targets that take new work now; those to avoid only if there are no others.
     const std::vector<std::uint32_t>& candidates(const placement_need& need, instant now);
     bool hasRoom(target_id id, const placement_need& need) const;
     target_choice choosePlain(const placement_need& need, instant now);
     target_choice chooseEngine(const placement_need& need, instant now);
-    /// The engine that keeps most of the prompt's beginning; invalid if none keeps any of it.
-    target_id bestKeeper(const placement_need& need) const;
-    /// What it takes to read the prompt at an engine, its beginning fetched from `keeper` where that is better.
-    target_choice reading(target_id id, target_id keeper, const placement_need& need) const;
+    /// Seconds of waiting that are as bad as the slots taken at an engine.
+    double crowdingSeconds(target_id id) const;
+    /// Share of the target's slots that would be taken with one more request.
+    double takenShare(target_id id) const;
+    /// Fills m_keepers with the engines that have some of the prompt's beginning.
+    void findKeepers(const placement_need& need);
+    /// The one from which `id` had best fetch the beginning; no tokens if there is none.
+    kept_beginning bestKeeperFor(target_id id) const;
+    /// What it takes to read the prompt at an engine, its beginning fetched where that is better.
+    target_choice reading(target_id id, const placement_need& need, instant now) const;
+    /// Seconds for which a late request can hold up others, beyond those for which late ones do so there already.
+    double newBlocking(const target_choice& choice) const;
+    double lateTakesSlot(target_id id) const;
 
     placement_inputs m_inputs;
     random_source m_random;
     int m_knownNodes = 1;
-    std::vector<std::uint32_t> m_candidates; // kept between calls to avoid allocation
+    // Kept between calls to avoid allocation.
+    std::vector<std::uint32_t> m_candidates;
+    std::vector<kept_beginning> m_keepers;
 };
 
 }
--- a/libs/serving/include/serving/request_book.h
+++ b/libs/serving/include/serving/request_book.h
@@ -31,12 +31,11 @@
     attempt_id id;
     target_id target;
     attempt_stage stage = attempt_stage::whole;
-    work_lane lane = work_lane::fast;
-    double work = 0; ///< of reading its prompt, in tokens; 0 once that is done
-    double workBefore = 0; ///< at the target, in its lane and those before it, when it was sent
+    bool isReading = false; ///< its prompt is in the engine's queue
+    std::uint64_t readKey = 0; ///< of it there
+    double work = 0; ///< of reading its prompt, in tokens
+    double waitSeconds = 0; ///< predicted, for what the engine reads before it
     instant sentAt;
-    instant readFrom; ///< predicted: its prompt is being read between these
-    instant readUntil;
     instant stallsAt; ///< without a sign of the target until then, it is left
     bool hasBegun = false; ///< its answer has begun
 };
--- a/libs/serving/include/serving/serving_request.h
+++ b/libs/serving/include/serving/serving_request.h
@@ -42,12 +42,6 @@
     decode ///< the answer, from an imported KV cache
 };
 
-/// In which order targets take up what waits there.
-enum class work_lane : unsigned char {
-    fast, ///< can still be answered within its aim
-    late ///< cannot; served with what the others leave
-};
-
 /// An exported KV cache, held at the target that made it.
 struct cache_handle {
     target_id source;
@@ -63,13 +57,13 @@
     cache_handle cache; ///< stage decode: what to import
     target_id fetchFrom; ///< an engine that keeps more of the prompt's beginning; invalid if none does
     duration timeLeft = duration::zero(); ///< after which the answer is of no use
-    work_lane lane = work_lane::fast;
     int urgency = 0; ///< 0 goes first at the target
     bool onFreshConnection = false;
     // What decided it, for the log.
     double predictedSeconds = 0; ///< until the stage's answer begins
     double work = 0; ///< tokens of prompt work it adds to the target
-    double workBefore = 0; ///< that the target was thought to have already
+    double waitSeconds = 0; ///< for what the target was thought to read before it
+    bool isLate = false; ///< it cannot be within its aim any more
 };
 
 /// Stop the attempt: its answer is not wanted any more.
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "base/contract.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack::serving {
 
@@ -25,24 +26,16 @@
     constexpr duration noTargetReturn = 1s;
     /// Of the aim: predictions are about this far off.
     constexpr double aimMargin = 0.1;
-    /// Own work is summed anew at most this often.
-    constexpr duration workSumInterval = 5ms;
-    constexpr double overdueShare = 0.15;
-    /// Engines take up the lowest first. An answer whose prompt was read elsewhere goes before all; then the routes by
-    /// their priority; then what is late.
+    /// Engines take up the lowest first. An answer whose prompt was read elsewhere goes before all; then prompts by
+    /// their rank.
     constexpr int decodeUrgency = 0;
     constexpr int firstUrgency = 1;
-    constexpr int lastFastUrgency = 6;
-    constexpr int firstLateUrgency = 7;
-    constexpr int lastUrgency = 9;
 
-    int urgencyOf(const target_choice& choice, int priority)
+    int urgencyOf(const target_choice& choice)
     {
         if (choice.stage == attempt_stage::decode)
             return decodeUrgency;
-        if (choice.lane == work_lane::late)
-            return std::min(firstLateUrgency + priority, lastUrgency);
-        return std::min(firstUrgency + priority, lastFastUrgency);
+        return firstUrgency + static_cast<int>(choice.rank);
     }
 
 }
@@ -51,8 +44,9 @@
     : m_fleet(settings.availabilityZone)
     , m_peers(m_fleet, settings.peerLife)
     , m_pace(m_fleet)
+    , m_queues(m_fleet, m_pace, shortHash(settings.vm))
     , m_health(m_fleet)
-    , m_placement({ m_fleet, m_pace, m_caches, m_health }, settings.seed)
+    , m_placement({ m_fleet, m_pace, m_caches, m_health, m_queues }, settings.seed)
     , m_random(settings.seed + 1)
     , m_retryBound(settings.retries)
 {
@@ -65,21 +59,28 @@
     if (!isNew)
         return;
     m_pace.forget(id);
+    m_queues.forget(id);
     m_caches.forget(id);
     m_health.forget(id);
 }
 
 void dispatcher::targetGone(const std::string& instance, instant) { m_fleet.remove(instance); }
 
-void dispatcher::peerTold(const std::string& peer, std::vector<work_entry> work, instant now)
+void dispatcher::peerTold(const std::string& peer, std::vector<load_entry> load, instant now)
 {
-    m_peers.heard(peer, std::move(work), now);
+    m_peers.heard(peer, std::move(load), now);
+}
+
+void dispatcher::peerSent(const std::string& peer, const std::vector<told_job>& jobs, bool isAll, instant now)
+{
+    m_queues.told(shortHash(peer), jobs, isAll, now);
 }
 
 void dispatcher::setKnownNodes(int nodes)
 {
     m_knownNodes = std::max(1, nodes);
     m_placement.setKnownNodes(m_knownNodes);
+    m_queues.setKnownNodes(m_knownNodes);
 }
 
 retry_allowance& dispatcher::allowanceOf(const std::string& service)
@@ -94,32 +95,9 @@
     return { m_book.request[row], m_book.progress[row].avoid, seconds(times.aimAt - now) - margin };
 }
 
-// What is left of a prompt's work at a target is not told; it is reckoned from the time at which the target should come
-// to it. What should have been done and is not counts for a part still.
-void dispatcher::sumOwnWork(instant now)
-{
-    if (now < m_nextSum)
-        return;
-    m_nextSum = now + workSumInterval;
-    m_fleet.clearOwnWork();
-    for (std::size_t row = 0; row < m_book.rows(); ++row) {
-        const auto& current = m_book.current[row];
-        if (m_book.phase[row] != request_phase::running || current.work <= 0)
-            continue;
-        const double span = seconds(current.readUntil - current.readFrom);
-        const double left = span > 0 ? seconds(current.readUntil - now) / span : 1;
-        auto& sum = m_fleet.ownWork[current.target.value];
-        if (current.lane == work_lane::late)
-            sum.late += current.work;
-        else
-            sum.fast += current.work * std::clamp(left, overdueShare, 1.0);
-    }
-}
-
 request_id dispatcher::arrive(serving_request request, instant now, command_list& out)
 {
     m_peers.refresh(now);
-    sumOwnWork(now);
     allowanceOf(request.service).requested(now);
     const request_id id = m_book.add(std::move(request), now);
     const auto row = static_cast<std::size_t>(m_book.row(id));
@@ -202,21 +180,19 @@
     current.id = { m_nextAttempt++ };
     current.target = choice.target;
     current.stage = choice.stage;
-    current.lane = choice.lane;
     current.work = choice.work;
-    current.workBefore = choice.workBefore;
+    current.waitSeconds = choice.waitSeconds;
     current.sentAt = now;
-    const double pace = m_pace.secondsPerToken(choice.target);
-    current.readFrom = now + fromSeconds(choice.workBefore * pace);
-    current.readUntil = current.readFrom + fromSeconds(choice.work * pace);
+    if (choice.work > 0) {
+        current.isReading = true;
+        current.readKey = m_queues.add(choice.target, choice.rank, choice.work, now);
+    }
     duration patience = fromSeconds(stallFactor * choice.seconds) + stallSlack;
     if (m_fleet.role[choice.target.value] == target_role::plain)
         patience = fromSeconds(plainStallShareOfAim * seconds(request.route->aim));
     current.stallsAt = now + patience;
     m_fleet.began(choice.target);
-    auto& ownWork = m_fleet.ownWork[choice.target.value];
-    (choice.lane == work_lane::late ? ownWork.late : ownWork.fast) += choice.work;
-    if (request.text && choice.lane == work_lane::fast)
+    if (request.text && choice.rank != read_rank::late)
         m_caches.sent(choice.target, *request.text);
     start_attempt command;
     command.request = m_book.idOf(row);
@@ -227,12 +203,12 @@
         command.cache = progress.cache;
     command.fetchFrom = choice.fetchFrom;
     command.timeLeft = m_book.times[row].answerBy - now;
-    command.lane = choice.lane;
-    command.urgency = urgencyOf(choice, request.route->priority);
+    command.isLate = choice.rank == read_rank::late;
+    command.urgency = urgencyOf(choice);
     command.onFreshConnection = !request.route->isRepeatable && choice.stage != attempt_stage::prefill;
     command.predictedSeconds = choice.seconds;
     command.work = choice.work;
-    command.workBefore = current.workBefore;
+    command.waitSeconds = choice.waitSeconds;
     out.push_back(std::move(command));
 }
 
@@ -241,6 +217,8 @@
     auto& current = m_book.current[row];
     if (!current.id.isValid())
         return;
+    if (current.isReading)
+        m_queues.removed(current.target, current.readKey);
     m_fleet.ended(current.target);
     current = {};
     m_book.phase[row] = request_phase::waiting;
@@ -319,18 +297,20 @@
     if (current.hasBegun || current.stage == attempt_stage::prefill)
         return;
     current.hasBegun = true;
-    if (current.stage == attempt_stage::whole && current.work > 0)
-        learn(current, now);
-    if (const auto& text = m_book.request[row].text)
-        m_caches.wasRead(current.target, *text);
-    current.work = 0;
+    endReading(row, now, true);
 }
 
-// A late request waits for any number of others that come after it, so its time says nothing of the engine.
-void dispatcher::learn(const current_attempt& attempt, instant now)
+void dispatcher::endReading(std::size_t row, instant now, bool wasRead)
 {
-    if (attempt.lane == work_lane::fast)
-        m_pace.learned(attempt.target, attempt.work, attempt.workBefore, now - attempt.sentAt);
+    auto& current = m_book.current[row];
+    if (!std::exchange(current.isReading, false))
+        return;
+    if (!wasRead)
+        return m_queues.removed(current.target, current.readKey);
+    m_queues.finished(current.target, current.readKey, now);
+    m_pace.learned(current.target, current.work, current.waitSeconds, now - current.sentAt);
+    if (const auto& text = m_book.request[row].text)
+        m_caches.wasRead(current.target, *text);
 }
 
 void dispatcher::started(request_id request, attempt_id attempt)
@@ -345,7 +325,6 @@
     if (!isCurrent(request, attempt))
         return;
     m_peers.refresh(now);
-    sumOwnWork(now);
     settle(static_cast<std::size_t>(m_book.row(request)), result, cacheName, now, out);
     dispatch(now, out); // a place may have become free
 }
@@ -418,9 +397,7 @@
 {
     const auto attempt = m_book.current[row];
     m_health.succeeded(attempt.target);
-    learn(attempt, now);
-    if (const auto& text = m_book.request[row].text)
-        m_caches.wasRead(attempt.target, *text);
+    endReading(row, now, true);
     releaseAttempt(row);
     m_book.progress[row].cache = { attempt.target, cacheName };
     if (!startDecode(row, now, out))
@@ -485,7 +462,6 @@
 void dispatcher::tick(instant now, command_list& out)
 {
     m_peers.refresh(now);
-    sumOwnWork(now);
     for (std::size_t row = 0; row < m_book.rows(); ++row) {
         if (m_book.phase[row] != request_phase::free)
             checkTimes(row, now, out);
--- a/libs/serving/src/engine_pace.cpp
+++ b/libs/serving/src/engine_pace.cpp
@@ -18,12 +18,12 @@
     /// Below the first, samples tell of what passes for each request; above the second, of the pace.
     constexpr double mostBaseTokens = 1'000;
     constexpr double fewestPaceTokens = 4'000;
-    /// What else an engine does can only make a prompt take longer, so the engine's own times are at the lower end of the
-    /// samples: they are followed down quickly and up slowly.
+    /// What else an engine does can only make a prompt take longer, so the engine's own times are at the lower end of
+    /// the samples: they are followed down quickly and up slowly.
     constexpr double weightDown = 0.2;
     constexpr double weightUp = 0.02;
-    /// Of a prompt's work, that was before it; above it the sample tells of the queue.
-    constexpr double mostBefore = 0.2;
+    /// Seconds; above it the sample tells of the queue.
+    constexpr double mostWait = 0.03;
     constexpr double fewestSeconds = 1e-6; // a token
     constexpr double longestBase = 0.3;
 
@@ -59,22 +59,18 @@
 
 double engine_pace::baseSeconds(target_id id) const { return known(id).baseSeconds; }
 
-void engine_pace::learned(target_id id, double work, double workBefore, duration elapsed)
+void engine_pace::learned(target_id id, double work, double waitSeconds, duration elapsed)
 {
-    if (workBefore > mostBefore * std::max(work, mostBaseTokens))
+    if (waitSeconds > mostWait)
         return;
     if (id.value >= m_engines.size())
         m_engines.resize(id.value + 1);
     engine now = known(id);
-    const double total = work + workBefore;
-    if (total < mostBaseTokens) {
-        const double sample = seconds(elapsed) - total * now.secondsPerToken;
-        now.baseSeconds = followed(now.baseSeconds, std::clamp(sample, 0.0, longestBase));
-    }
-    if (total > fewestPaceTokens) {
-        const double sample = (seconds(elapsed) - now.baseSeconds) / total;
-        now.secondsPerToken = followed(now.secondsPerToken, std::max(sample, fewestSeconds));
-    }
+    const double own = seconds(elapsed) - waitSeconds;
+    if (work < mostBaseTokens)
+        now.baseSeconds = followed(now.baseSeconds, std::clamp(own - work * now.secondsPerToken, 0.0, longestBase));
+    if (work > fewestPaceTokens)
+        now.secondsPerToken = followed(now.secondsPerToken, std::max((own - now.baseSeconds) / work, fewestSeconds));
     m_engines[id.value] = now;
 }
 
--- a/libs/serving/src/fleet_table.cpp
+++ b/libs/serving/src/fleet_table.cpp
@@ -20,7 +20,6 @@
     isListed[row] = isDraining[row] = 0;
     blockedUntil[row] = {};
     ownRunning[row] = peersRunning[row] = 0;
-    ownWork[row] = peersWork[row] = {};
     told[row] = {};
 }
 
@@ -46,9 +45,7 @@
     isDraining.push_back(0);
     blockedUntil.emplace_back();
     ownRunning.push_back(0);
-    ownWork.emplace_back();
     peersRunning.push_back(0);
-    peersWork.emplace_back();
     told.emplace_back();
     return { static_cast<std::uint32_t>(size() - 1) };
 }
@@ -115,8 +112,6 @@
     return isListed[row] && !isDraining[row] && now >= blockedUntil[row];
 }
 
-void fleet_table::clearOwnWork() { std::fill(ownWork.begin(), ownWork.end(), lane_work {}); }
-
 void fleet_table::ended(target_id id)
 {
     TAMARACK_ASSERT(ownRunning[id.value] > 0, "own work is counted once up and once down");
--- a/libs/serving/src/peer_work.cpp
+++ b/libs/serving/src/peer_load.cpp
@@ -1,5 +1,5 @@
-// Sums of the peers' work.
-#include "serving/peer_work.h"
+// Sums of the peers' requests.
+#include "serving/peer_load.h"
 
 #include <algorithm>
 #include <limits>
@@ -12,26 +12,21 @@
     /// fresh enough.
     constexpr duration sumInterval = std::chrono::milliseconds(20);
 
-    template <class Unsigned> Unsigned saturated(double value)
-    {
-        return static_cast<Unsigned>(std::clamp(value, 0.0, static_cast<double>(std::numeric_limits<Unsigned>::max())));
-    }
-
 }
 
-peer_work::peer_work(fleet_table& fleet, duration life)
+peer_load::peer_load(fleet_table& fleet, duration life)
     : m_fleet(fleet)
     , m_life(life)
 {
 }
 
-void peer_work::heard(const std::string& peer, std::vector<work_entry> entries, instant now)
+void peer_load::heard(const std::string& peer, std::vector<load_entry> entries, instant now)
 {
     m_byPeer[peer] = { now, std::move(entries) };
     m_isChanged = true;
 }
 
-void peer_work::refresh(instant now)
+void peer_load::refresh(instant now)
 {
     if (now < m_nextSum)
         return;
@@ -41,27 +36,23 @@
         return;
     m_isChanged = false;
     std::fill(m_fleet.peersRunning.begin(), m_fleet.peersRunning.end(), 0);
-    std::fill(m_fleet.peersWork.begin(), m_fleet.peersWork.end(), lane_work {});
     for (const auto& [peer, told] : m_byPeer) {
         for (const auto& entry : told.entries) {
             const target_id id = m_fleet.findHash(entry.target);
-            if (!id.isValid())
-                continue;
-            m_fleet.peersRunning[id.value] += entry.running;
-            m_fleet.peersWork[id.value].fast += entry.fastTokens;
-            m_fleet.peersWork[id.value].late += entry.lateTokens;
+            if (id.isValid())
+                m_fleet.peersRunning[id.value] += entry.running;
         }
     }
 }
 
-std::vector<work_entry> peer_work::own() const
+std::vector<load_entry> peer_load::own() const
 {
-    std::vector<work_entry> out;
+    constexpr int mostTold = std::numeric_limits<std::uint16_t>::max();
+    std::vector<load_entry> out;
     for (std::uint32_t row = 0; row < m_fleet.size(); ++row) {
         if (m_fleet.ownRunning[row] > 0)
-            out.push_back({ m_fleet.instanceHash[row], saturated<std::uint16_t>(m_fleet.ownRunning[row]),
-                saturated<std::uint32_t>(m_fleet.ownWork[row].fast),
-                saturated<std::uint32_t>(m_fleet.ownWork[row].late) });
+            out.push_back(
+                { m_fleet.instanceHash[row], static_cast<std::uint16_t>(std::min(m_fleet.ownRunning[row], mostTold)) });
     }
     return out;
 }
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -8,19 +8,26 @@
 
 namespace {
 
-    /// Prompts below this are read in one or two steps between the tokens of other requests: a second engine and a
-    /// transfer would cost more than they save.
-    constexpr std::int64_t smallPromptTokens = 2'000;
-    /// To export, move and import a KV cache of some 17,000 tokens within a zone, as measured.
-    constexpr double moveSeconds = 0.03;
+    /// To export, move and import a KV cache within a zone until the first token, as measured: half of them take less
+    /// than 48 ms.
+    constexpr double moveSeconds = 0.05;
     /// What the move costs beyond its time, as seconds of waiting that are worth as much: links are shared.
     constexpr double movePenaltySeconds = 0.03;
     /// Two zones: the transfer takes twice as long, and bytes between zones are dear.
     constexpr double otherZoneMoveSeconds = 0.06;
     constexpr double otherZoneSeconds = 0.01;
     /// To fetch a beginning of some 13,000 tokens from another engine.
-    constexpr double fetchSeconds = 0.025;
+    constexpr double fetchSeconds = 0.05;
     constexpr double fetchPenaltySeconds = 0.02;
+    /// Of an engine's slots: beyond it they may all be taken before the nodes have told each other. Seconds for a full
+    /// engine's worth of requests beyond it.
+    constexpr double uncrowdedShare = 0.7;
+    constexpr double crowdingWeight = 1.0;
+    /// A late prompt that waits takes one of the slots that answers are written in; engines that only read have slots
+    /// to spare. Seconds of waiting that are as bad as one more where all are taken.
+    constexpr double lateAtWriterSeconds = 0.8;
+    /// Seconds of waiting that are as bad as a second for which an engine is held up for others.
+    constexpr double blockingWeight = 1;
     /// Requests at an engine, in its slots. What waits there is taken up by urgency, so a place in the queue costs the
     /// urgent ones nothing.
     constexpr int enginePlaces = 2;
@@ -76,8 +83,8 @@
     if (cap > 0 && fleet.ownRunning[id.value] >= std::max(1, cap / m_knownNodes))
         return false;
     // Engines order what waits there by urgency, plain targets do not.
-    const int places = fleet.role[id.value] == target_role::plain ? fleet.slots[id.value]
-                                                                  : enginePlaces * fleet.slots[id.value];
+    const int places
+        = fleet.role[id.value] == target_role::plain ? fleet.slots[id.value] : enginePlaces * fleet.slots[id.value];
     return fleet.running(id) < places;
 }
 
@@ -111,73 +118,113 @@
     return best;
 }
 
-target_id placement::bestKeeper(const placement_need& need) const
+// What goes wrong without it: an engine whose slots are all taken puts a running request back for a more urgent one,
+// and reads its whole prompt again later.
+double placement::crowdingSeconds(target_id id) const
 {
-    target_id best;
-    std::int64_t most = 0;
+    return crowdingWeight * std::max(0.0, takenShare(id) - uncrowdedShare);
+}
+
+double placement::takenShare(target_id id) const
+{
+    return static_cast<double>(m_inputs.fleet.running(id) + 1) / m_inputs.fleet.slots[id.value];
+}
+
+void placement::findKeepers(const placement_need& need)
+{
+    m_keepers.clear();
     if (!need.request.text)
-        return best;
+        return;
     for (const auto row : m_candidates) {
-        const auto kept = m_inputs.caches.fetchableTokens({ row }, *need.request.text);
-        if (kept <= most)
+        const auto tokens = m_inputs.caches.fetchableTokens({ row }, *need.request.text);
+        if (tokens > 0)
+            m_keepers.push_back({ { row }, tokens });
+    }
+}
+
+placement::kept_beginning placement::bestKeeperFor(target_id id) const
+{
+    const auto& zone = m_inputs.fleet.zone;
+    kept_beginning best;
+    for (const auto& keeper : m_keepers) {
+        if (keeper.engine == id || keeper.tokens < best.tokens)
             continue;
-        most = kept;
-        best = { row };
+        const bool isNearer = best.engine.isValid() && zone[keeper.engine.value] == zone[id.value]
+            && zone[best.engine.value] != zone[id.value];
+        if (keeper.tokens > best.tokens || isNearer)
+            best = keeper;
     }
     return best;
 }
 
-target_choice placement::reading(target_id id, target_id keeper, const placement_need& need) const
+target_choice placement::reading(target_id id, const placement_need& need, instant now) const
 {
     const auto& fleet = m_inputs.fleet;
     target_choice choice;
     choice.target = id;
     if (need.request.text) {
         const auto& text = *need.request.text;
-        auto kept = m_inputs.caches.keptTokens(id, text);
-        const auto elsewhere = keeper.isValid() ? m_inputs.caches.fetchableTokens(keeper, text) : 0;
-        if (elsewhere > kept) {
-            kept = elsewhere;
-            choice.fetchFrom = keeper;
+        const auto kept = m_inputs.caches.keptTokens(id, text);
+        const auto keeper = bestKeeperFor(id);
+        // Also named when the engine should have the beginning: events of its cache come late, and what it has lost
+        // meanwhile is fetched instead of read again.
+        if (keeper.tokens > 0 && keeper.tokens >= kept)
+            choice.fetchFrom = keeper.engine;
+        choice.isFetching = keeper.tokens > kept;
+        if (choice.isFetching)
             choice.seconds += fetchSeconds;
-        }
-        choice.work = promptWork(kept, text.inputTokens);
+        choice.work = promptWork(std::max(kept, keeper.tokens), text.inputTokens);
     }
-    const double pace = m_inputs.pace.secondsPerToken(id);
-    choice.seconds += m_inputs.pace.baseSeconds(id) + choice.work * pace;
+    choice.seconds += m_inputs.pace.baseSeconds(id) + m_inputs.queues.readSeconds(id, choice.work);
     choice.seconds += fleet.running(id) * stepSecondsPerRunning;
     if (fleet.role[id.value] == target_role::prefill) {
         choice.stage = attempt_stage::prefill;
         choice.seconds += moveSeconds;
     }
-    // Work that is late anyway lets the rest go first, so it counts only for others like it.
-    choice.workBefore = fleet.fastWork(id);
-    if (choice.seconds + choice.workBefore * pace > need.secondsToAim) {
-        choice.lane = work_lane::late;
-        choice.workBefore = fleet.work(id);
+    choice.rank = rankOf(choice.work);
+    choice.waitSeconds = m_inputs.queues.waitSeconds(id, choice.rank, now);
+    if (choice.seconds + choice.waitSeconds > need.secondsToAim) {
+        choice.rank = read_rank::late;
+        choice.waitSeconds = m_inputs.queues.waitSeconds(id, choice.rank, now);
     }
-    choice.seconds += choice.workBefore * pace;
+    choice.seconds += choice.waitSeconds;
     return choice;
 }
 
-target_choice placement::chooseEngine(const placement_need& need, instant)
+// What goes wrong without it: late requests lie at all engines, and at each of them one that was begun holds up the
+// fast ones for its whole length. Where one of that length lies already, a further one does no more harm.
+double placement::newBlocking(const target_choice& choice) const
+{
+    const double held = m_inputs.queues.readSeconds(choice.target, choice.work);
+    return std::max(0.0, held - m_inputs.queues.longestLate(choice.target));
+}
+
+double placement::lateTakesSlot(target_id id) const
+{
+    if (m_inputs.fleet.role[id.value] == target_role::prefill)
+        return 0;
+    return lateAtWriterSeconds * takenShare(id);
+}
+
+target_choice placement::chooseEngine(const placement_need& need, instant now)
 {
     const auto& fleet = m_inputs.fleet;
-    const bool isSmall = !need.request.text || need.request.text->inputTokens < smallPromptTokens;
-    const target_id keeper = bestKeeper(need);
+    findKeepers(need);
     target_choice best;
     double lowest = std::numeric_limits<double>::max();
     for (const auto row : m_candidates) {
         const target_id id { row };
-        if (!hasRoom(id, need) || (isSmall && fleet.role[row] == target_role::prefill))
+        const bool isPrefill = fleet.role[row] == target_role::prefill;
+        if (!hasRoom(id, need) || (isPrefill && !need.request.text))
             continue;
-        const auto choice = reading(id, keeper, need);
-        double cost = choice.seconds + sharedWorkWeight * choice.work * m_inputs.pace.secondsPerToken(id);
+        const auto choice = reading(id, need, now);
+        double cost = choice.seconds + sharedWorkWeight * m_inputs.queues.readSeconds(id, choice.work);
         cost += noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id);
-        if (choice.lane == work_lane::late)
-            cost += lateSeconds;
-        if (choice.fetchFrom.isValid())
+        if (choice.rank == read_rank::late)
+            cost += lateSeconds + blockingWeight * newBlocking(choice) + lateTakesSlot(id);
+        if (choice.isFetching)
             cost += fetchPenaltySeconds;
+        cost += crowdingSeconds(id);
         if (choice.stage == attempt_stage::prefill)
             cost += movePenaltySeconds;
         if (!fleet.isLocal(id))
@@ -201,8 +248,9 @@
         if (fleet.role[row] == target_role::prefill || !hasRoom(id, need))
             continue;
         const double wait
-            = fleet.work(id) * m_inputs.pace.secondsPerToken(id) + fleet.running(id) * stepSecondsPerRunning;
+            = m_inputs.queues.waitSeconds(id, read_rank::tiny, now) + fleet.running(id) * stepSecondsPerRunning;
         double cost = wait + noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id);
+        cost += crowdingSeconds(id);
         if (fleet.zone[row] != fleet.zone[source.value])
             cost += otherZoneMoveSeconds;
         if (cost >= lowest)
