A retry reads no prompt apart; engines get time to import a cache

A decode stage was left after 400 ms at engines at full load, and done again elsewhere. Tests: test_retry_of_a_prompt_that_was_read_apart_takes_one_send, test_engine_that_imports_a_cache_is_given_time; both failed first.

--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -17,6 +17,7 @@
     const serving_request& request;
     target_id avoid; ///< failed just now; taken only if there is no other
     double secondsToAim = 0; ///< left of the time in which an answer is fast
+    bool mayReadApart = true; ///< else one engine has to do all
 };
 
 struct target_choice {
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -14,9 +14,10 @@
 
     /// Held for longer, a request would still miss its aim with the target's own time.
     constexpr double holdShareOfAim = 0.5;
-    /// A target that is silent for this many times the predicted time, and a while, is left.
+    /// A target that is silent for this many times the predicted time, and a while besides its aim, is left:
+    /// engines at full load take as long for a step of work that was not predicted.
     constexpr double stallFactor = 3;
-    constexpr duration stallSlack = 400ms;
+    constexpr duration stallSlack = 200ms;
     /// A plain target answers within some 20 ms, or within 75 ms in one of a hundred cases.
     constexpr double plainStallShareOfAim = 0.8;
     /// The time left that is worth a start: below it no target can answer.
@@ -92,7 +93,10 @@
 {
     const auto& times = m_book.times[row];
     const double margin = aimMargin * seconds(times.aimAt - times.arrivedAt);
-    return { m_book.request[row], m_book.progress[row].avoid, seconds(times.aimAt - now) - margin };
+    const auto& progress = m_book.progress[row];
+    // Only the first reading of a prompt is free; a further one and the answer after it are two sends.
+    const bool mayReadApart = !progress.hasTriedPrefill && progress.sends == 0;
+    return { m_book.request[row], progress.avoid, seconds(times.aimAt - now) - margin, mayReadApart };
 }
 
 request_id dispatcher::arrive(serving_request request, instant now, command_list& out)
@@ -187,7 +191,7 @@
         current.isReading = true;
         current.readKey = m_queues.add(choice.target, choice.rank, choice.work, now);
     }
-    duration patience = fromSeconds(stallFactor * choice.seconds) + stallSlack;
+    duration patience = fromSeconds(stallFactor * choice.seconds) + stallSlack + request.route->aim;
     if (m_fleet.role[choice.target.value] == target_role::plain)
         patience = fromSeconds(plainStallShareOfAim * seconds(request.route->aim));
     current.stallsAt = now + patience;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -215,7 +215,7 @@
     for (const auto row : m_candidates) {
         const target_id id { row };
         const bool isPrefill = fleet.role[row] == target_role::prefill;
-        if (!hasRoom(id, need) || (isPrefill && !need.request.text))
+        if (!hasRoom(id, need) || (isPrefill && !(need.request.text && need.mayReadApart)))
             continue;
         const auto choice = reading(id, need, now);
         double cost = choice.seconds + sharedWorkWeight * m_inputs.queues.readSeconds(id, choice.work);
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -293,6 +293,45 @@
     CHECK(again->target != request.start.target);
 }
 
+TEST_CASE("test_retry_of_a_prompt_that_was_read_apart_takes_one_send")
+{
+    // Symptom: a service gets more further sends than the shared bound allows.
+    // Sequence: a prompt is read apart, the engine that should answer breaks off, and the retry reads it apart again: the
+    // bound was asked once for two sends, and the route's bound on targets is passed.
+    // Cause: only the first reading of a prompt is not counted as a send.
+    dispatch_world world;
+    world.addEngine("prefill-1", target_role::prefill);
+    world.addEngine("prefill-2", target_role::prefill);
+    world.addEngine("d1", target_role::decode);
+    world.addEngine("d2", target_role::decode);
+    auto request = world.makePrompt(tag, 7, 13'000, 4'000);
+    const auto first = begin(world, std::move(request), at(0s));
+    REQUIRE(first.start.stage == attempt_stage::prefill);
+    command_list out;
+    world.decisions.ended(first.id, first.start.attempt, attempt_result::prefilled, "kv-1", at(100ms), out);
+    const auto* decode = find<start_attempt>(out);
+    REQUIRE(decode);
+    command_list retry;
+    world.decisions.ended(first.id, decode->attempt, attempt_result::broken, {}, at(200ms), retry);
+    const auto* again = find<start_attempt>(retry);
+    REQUIRE(again);
+    CHECK(again->stage == attempt_stage::whole);
+}
+
+TEST_CASE("test_engine_that_imports_a_cache_is_given_time")
+{
+    dispatch_world world;
+    world.addEngine("prefill", target_role::prefill);
+    world.addEngine("d1", target_role::decode);
+    world.addEngine("d2", target_role::decode);
+    const auto first = begin(world, world.makePrompt(tag, 7, 13'000, 4'000), at(0s));
+    command_list out;
+    world.decisions.ended(first.id, first.start.attempt, attempt_result::prefilled, "kv-1", at(100ms), out);
+    command_list later;
+    world.decisions.tick(at(500ms), later);
+    CHECK(later.empty());
+}
+
 TEST_CASE("test_silent_target_is_left_when_the_request_may_be_repeated")
 {
     // Symptom: a look-up waits for its whole deadline although other targets are free.
