--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -70,6 +70,8 @@
     double crowdingSeconds(target_id id) const;
     /// Share of the target's slots that would be taken with one more request.
     double takenShare(target_id id) const;
+    /// Tokens of prompt work that the engine can read without making its streams pause for too long.
+    double smoothTokens(target_id id, const placement_need& need) const;
     /// Fills m_keepers with the engines that have some of the prompt's beginning.
     void findKeepers(const placement_need& need);
     /// The one from which `id` had best fetch the beginning; no tokens if there is none.
--- a/libs/serving/include/serving/serving_configuration.h
+++ b/libs/serving/include/serving/serving_configuration.h
@@ -40,6 +40,7 @@
     std::int64_t bytesPerToken = 0; ///< of KV cache
     double linkMegabits = 0; ///< a second, between engines
     duration handleLife = duration::zero(); ///< of an exported KV cache that nobody takes
+    int tokensPerEvent = 1; ///< of a stream
 };
 
 struct service_profile {
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -2,6 +2,7 @@
 #include "serving/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace tamarack::serving {
@@ -28,6 +29,14 @@
     constexpr double lateAtWriterSeconds = 0.8;
     /// Seconds of waiting that are as bad as a second for which an engine is held up for others.
     constexpr double blockingWeight = 1;
+    /// Tokens of prompts that an engine reads in one step if it also writes: a quarter of the 2,048 that the users'
+    /// sheet names.
+    constexpr double pieceTokens = 512;
+    /// A step that reads nothing, at usual load; measured between 4 and 7 ms.
+    constexpr double stepSeconds = 0.005;
+    /// Seconds of waiting that are as bad as making the streams of an engine pause. Measured over 12 days of Ahnenhaus:
+    /// mean worth 0.626 without, 0.640 with, most of it from streams that are on time.
+    constexpr double disturbanceSeconds = 5;
     /// Requests at an engine, in its slots. What waits there is taken up by urgency, so a place in the queue costs the
     /// urgent ones nothing.
     constexpr int enginePlaces = 2;
@@ -130,6 +139,24 @@
     return static_cast<double>(m_inputs.fleet.running(id) + 1) / m_inputs.fleet.slots[id.value];
 }
 
+// What goes wrong without it: while an engine reads a long prompt, each of its steps is longer, and the streams that it
+// writes pause between two events for longer than their callers count as smooth. A prompt that is read within one such
+// pause does no harm.
+double placement::smoothTokens(target_id id, const placement_need& need) const
+{
+    const auto* profile = need.request.configuration->findService(need.request.service);
+    const auto& route = *need.request.route;
+    if (!profile || !profile->engine || route.gapAim <= duration::zero())
+        return std::numeric_limits<double>::max();
+    const int steps = profile->engine->tokensPerEvent;
+    const double pieceSeconds = pieceTokens * m_inputs.pace.secondsPerToken(id);
+    const double spare = seconds(route.gapAim) - steps * stepSeconds;
+    const double pieces = std::floor(spare / pieceSeconds);
+    if (pieces >= steps)
+        return std::numeric_limits<double>::max(); // every step may read a piece
+    return std::max(0.0, pieces) * pieceTokens;
+}
+
 void placement::findKeepers(const placement_need& need)
 {
     m_keepers.clear();
@@ -222,6 +249,8 @@
         cost += noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id);
         if (choice.rank == read_rank::late)
             cost += lateSeconds + blockingWeight * newBlocking(choice) + lateTakesSlot(id);
+        if (!isPrefill && choice.work > smoothTokens(id, need))
+            cost += disturbanceSeconds;
         if (choice.isFetching)
             cost += fetchPenaltySeconds;
         cost += crowdingSeconds(id);
@@ -247,8 +276,10 @@
         const target_id id { row };
         if (fleet.role[row] == target_role::prefill || !hasRoom(id, need))
             continue;
-        const double wait
-            = m_inputs.queues.waitSeconds(id, read_rank::tiny, now) + fleet.running(id) * stepSecondsPerRunning;
+        // Where reading makes streams pause, all that is still to be read there counts, whenever that is.
+        const bool isDisturbed = smoothTokens(id, need) < std::numeric_limits<double>::max();
+        const auto rank = isDisturbed ? read_rank::late : read_rank::tiny;
+        const double wait = m_inputs.queues.waitSeconds(id, rank, now) + fleet.running(id) * stepSecondsPerRunning;
         double cost = wait + noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id);
         cost += crowdingSeconds(id);
         if (fleet.zone[row] != fleet.zone[source.value])
