--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -46,6 +46,8 @@
     /// Of the process's memory, for bodies that come in.
     constexpr double heldBytesShare = 0.25;
     constexpr std::uint64_t bytesPerMegabyte = 1'000'000;
+    /// Gauges are as old as this.
+    constexpr duration metricsInterval = 500ms;
     constexpr std::string_view statePath = "/state";
     constexpr std::string_view metricsPath = "/metrics";
 
@@ -95,6 +97,7 @@
     void pullState();
     void pullFrom(const endpoint& peer);
     void checkDrain(instant now);
+    void publishMetrics(instant now);
     void logReadiness();
     void logHealth(const serving::health_change& change);
 
@@ -126,6 +129,7 @@
     std::size_t entryTurn = 0;
     std::size_t seedTurn = 0;
     instant drainingSince; // set by drain()
+    instant nextMetrics;
     bool isDraining = false;
     bool isExecuting = false;
     bool isStopped = false;
@@ -447,11 +451,38 @@
     decisions.tick(now, commands);
     execute(std::move(commands));
     logReadiness();
+    publishMetrics(now);
     if (isDraining)
         checkDrain(now);
     log.flush();
 }
 
+void gateway::state::publishMetrics(instant now)
+{
+    if (now < nextMetrics)
+        return;
+    nextMetrics = now + metricsInterval;
+    const auto& fleet = decisions.fleet();
+    int known = 0;
+    int draining = 0;
+    for (std::size_t row = 0; row < fleet.size(); ++row) {
+        known += fleet.isListed[row];
+        draining += fleet.isListed[row] && fleet.isDraining[row];
+    }
+    counters.set("tamarack_targets_known", known);
+    counters.set("tamarack_targets_draining", draining);
+    counters.set("tamarack_nodes_known", nodes.knownCount());
+    counters.set("tamarack_nodes_alive", static_cast<double>(nodes.alive(now).size()) + 1);
+    counters.set("tamarack_requests_held", static_cast<double>(decisions.held()));
+    counters.set("tamarack_requests_waiting", static_cast<double>(decisions.waiting()));
+    counters.set("tamarack_caller_connections", callers.connectionCount());
+    counters.set("tamarack_target_connections_made", static_cast<double>(client.connectionsMade()));
+    counters.set("tamarack_store_reachable", view.isStoreReachable() ? 1 : 0);
+    counters.set("tamarack_target_list_age_seconds", seconds(now - view.targetsFreshAt()));
+    counters.set("tamarack_log_lines_left_out", static_cast<double>(log.linesLeftOut()));
+    counters.set("tamarack_peer_undecodable", static_cast<double>(peers.undecodable()));
+}
+
 void gateway::state::logHealth(const serving::health_change& change)
 {
     const auto& instance = decisions.fleet().instance[change.target.value];
