A stream that falls silent goes on elsewhere, where it can be resumed

Cause: only the time to the first event was watched; an engine that goes dark in mid-stream cost the whole answer. Test: test_stream_that_falls_silent_goes_on_elsewhere, failed first (no call of it existed).

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -237,6 +237,7 @@
         m_services.decisions.began(m_id, attempt->command.attempt, boot_clock::now());
         beginAnswer(attempt);
     }
+    m_services.decisions.streamed(m_id, attempt->command.attempt, boot_clock::now());
     const auto last = parseNumber(m_lastEvent);
     if (event.id && last && *event.id <= *last)
         return; // the caller has it already, from an earlier attempt
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -40,6 +40,8 @@
     request_id arrive(serving_request request, instant now, command_list& out);
     /// The first bytes of the answer have come from the target.
     void began(request_id request, attempt_id attempt, instant now);
+    /// An event of a stream has come.
+    void streamed(request_id request, attempt_id attempt, instant now);
     /// Some of the answer has gone to the caller.
     void started(request_id request, attempt_id attempt);
     /// An attempt is over. `cacheName` is the exported KV cache's of a prefill.
--- a/libs/serving/include/serving/request_book.h
+++ b/libs/serving/include/serving/request_book.h
@@ -39,6 +39,7 @@
     instant sentAt;
     instant stallsAt; ///< without a sign of the target until then, it is left
     bool hasBegun = false; ///< its answer has begun
+    instant lastEventAt; ///< of its stream
 };
 
 /// An id holds its row and a count of the row's uses, so a late event for an ended request finds nothing.
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -18,6 +18,10 @@
     /// engines at full load take as long for a step of work that was not predicted.
     constexpr double stallFactor = 3;
     constexpr duration stallSlack = 200ms;
+    /// Between two events of a stream; callers leave after two seconds, or eight of the pauses that still count as
+    /// smooth.
+    constexpr duration longestPause = 1s;
+    constexpr int pauseFactor = 4;
     /// A plain target answers within some 20 ms, or within 75 ms in one of a hundred cases.
     constexpr double plainStallShareOfAim = 0.8;
     /// The time left that is worth a start: below it no target can answer.
@@ -318,6 +322,17 @@
         m_caches.wasRead(current.target, *text);
 }
 
+void dispatcher::streamed(request_id request, attempt_id attempt, instant now)
+{
+    if (!isCurrent(request, attempt))
+        return;
+    const auto row = static_cast<std::size_t>(m_book.row(request));
+    auto& current = m_book.current[row];
+    current.lastEventAt = now;
+    // Callers leave a stream that pauses for too long; one that can go on elsewhere is moved before that.
+    current.stallsAt = now + std::max(longestPause, pauseFactor * m_book.request[row].route->gapAim);
+}
+
 void dispatcher::started(request_id request, attempt_id attempt)
 {
     if (isCurrent(request, attempt))
@@ -455,14 +470,15 @@
     if (now >= m_book.times[row].answerBy)
         return refuse(row, hasRunOrMayRun(row) ? error_kind::attempt_timeout : error_kind::deadline_unreachable,
             duration::zero(), out);
-    if (!current.id.isValid() || current.hasBegun || now < current.stallsAt)
+    const bool isSilent = !current.hasBegun || current.lastEventAt != instant();
+    if (!current.id.isValid() || !isSilent || now < current.stallsAt)
         return;
     const bool couldRun = current.stage != attempt_stage::prefill;
     if (couldRun && (!m_book.request[row].route->isRepeatable || !mayResend(row, now)))
         return;
     // The target is silent for far longer than it should be: the request is worth more at another one.
     out.push_back(stop_attempt { m_book.idOf(row), current.id });
-    settle(row, attempt_result::broken, {}, now, out);
+    settle(row, m_book.progress[row].hasStarted ? attempt_result::cut : attempt_result::broken, {}, now, out);
 }
 
 void dispatcher::tick(instant now, command_list& out)
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -367,6 +367,29 @@
     CHECK(count<stop_attempt>(out) == 1);
 }
 
+TEST_CASE("test_stream_that_falls_silent_goes_on_elsewhere")
+{
+    // Symptom: a caller sees a few events and then nothing, and leaves.
+    // Sequence: an engine goes dark in the middle of a stream that can be resumed; no end of the connection is seen.
+    // Cause: only the time to the first event is watched.
+    dispatch_world world;
+    world.addEngine("d1", target_role::decode);
+    world.addEngine("d2", target_role::decode);
+    const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
+    world.decisions.began(request.id, request.start.attempt, at(100ms));
+    world.decisions.started(request.id, request.start.attempt);
+    for (int i = 0; i < 10; ++i)
+        world.decisions.streamed(request.id, request.start.attempt, at(100ms + i * 300ms));
+    command_list out;
+    world.decisions.tick(at(3s), out);
+    CHECK(out.empty());
+    for (int i = 0; i < 20 && !find<start_attempt>(out); ++i)
+        world.decisions.tick(at(3s + i * 100ms), out);
+    const auto* again = find<start_attempt>(out);
+    REQUIRE(again);
+    CHECK(again->target != request.start.target);
+}
+
 TEST_CASE("test_events_of_attempts_that_are_over_have_no_effect")
 {
     dispatch_world world;
