--- a/apps/tamarackctl/command_table.cpp
+++ b/apps/tamarackctl/command_table.cpp
@@ -11,13 +11,17 @@
 
 namespace {
 
-    constexpr std::array<command, 7> table { {
+    constexpr std::array<command, 9> table { {
         { "check", "FILE...", "check operators' texts, or with --node-settings nodes' settings", runCheck },
         { "diff", "FILE", "show what a text would change in the configuration in force", runDiff },
         { "publish", "FILE", "publish a text as the next version, unless somebody else did meanwhile", runPublish },
         { "status", "", "show each node: instance, zone, configuration, log, leases, targets, open orders", runStatus },
         { "drain", "", "let the node stop gracefully", runDrain },
         { "trace", "TRACE-ID FILE...", "print one request's trace as a tree, from span files", runTrace },
+        { "explain", "REQUEST-ID FILE...", "print one request's story in order, from the nodes' log files",
+            runExplain },
+        { "failures", "FILE...", "count why requests failed, the largest cause first, from the nodes' log files",
+            runFailures },
         { "end-order", "TARGET ORDER", "declare that an open order's deliverer has ended for good", runEndOrder },
     } };
 
--- a/apps/tamarackctl/command_table.h
+++ b/apps/tamarackctl/command_table.h
@@ -31,6 +31,8 @@
 int runStatus(const arguments&);
 int runDrain(const arguments&);
 int runTrace(const arguments&);
+int runExplain(const arguments&);
+int runFailures(const arguments&);
 int runEndOrder(const arguments&);
 
 /// The operand at `index` after the command's name, or an empty string.
--- a/apps/tamarackctl/main.cpp
+++ b/apps/tamarackctl/main.cpp
@@ -30,6 +30,8 @@
         "node", options::value<std::vector<std::string>>(), "admin address of a node, ip:port; may be repeated")(
         "base", options::value<std::uint64_t>(), "publish: the version that the text was made from")(
         "author", options::value<std::string>(), "publish, end-order: who does it; default: the user's name")(
+        "from", options::value<std::int64_t>(), "failures: lines from this time on, as their ts_ms")(
+        "to", options::value<std::int64_t>(), "failures: lines up to this time")(
         "node-settings", "check: the files are nodes' settings")("json", "status: print the nodes' own JSON");
     options::options_description hidden;
     hidden.add_options()("command", options::value<std::string>())(
--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -243,6 +243,8 @@
         return; // the caller has it already, from an earlier attempt
     if (!event.idText.empty())
         m_lastEvent = std::string(event.idText);
+    if (++m_events == 1)
+        m_firstMs = millisecondsSince(m_startedAt);
     m_caller->write(event.bytes);
 }
 
@@ -380,12 +382,12 @@
     // A refusal has its own line.
     if (end == flow_end::answered) {
         m_services.log.write(log_event::request_ended,
-            { { "request", m_decoded.id }, { "route", m_routeName }, { "took_ms", millisecondsSince(m_startedAt) },
-                { "attempts", m_attempts } });
+            { { "request", m_decoded.id }, { "route", m_routeName }, { "first_ms", m_firstMs },
+                { "took_ms", millisecondsSince(m_startedAt) }, { "events", m_events }, { "attempts", m_attempts } });
     } else if (end != flow_end::refused) {
         m_services.log.write(log_event::request_failed,
-            { { "request", m_decoded.id }, { "route", m_routeName }, { "outcome", name },
-                { "took_ms", millisecondsSince(m_startedAt) }, { "attempts", m_attempts } });
+            { { "request", m_decoded.id }, { "route", m_routeName }, { "outcome", name }, { "first_ms", m_firstMs },
+                { "took_ms", millisecondsSince(m_startedAt) }, { "events", m_events }, { "attempts", m_attempts } });
     }
     if (m_on.onFinished)
         m_on.onFinished();
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -101,6 +101,8 @@
     std::string m_lastEvent; // id of the last event that the caller has
     instant m_startedAt;
     int m_attempts = 0;
+    int m_events = 0; // of a stream, that went to the caller
+    std::int64_t m_firstMs = -1; // from the request to the first of them
     bool m_isFinished = false;
     bool m_isPaused = false;
 };
--- /dev/null
+++ b/libs/observe/src/log_story.cpp
@@ -0,0 +1,167 @@
+// Log lines, selected, ordered and counted.
+#include "observe/log_story.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace tamarack {
+
+namespace {
+
+    using nlohmann::json;
+    using nlohmann::ordered_json;
+
+    /// What the nodes believed this long before a request began may have decided it.
+    constexpr std::int64_t beliefMilliseconds = 3000;
+
+    struct logged_line {
+        std::int64_t at = 0;
+        ordered_json fields;
+
+        std::string text(const char* name) const
+        {
+            const auto found = fields.find(name);
+            if (found == fields.end())
+                return {};
+            return found->is_string() ? found->get<std::string>() : found->dump();
+        }
+        bool is(const char* event) const { return text("event") == event; }
+    };
+
+    std::vector<logged_line> parse(const std::vector<std::string>& lines)
+    {
+        std::vector<logged_line> out;
+        for (const auto& line : lines) {
+            const auto begin = line.find('{');
+            if (begin == std::string::npos)
+                continue;
+            auto fields = ordered_json::parse(line.substr(begin), nullptr, false);
+            const bool isLine = fields.is_object() && fields.contains("ts_ms") && fields["ts_ms"].is_number_integer()
+                && fields.contains("event") && fields["event"].is_string();
+            if (isLine)
+                out.push_back({ fields["ts_ms"].get<std::int64_t>(), std::move(fields) });
+        }
+        std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
+        return out;
+    }
+
+    std::string describe(const logged_line& line, std::int64_t start)
+    {
+        char time[32];
+        std::snprintf(time, sizeof time, "%+8.3f s  ", static_cast<double>(line.at - start) / 1000);
+        std::string out = time + line.text("vm") + "  " + line.text("event");
+        for (const auto& [name, value] : line.fields.items()) {
+            static const std::set<std::string> common { "ts_ms", "level", "event", "vm", "instance", "request" };
+            if (!common.contains(name))
+                out += "  " + name + "=" + line.text(name.c_str());
+        }
+        return out + "\n";
+    }
+
+    bool isBelief(const logged_line& line)
+    {
+        static const std::set<std::string> events { "target_listed", "target_gone", "target_blocked", "target_returned",
+            "configuration_in_force", "store_lost", "store_reached", "peer_lost", "readiness_changed" };
+        return events.contains(line.text("event"));
+    }
+
+    /// What the last failed attempt of each request met.
+    using attempt_causes = std::map<std::string, std::string>;
+
+    std::string causeOf(const logged_line& attempt)
+    {
+        auto cause = attempt.text("stage") + " " + attempt.text("result");
+        if (const auto reason = attempt.text("reason"); !reason.empty())
+            cause += " (" + reason + ")";
+        if (const auto status = attempt.text("status"); !status.empty() && status != "0")
+            cause += " " + status;
+        return cause;
+    }
+
+    struct counted_cause {
+        int requests = 0;
+        std::string sample; // id of one of them
+    };
+
+}
+
+std::string formatRequestStory(const std::vector<std::string>& lines, const std::string& requestId)
+{
+    const auto all = parse(lines);
+    std::set<std::string> targets;
+    std::set<std::string> nodes;
+    std::int64_t first = std::numeric_limits<std::int64_t>::max();
+    std::int64_t last = 0;
+    for (const auto& line : all) {
+        if (line.text("request") != requestId)
+            continue;
+        targets.insert(line.text("target"));
+        nodes.insert(line.text("vm"));
+        first = std::min(first, line.at);
+        last = std::max(last, line.at);
+    }
+    if (nodes.empty())
+        return {};
+    std::string out;
+    for (const auto& line : all) {
+        const bool isOwn = line.text("request") == requestId;
+        const bool isNear = line.at >= first - beliefMilliseconds && line.at <= last;
+        const auto target = line.text("target");
+        const bool isContext = isNear && isBelief(line) && nodes.contains(line.text("vm"))
+            && (target.empty() || targets.contains(target));
+        if (isOwn || isContext)
+            out += describe(line, first);
+    }
+    return out;
+}
+
+std::string formatFailureSummary(const std::vector<std::string>& lines, const time_span& span)
+{
+    attempt_causes attempts;
+    std::map<std::string, counted_cause> causes;
+    int taken = 0;
+    int failed = 0;
+    int leftOut = 0;
+    for (const auto& line : parse(lines)) {
+        if (line.at < span.from || line.at > span.to)
+            continue;
+        const auto id = line.text("request");
+        if (line.is("lines_left_out"))
+            leftOut += line.fields.value("lines", 0);
+        taken += line.is("request_taken");
+        if (line.is("attempt_failed"))
+            attempts[id] = causeOf(line);
+        const bool isRefusal = line.is("request_refused");
+        if (!isRefusal && !line.is("request_failed") && !line.is("request_without_route"))
+            continue;
+        ++failed;
+        std::string cause = line.text("route") + "  ";
+        if (isRefusal)
+            cause += "refused: " + line.text("kind");
+        else
+            cause += line.is("request_failed") ? line.text("outcome") : "no route in version " + line.text("version");
+        if (const auto attempt = attempts.find(id); attempt != attempts.end())
+            cause += ", after " + attempt->second;
+        auto& counted = causes[cause];
+        ++counted.requests;
+        counted.sample = id;
+    }
+    std::vector<std::pair<std::string, counted_cause>> ordered(causes.begin(), causes.end());
+    std::stable_sort(ordered.begin(), ordered.end(),
+        [](const auto& a, const auto& b) { return a.second.requests > b.second.requests; });
+    std::string out
+        = std::to_string(failed) + " of " + std::to_string(taken) + " requests did not get a target's answer\n";
+    if (leftOut > 0)
+        out += std::to_string(leftOut) + " lines were left out by the nodes\n";
+    for (const auto& [cause, counted] : ordered) {
+        char number[16];
+        std::snprintf(number, sizeof number, "%7d  ", counted.requests);
+        out += number + cause + "  (such as " + counted.sample + ")\n";
+    }
+    return out;
+}
+
+}
