A node that starts without the store asks a peer at once; gateway split

Ruled out: slow peers (the answer came in 10 ms), slow store client (refused in 1 ms). Change: the first failure is told; it asks a peer at once.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -3,8 +3,11 @@
 
 #include "cache_watch.h"
 #include "caller_flow.h"
-#include "peer_mesh.h"
+#include "peer_talk.h"
+#include "registration.h"
+#include "service_pages.h"
 #include "shared_view.h"
+#include "state_pull.h"
 
 #include "base/hash.h"
 #include "http/http_server.h"
@@ -22,27 +25,14 @@
 
     /// Waiting requests and times are looked at this often; an answer's end looks at once.
     constexpr auto decisionInterval = 20ms;
-    /// Peers' work is as old as this; an engine reads some 6,000 tokens meanwhile.
-    constexpr auto heartbeatInterval = 100ms;
-    /// Prompts sent within this time are told to peers together.
-    constexpr auto notePause = 5ms;
-    /// With more peers than this, heartbeats go out less often: each node sends so many datagrams a second.
-    constexpr int heartbeatsPerSecond = 160;
-    constexpr duration peerLife = 600ms;
-    constexpr duration peerTimeout = 700ms;
-    /// Callers keep an answer for this long, some of them three times as long; a stop waits for them.
-    constexpr duration entryLifetime = 1s;
-    constexpr int longestEntryKeeping = 3;
-    constexpr std::size_t mostEntries = 64;
     /// Left of the stop bound when the process ends by itself.
     constexpr duration stopMargin = 700ms;
     /// From the end of listening to the end of the process, so that what was written leaves.
     constexpr duration lastFlush = 150ms;
-    /// A node without a configuration asks peers after this time, and then again.
+    /// A node that lacks something looks for a peer to ask this often.
     constexpr duration pullInterval = 500ms;
-    constexpr duration pullTimeout = 800ms;
-    /// Registration in the store is tried again after this time.
-    constexpr duration registrationPause = 700ms;
+    /// Of the answers on entry addresses some are kept this many times their lifetime; a stop waits for them.
+    constexpr int longestEntryKeeping = 3;
     /// Of the descriptors, for callers; the others are for targets, the store and peers.
     constexpr double callerDescriptorShare = 0.6;
     /// Of the process's memory, for bodies that come in.
@@ -50,25 +40,13 @@
     constexpr std::uint64_t bytesPerMegabyte = 1'000'000;
     /// Who does what for all is looked at this often.
     constexpr duration dutyInterval = 100ms;
-    constexpr std::size_t mostCacheNews = 25; // of a heartbeat
-    /// Heartbeats that may be lost before a node counts as away, and a part of one for its way.
-    constexpr double heartbeatsUntilAway = 3.2;
     /// Gauges are as old as this.
     constexpr duration metricsInterval = 500ms;
-    constexpr std::string_view statePath = "/state";
-    constexpr std::string_view metricsPath = "/metrics";
 
     QHostAddress addressOf(const endpoint& place) { return QHostAddress(QString::fromStdString(place.address)); }
 
     std::int64_t milliseconds(duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
 
-    http_response plainText(int status, std::string body = {})
-    {
-        http_response response { status, {}, std::move(body) };
-        response.headers.set("Content-Type", "text/plain");
-        return response;
-    }
-
 }
 
 struct gateway::state {
@@ -85,9 +63,6 @@
     void handleCaller(http_request request, std::shared_ptr<response_writer> caller);
     void submit(http_request request, caller_request decoded, const serving::route_rule& route,
         std::shared_ptr<response_writer> caller);
-    void handleReady(const http_request& request, const std::shared_ptr<response_writer>& caller);
-    void handleEntries(const http_request& request, const std::shared_ptr<response_writer>& caller);
-    void handleAdmin(const http_request& request, const std::shared_ptr<response_writer>& caller);
     void refuse(const std::shared_ptr<response_writer>& caller, error_kind kind, std::string_view detail);
 
     void callerGone(request_id id);
@@ -96,13 +71,6 @@
     void release(const serving::cache_handle& cache);
 
     void tick();
-    void beat();
-    void heard(peer_datagram message);
-    void heardBeat(node_heartbeat message);
-    void tellJobs();
-    void registerSelf();
-    void pullState();
-    void pullFrom(const endpoint& peer);
     void checkDrain(instant now);
     void publishMetrics(instant now);
     void shareDuties(instant now);
@@ -118,24 +86,16 @@
     serving::dispatcher decisions;
     serving::node_directory nodes;
     shared_view view;
-    peer_mesh peers;
+    state_pull pull;
+    registration registered;
     flow_services services;
     cache_watch caches;
+    peer_talk peers;
     http_server callers;
-    http_server ready;
-    http_server entries;
-    http_server admin;
-    http_server metricsServer;
+    service_pages pages;
     std::unordered_map<request_id, std::shared_ptr<caller_flow>> flows;
     std::deque<serving::command> pending; // commands not carried out yet
     QTimer decisionTimer;
-    QTimer beatTimer;
-    QTimer registrationTimer;
-    QTimer pullTimer;
-    QTimer noteTimer;
-    std::uint64_t incarnation = 0; // 0 until the store has given one
-    std::size_t entryTurn = 0;
-    std::size_t seedTurn = 0;
     instant drainingSince; // set by drain()
     instant nextMetrics;
     instant nextDuties;
@@ -154,7 +114,6 @@
         out.availabilityZone = settings.availabilityZone;
         out.seed = stableHash(settings.vm);
         out.retries = { settings.retryRatio, settings.retrySlack, settings.retryWindow };
-        out.peerLife = peerLife;
         return out;
     }
 
@@ -168,11 +127,6 @@
         return out;
     }
 
-    http_response noRequest(error_kind kind, std::string_view detail)
-    {
-        return plainText(answerFor(kind).status, std::string(detail) + "\n");
-    }
-
 }
 
 gateway::state::state(
@@ -184,15 +138,16 @@
     , log(loggerOptions(settings))
     , decisions(dispatcherSettings(settings))
     , nodes(settings.vm, {})
-    , view(
-          { ports.records, ports.store, decisions, nodes, counters, log }, settings,
-          [this](std::shared_ptr<const serving::serving_configuration> configuration) { configure(configuration); },
-          [this](std::vector<keyed_record> changes) {
-              peers.send(nodes.alive(boot_clock::now()), target_note { std::move(changes) });
-          })
-    , peers([this](peer_datagram message) { heard(std::move(message)); })
+    , view({ ports.records, ports.store, decisions, nodes, counters, log }, settings,
+          { [this](const auto& configuration) { configure(configuration); },
+              [this](std::vector<keyed_record> changes) { peers.tellTargets(std::move(changes)); },
+              [this] { pull.storeLost(); } })
+    , pull({ client, view, nodes, log }, pullInterval, settings.admin, settings.seeds)
+    , registered(
+          ports.store, [this] { return self(); }, log, [this] { view.registered(); })
     , services { client, decisions, ports.callers, ports.targets, counters, log }
     , caches(client, ports.targets, decisions, counters, log)
+    , peers({ decisions, nodes, view, caches, log, [this] { return self(); } })
     , callers(
           {},
           [this](http_request request, std::shared_ptr<response_writer> caller) {
@@ -201,50 +156,28 @@
           [this](error_kind kind, std::string_view detail) {
               return ports.callers.refusal(kind, detail, answerFor(kind).retryAfter);
           })
-    , ready(
-          {}, [this](http_request request, std::shared_ptr<response_writer> caller) { handleReady(request, caller); },
-          noRequest)
-    , entries(
-          {}, [this](http_request request, std::shared_ptr<response_writer> caller) { handleEntries(request, caller); },
-          noRequest)
-    , admin(
-          {}, [this](http_request request, std::shared_ptr<response_writer> caller) { handleAdmin(request, caller); },
-          noRequest)
-    , metricsServer(
-          {},
-          [this](http_request request, std::shared_ptr<response_writer> caller) {
-              caller->sendWhole(request.path() == metricsPath ? plainText(200, counters.text()) : plainText(404));
-          },
-          noRequest)
+    , pages({ ports.callers, nodes, counters, [this] { return self(); },
+          [this] { return encodeState(view.offered(self())); } })
 {
     QObject::connect(&decisionTimer, &QTimer::timeout, [this] { tick(); });
-    QObject::connect(&beatTimer, &QTimer::timeout, [this] { beat(); });
-    QObject::connect(&pullTimer, &QTimer::timeout, [this] { pullState(); });
-    noteTimer.setSingleShot(true);
-    QObject::connect(&noteTimer, &QTimer::timeout, [this] { tellJobs(); });
-    registrationTimer.setSingleShot(true);
-    QObject::connect(&registrationTimer, &QTimer::timeout, [this] { registerSelf(); });
 }
 
 std::string gateway::state::start()
 {
     callers.setLimits(limits());
-    const std::pair<http_server*, const endpoint*> servers[] { { &callers, &settings.callers },
-        { &ready, &settings.ready }, { &entries, &settings.entries }, { &admin, &settings.admin },
-        { &metricsServer, &settings.metrics } };
-    for (const auto& [server, place] : servers) {
-        if (place->port != 0 && !server->listen(addressOf(*place), place->port))
-            return toString(*place) + " cannot be listened on";
-    }
+    if (!callers.listen(addressOf(settings.callers), settings.callers.port))
+        return toString(settings.callers) + " cannot be listened on";
+    if (const auto taken = pages.listen(settings); !taken.empty())
+        return taken + " cannot be listened on";
     if (!peers.listen(settings.peers))
         return toString(settings.peers) + " cannot be listened on";
     log.write(log_event::node_started,
         { { "availability_zone", settings.availabilityZone }, { "callers", toString(settings.callers) } });
     view.start();
-    registerSelf();
+    registered.start();
     decisionTimer.start(decisionInterval);
-    beatTimer.start(heartbeatInterval);
-    pullTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(pullInterval));
+    peers.beat();
+    pull.start();
     return {};
 }
 
@@ -267,7 +200,7 @@
 void gateway::state::configure(const std::shared_ptr<const serving::serving_configuration>&)
 {
     callers.setLimits(limits());
-    beat(); // peers learn of the version at once
+    peers.beat(); // which tells them of the version at once
 }
 
 bool gateway::state::isReady() const { return !isDraining && view.hasConfiguration() && view.hasTargets(); }
@@ -276,7 +209,7 @@
 {
     serving::node_state out;
     out.vm = settings.vm;
-    out.incarnation = incarnation;
+    out.incarnation = registered.incarnation();
     out.availabilityZone = settings.availabilityZone;
     out.address = settings.callers.address;
     out.callerPort = settings.callers.port;
@@ -376,9 +309,7 @@
         executeOne(command);
     }
     isExecuting = false;
-    // Told together with those of the next moment: a datagram for each small prompt would cost more than it tells.
-    if (!noteTimer.isActive())
-        noteTimer.start(notePause);
+    peers.jobsSent();
 }
 
 void gateway::state::executeOne(const serving::command& command)
@@ -419,39 +350,6 @@
         });
 }
 
-void gateway::state::handleReady(const http_request& request, const std::shared_ptr<response_writer>& caller)
-{
-    if (!ports.callers.isReadyQuestion(request))
-        return caller->sendWhole(plainText(404));
-    caller->sendWhole(plainText(isReady() ? 200 : 503));
-}
-
-void gateway::state::handleEntries(const http_request& request, const std::shared_ptr<response_writer>& caller)
-{
-    if (!ports.callers.decodeEntryQuestion(request))
-        return caller->sendWhole(plainText(404));
-    std::vector<serving::node_state> usable;
-    if (isReady())
-        usable.push_back(self());
-    for (auto& node : nodes.alive(boot_clock::now())) {
-        if (node.isReady && !node.isStopping)
-            usable.push_back(std::move(node));
-    }
-    if (usable.empty())
-        return caller->sendWhole(ports.callers.refusal(error_kind::not_ready, "no node is ready", 1s));
-    const duration lifetime = std::min(entryLifetime, settings.longestEntryLifetime);
-    caller->sendWhole(ports.callers.entries({ serving::entryAddresses(usable, mostEntries, entryTurn++), lifetime }));
-}
-
-void gateway::state::handleAdmin(const http_request& request, const std::shared_ptr<response_writer>& caller)
-{
-    if (request.path() == statePath)
-        return caller->sendWhole({ 200, {}, encodeState(view.offered(self())) });
-    if (request.path() == metricsPath)
-        return caller->sendWhole(plainText(200, counters.text()));
-    caller->sendWhole(plainText(404));
-}
-
 void gateway::state::tick()
 {
     const auto now = boot_clock::now();
@@ -534,106 +432,6 @@
             { "stopping", isDraining } });
 }
 
-void gateway::state::beat()
-{
-    const auto now = boot_clock::now();
-    peers.send(nodes.recipients(now),
-        node_heartbeat { self(), decisions.ownLoad(), decisions.ownJobs(now), caches.takeNews(mostCacheNews) });
-    const int wanted = nodes.knownCount() * 1000 / heartbeatsPerSecond;
-    const int interval = std::max(static_cast<int>(heartbeatInterval.count()), wanted);
-    beatTimer.setInterval(interval);
-    const duration untilAway = fromSeconds(heartbeatsUntilAway * interval / 1000.0);
-    decisions.setPeerLife(std::max(peerLife, untilAway));
-    nodes.setPeerTimeout(std::max(peerTimeout, untilAway));
-}
-
-void gateway::state::heard(peer_datagram message)
-{
-    if (auto* heartbeat = std::get_if<node_heartbeat>(&message))
-        return heardBeat(std::move(*heartbeat));
-    if (const auto* note = std::get_if<target_note>(&message))
-        return view.targetsTold(note->changes);
-    const auto& note = std::get<job_note>(message);
-    decisions.peerSent(note.vm, note.jobs, false, boot_clock::now());
-}
-
-// What goes wrong without it: until the next heartbeat all nodes take the same engine for the one with the least work,
-// and send it their prompts.
-void gateway::state::tellJobs()
-{
-    const auto now = boot_clock::now();
-    auto jobs = decisions.takeNewJobs(now);
-    if (!jobs.empty())
-        peers.send(nodes.alive(now), job_note { settings.vm, std::move(jobs) });
-}
-
-void gateway::state::heardBeat(node_heartbeat message)
-{
-    const auto now = boot_clock::now();
-    if (!nodes.isAlive(message.sender.vm, now))
-        log.write(
-            log_event::peer_reached, { { "peer", message.sender.vm }, { "incarnation", message.sender.incarnation } });
-    nodes.heard(message.sender, now);
-    decisions.peerTold(message.sender.vm, std::move(message.load), now);
-    decisions.peerSent(message.sender.vm, message.jobs, true, now);
-    const auto known = view.hasConfiguration() ? view.configuration()->version() : 0;
-    if (message.sender.configurationVersion > known)
-        view.versionSeen(message.sender.configurationVersion);
-    view.targetChangeSeen(message.sender.lastTargetChange);
-    caches.told(message.caches);
-}
-
-void gateway::state::registerSelf()
-{
-    ports.store.append(store_topic::nodes, settings.vm, encodeNode(self()), [this](store_result<std::int64_t> result) {
-        if (const auto* error = std::get_if<store_error>(&result)) {
-            log.write(log_event::registration_failed, { { "reason", toString(*error) } });
-            registrationTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(registrationPause));
-            return;
-        }
-        incarnation = static_cast<std::uint64_t>(std::get<std::int64_t>(result)) + 1;
-        log.write(log_event::registered, { { "incarnation", incarnation } });
-        view.registered();
-    });
-}
-
-// What goes wrong without it: a node that starts while the store is away refuses everything until the store is back,
-// although its peers know all that it needs.
-void gateway::state::pullState()
-{
-    const auto now = boot_clock::now();
-    const auto known = view.hasConfiguration() ? view.configuration()->version() : 0;
-    const bool lags = nodes.newestVersion(now) > known;
-    if (view.hasConfiguration() && view.hasTargets() && !lags)
-        return;
-    for (const auto& node : nodes.alive(now)) {
-        if (node.adminPort != 0 && node.configurationVersion > 0 && node.configurationVersion >= known)
-            return pullFrom({ node.address, node.adminPort });
-    }
-    if (!settings.seeds.empty())
-        pullFrom(settings.seeds[seedTurn++ % settings.seeds.size()]);
-}
-
-void gateway::state::pullFrom(const endpoint& peer)
-{
-    if (peer == settings.admin)
-        return;
-    exchange_options options;
-    options.connectTimeout = pullTimeout;
-    options.silenceTimeout = pullTimeout;
-    options.keepConnection = false;
-    client.fetch(peer, { "GET", std::string(statePath), {}, {} }, options,
-        [this, peer](const http_response* response, const exchange_failure& failure) {
-            const auto decoded = response ? decodeState(response->body) : std::nullopt;
-            if (!decoded) {
-                log.write(log_event::state_not_pulled, { { "peer", toString(peer) }, { "reason", failure.reason } });
-                return;
-            }
-            log.write(log_event::state_pulled, { { "peer", toString(peer) }, { "targets", decoded->targets.size() } });
-            view.take(*decoded);
-        });
-}
-
 void gateway::state::drain()
 {
     if (isDraining)
@@ -642,7 +440,7 @@
     drainingSince = boot_clock::now();
     log.write(log_event::drain_started, { { "held", decisions.held() }, { "connections", callers.connectionCount() } });
     callers.beginDrain();
-    beat(); // peers stop naming this node at once
+    peers.beat(); // peers stop naming this node at once
 }
 
 // Callers that asked for addresses just before the drain come until they have asked anew; after that the process ends
@@ -651,7 +449,7 @@
 {
     if (isStopped)
         return;
-    const auto noneComesAfter = drainingSince + longestEntryKeeping * entryLifetime;
+    const auto noneComesAfter = drainingSince + longestEntryKeeping * service_pages::entryLifetime();
     const auto last = drainingSince + settings.stopBound - stopMargin;
     const bool isDone = now >= noneComesAfter && decisions.held() == 0;
     if (!isDone && now < last)
@@ -675,9 +473,9 @@
 
 void gateway::reconfigure(const gateway_settings& settings)
 {
-    m_state->settings.seeds = settings.seeds;
     m_state->settings.stopBound = settings.stopBound;
-    m_state->settings.longestEntryLifetime = settings.longestEntryLifetime;
+    m_state->pull.setSeeds(settings.seeds);
+    m_state->pages.setLongestEntryLifetime(settings.longestEntryLifetime);
     m_state->callers.setLimits(m_state->limits());
     m_state->log.write(log_event::settings_reloaded);
 }
--- /dev/null
+++ b/libs/gateway/src/peer_talk.cpp
@@ -0,0 +1,98 @@
+// Heartbeats carry all; notes what cannot wait for the next one.
+#include "peer_talk.h"
+
+namespace tamarack {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// Peers' work is as old as this; an engine reads some 6,000 tokens meanwhile.
+    constexpr auto heartbeatInterval = 100ms;
+    /// Prompts sent within this time are told to peers together: a datagram for each costs more than it tells.
+    constexpr auto notePause = 5ms;
+    /// With more peers than this allows, heartbeats go out less often: each node sends so many datagrams a second.
+    constexpr int heartbeatsPerSecond = 160;
+    /// At the usual interval; a peer that is silent for longer counts as away, and its work as done.
+    constexpr duration shortestSilence = 700ms;
+    constexpr duration shortestPeerLife = 600ms;
+    /// Heartbeats that may be lost before a node counts as away, and a part of one for its way.
+    constexpr double heartbeatsUntilAway = 3.2;
+    constexpr std::size_t mostCacheNews = 25; // of a heartbeat
+    constexpr int millisecondsPerSecond = 1000;
+
+}
+
+peer_talk::peer_talk(dependencies parts)
+    : m_parts(std::move(parts))
+    , m_mesh([this](peer_datagram message) { heard(std::move(message)); })
+{
+    QObject::connect(&m_beatTimer, &QTimer::timeout, [this] { beat(); });
+    m_noteTimer.setSingleShot(true);
+    QObject::connect(&m_noteTimer, &QTimer::timeout, [this] { tellJobs(); });
+}
+
+bool peer_talk::listen(const endpoint& address) { return m_mesh.listen(address); }
+
+void peer_talk::beat()
+{
+    const auto now = boot_clock::now();
+    auto& decisions = m_parts.decisions;
+    auto& nodes = m_parts.nodes;
+    m_mesh.send(nodes.recipients(now),
+        node_heartbeat {
+            m_parts.self(), decisions.ownLoad(), decisions.ownJobs(now), m_parts.caches.takeNews(mostCacheNews) });
+    const int wanted = nodes.knownCount() * millisecondsPerSecond / heartbeatsPerSecond;
+    const int interval = std::max(static_cast<int>(heartbeatInterval.count()), wanted);
+    m_beatTimer.start(interval);
+    const duration untilAway = fromSeconds(heartbeatsUntilAway * interval / millisecondsPerSecond);
+    decisions.setPeerLife(std::max(shortestPeerLife, untilAway));
+    nodes.setPeerTimeout(std::max(shortestSilence, untilAway));
+}
+
+void peer_talk::jobsSent()
+{
+    if (!m_noteTimer.isActive())
+        m_noteTimer.start(notePause);
+}
+
+// What goes wrong without it: until the next heartbeat all nodes take the same engine for the one with the least work,
+// and send it their prompts.
+void peer_talk::tellJobs()
+{
+    const auto now = boot_clock::now();
+    auto jobs = m_parts.decisions.takeNewJobs(now);
+    if (!jobs.empty())
+        m_mesh.send(m_parts.nodes.alive(now), job_note { m_parts.self().vm, std::move(jobs) });
+}
+
+void peer_talk::tellTargets(std::vector<keyed_record> changes)
+{
+    m_mesh.send(m_parts.nodes.alive(boot_clock::now()), target_note { std::move(changes) });
+}
+
+void peer_talk::heard(peer_datagram message)
+{
+    if (auto* heartbeat = std::get_if<node_heartbeat>(&message))
+        return heardBeat(std::move(*heartbeat));
+    if (const auto* note = std::get_if<target_note>(&message))
+        return m_parts.view.targetsTold(note->changes);
+    const auto& note = std::get<job_note>(message);
+    m_parts.decisions.peerSent(note.vm, note.jobs, false, boot_clock::now());
+}
+
+void peer_talk::heardBeat(node_heartbeat message)
+{
+    const auto now = boot_clock::now();
+    const auto& sender = message.sender;
+    if (!m_parts.nodes.isAlive(sender.vm, now))
+        m_parts.log.write(log_event::peer_reached, { { "peer", sender.vm }, { "incarnation", sender.incarnation } });
+    m_parts.nodes.heard(sender, now);
+    m_parts.decisions.peerTold(sender.vm, std::move(message.load), now);
+    m_parts.decisions.peerSent(sender.vm, message.jobs, true, now);
+    m_parts.view.versionSeen(sender.configurationVersion);
+    m_parts.view.targetChangeSeen(sender.lastTargetChange);
+    m_parts.caches.told(message.caches);
+}
+
+}
--- a/libs/gateway/src/record_feed.cpp
+++ b/libs/gateway/src/record_feed.cpp
@@ -109,18 +109,18 @@
 {
     if (error == store_error::expired)
         return again(duration::zero());
-    const bool wasReachable = m_isReachable;
-    m_isReachable = false;
-    if (wasReachable)
+    if (m_reach != reach::lost) {
+        m_reach = reach::lost;
         m_on.onReach(false, toString(error));
+    }
     again(m_options.retryPause);
 }
 
 void record_feed::reached()
 {
-    if (m_isReachable)
+    if (m_reach == reach::reached)
         return;
-    m_isReachable = true;
+    m_reach = reach::reached;
     m_on.onReach(true, {});
 }
 
--- a/libs/gateway/src/record_feed.h
+++ b/libs/gateway/src/record_feed.h
@@ -22,7 +22,7 @@
         /// All keys there are; a key that is missing is gone.
         std::function<void(const std::vector<keyed_record>&)> onSnapshot;
         std::function<void(const std::vector<keyed_record>&)> onRecords;
-        /// The store answers again, or does not any more.
+        /// The store answers, also at first, or does not any more.
         std::function<void(bool isReachable, std::string_view reason)> onReach;
     };
 
@@ -36,12 +36,14 @@
     void stop();
 
     bool isCurrent() const { return m_next >= 0; }
-    bool isReachable() const { return m_isReachable; }
+    bool isReachable() const { return m_reach == reach::reached; }
     /// When the view was last known to be complete.
     instant freshAt() const { return m_freshAt; }
     std::int64_t next() const { return m_next; }
 
 private:
+    enum class reach { unknown, reached, lost };
+
     void readNewest(const std::string& after);
     void readOn();
     void onNewest(const store_result<newest_page>& result);
@@ -60,7 +62,7 @@
     std::uint64_t m_call = 0; // the outstanding call; answers of earlier ones have no effect
     instant m_freshAt;
     instant m_askedAt;
-    bool m_isReachable = false;
+    reach m_reach = reach::unknown;
     bool m_isStopped = false;
 };
 
--- /dev/null
+++ b/libs/gateway/src/registration.h
@@ -0,0 +1,38 @@
+// Registers this node in the store, so that nodes that start later know whom to tell of themselves.
+#pragma once
+
+#include "node_messages.h"
+
+#include "observe/logger.h"
+#include "serving/node_directory.h"
+
+#include <QTimer>
+#include <cstdint>
+#include <functional>
+
+namespace tamarack {
+
+class registration {
+public:
+    using self_source = std::function<serving::node_state()>;
+
+    /// `onRegistered` is called once; from then on incarnation() is known.
+    registration(keyed_log& store, self_source self, const logger& log, std::function<void()> onRegistered);
+
+    void start();
+    /// Rises with each life of the node; 0 until the store has given one. It comes from the store, since a VM's time of
+    /// day may be set back.
+    std::uint64_t incarnation() const { return m_incarnation; }
+
+private:
+    void answered(const store_result<std::int64_t>& result);
+
+    keyed_log& m_store;
+    self_source m_self;
+    const logger& m_log;
+    std::function<void()> m_onRegistered;
+    QTimer m_timer;
+    std::uint64_t m_incarnation = 0;
+};
+
+}
--- /dev/null
+++ b/libs/gateway/src/service_pages.cpp
@@ -0,0 +1,94 @@
+// Each page on an address of its own.
+#include "service_pages.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace tamarack {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// The shorter, the sooner a node that leaves is free of callers; each caller asks once in this time.
+    constexpr duration usualEntryLifetime = 1s;
+    constexpr std::size_t mostEntries = 64;
+    constexpr std::string_view statePath = "/state";
+    constexpr std::string_view metricsPath = "/metrics";
+
+    http_response plainText(int status, std::string body = {})
+    {
+        http_response response { status, {}, std::move(body) };
+        response.headers.set("Content-Type", "text/plain");
+        return response;
+    }
+
+    http_response noRequest(error_kind kind, std::string_view detail)
+    {
+        return plainText(answerFor(kind).status, std::string(detail) + "\n");
+    }
+
+}
+
+service_pages::service_pages(sources from)
+    : m_from(std::move(from))
+    , m_ready(
+          {}, [this](const http_request& request, const auto& asker) { answerReady(request, asker); }, noRequest)
+    , m_entries(
+          {}, [this](const http_request& request, const auto& asker) { answerEntries(request, asker); }, noRequest)
+    , m_peers(
+          {}, [this](const http_request& request, const auto& asker) { answerPeer(request, asker); }, noRequest)
+    , m_metrics(
+          {}, [this](const http_request& request, const auto& asker) { answerMetrics(request, asker); }, noRequest)
+{
+}
+
+duration service_pages::entryLifetime() { return usualEntryLifetime; }
+
+std::string service_pages::listen(const gateway_settings& settings)
+{
+    m_longestEntryLifetime = settings.longestEntryLifetime;
+    const std::pair<http_server*, const endpoint*> servers[] { { &m_ready, &settings.ready },
+        { &m_entries, &settings.entries }, { &m_peers, &settings.admin }, { &m_metrics, &settings.metrics } };
+    for (const auto& [server, place] : servers) {
+        const auto address = QHostAddress(QString::fromStdString(place->address));
+        if (place->port != 0 && !server->listen(address, place->port))
+            return toString(*place);
+    }
+    return {};
+}
+
+void service_pages::answerReady(const http_request& request, const std::shared_ptr<response_writer>& asker)
+{
+    if (!m_from.callers.isReadyQuestion(request))
+        return asker->sendWhole(plainText(404));
+    asker->sendWhole(plainText(m_from.self().isReady ? 200 : 503));
+}
+
+void service_pages::answerEntries(const http_request& request, const std::shared_ptr<response_writer>& asker)
+{
+    if (!m_from.callers.decodeEntryQuestion(request))
+        return asker->sendWhole(plainText(404));
+    std::vector<serving::node_state> usable = m_from.nodes.alive(boot_clock::now());
+    std::erase_if(usable, [](const serving::node_state& node) { return !node.isReady || node.isStopping; });
+    if (auto self = m_from.self(); self.isReady)
+        usable.insert(usable.begin(), std::move(self));
+    if (usable.empty())
+        return asker->sendWhole(m_from.callers.refusal(error_kind::not_ready, "no node is ready", 1s));
+    const duration lifetime = std::min(usualEntryLifetime, m_longestEntryLifetime);
+    asker->sendWhole(m_from.callers.entries({ serving::entryAddresses(usable, mostEntries, m_entryTurn++), lifetime }));
+}
+
+void service_pages::answerPeer(const http_request& request, const std::shared_ptr<response_writer>& asker)
+{
+    if (request.path() == statePath)
+        return asker->sendWhole({ 200, {}, m_from.state() });
+    answerMetrics(request, asker);
+}
+
+void service_pages::answerMetrics(const http_request& request, const std::shared_ptr<response_writer>& asker)
+{
+    asker->sendWhole(request.path() == metricsPath ? plainText(200, m_from.counters.text()) : plainText(404));
+}
+
+}
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -30,11 +30,9 @@
 
 }
 
-shared_view::shared_view(dependencies parts, const gateway_settings& settings, configuration_handler onConfiguration,
-    change_handler onTargetChanges)
+shared_view::shared_view(dependencies parts, const gateway_settings& settings, handlers on)
     : m_parts(parts)
-    , m_onConfiguration(std::move(onConfiguration))
-    , m_onTargetChanges(std::move(onTargetChanges))
+    , m_on(std::move(on))
     , m_closePause(share(pauseShareOfBound, settings.drainBound))
     , m_closeWait(share(waitShareOfBound, settings.configurationBound))
     , m_targetList(lapseGrace)
@@ -88,6 +86,7 @@
         m_parts.log.write(log_event::store_reached, { { "topic", topic } });
     } else {
         m_parts.log.write(log_event::store_lost, { { "topic", topic }, { "reason", reason } });
+        m_on.onStoreLost();
     }
     if (isReachable && topic == "targets" && m_hasTargets)
         m_targetList.storeReturned(boot_clock::now());
@@ -114,7 +113,7 @@
     m_parts.log.write(log_event::configuration_in_force,
         { { "version", m_configuration->version() }, { "offset", record.offset },
             { "routes", m_configuration->routes().size() } });
-    m_onConfiguration(m_configuration);
+    m_on.onConfiguration(m_configuration);
 }
 
 void shared_view::apply(const serving::target_changes& changes)
@@ -195,7 +194,7 @@
     for (const auto& record : out)
         m_lastTargetChange = std::max(m_lastTargetChange, record.offset);
     if (!out.empty() && m_readsClosely)
-        m_onTargetChanges(std::move(out));
+        m_on.onTargetChanges(std::move(out));
 }
 
 void shared_view::targetsTold(const std::vector<keyed_record>& changes)
@@ -253,8 +252,8 @@
 void shared_view::versionSeen(std::uint64_t version)
 {
     const auto now = boot_clock::now();
-    const bool isNewer = !m_configuration || version > m_configuration->version();
-    if (!isNewer || now < m_hurriedAt + hurryInterval)
+    const auto known = m_configuration ? m_configuration->version() : 0;
+    if (version <= known || now < m_hurriedAt + hurryInterval)
         return;
     m_hurriedAt = now;
     m_configurationFeed.hurry();
--- a/libs/gateway/src/shared_view.h
+++ b/libs/gateway/src/shared_view.h
@@ -27,12 +27,14 @@
         metrics& counters;
         const logger& log;
     };
-    /// Changes of the target list that this node found itself, for its peers.
-    using change_handler = std::function<void(std::vector<keyed_record>)>;
-    using configuration_handler = std::function<void(std::shared_ptr<const serving::serving_configuration>)>;
+    struct handlers {
+        std::function<void(const std::shared_ptr<const serving::serving_configuration>&)> onConfiguration;
+        /// Changes of the target list that this node found itself, for its peers.
+        std::function<void(std::vector<keyed_record>)> onTargetChanges;
+        std::function<void()> onStoreLost;
+    };
 
-    shared_view(dependencies parts, const gateway_settings& settings, configuration_handler onConfiguration,
-        change_handler onTargetChanges);
+    shared_view(dependencies parts, const gateway_settings& settings, handlers on);
 
     void start();
     /// This node's own record is in the store: from now on the others are read.
@@ -73,8 +75,7 @@
     void reachChanged(std::string_view topic, bool isReachable, std::string_view reason);
 
     dependencies m_parts;
-    configuration_handler m_onConfiguration;
-    change_handler m_onTargetChanges;
+    handlers m_on;
     duration m_closePause;
     duration m_closeWait;
     serving::target_list m_targetList;
--- /dev/null
+++ b/libs/gateway/src/state_pull.h
@@ -0,0 +1,46 @@
+// Asks peers for what the store would tell, while the store does not.
+#pragma once
+
+#include "shared_view.h"
+
+#include "http/http_client.h"
+
+#include <QTimer>
+#include <vector>
+
+namespace tamarack {
+
+/// Asks one peer at a time: one that is heard and knows a configuration, else the seeds in turn.
+class state_pull {
+public:
+    struct dependencies {
+        http_client& client;
+        shared_view& view;
+        const serving::node_directory& nodes;
+        const logger& log;
+    };
+
+    /// `interval`: between two looks whether something is missing; `self`: never asked.
+    state_pull(dependencies parts, duration interval, endpoint self, std::vector<endpoint> seeds);
+
+    void start();
+    /// The store has just failed: what is missing is asked for at once.
+    void storeLost();
+    void setSeeds(std::vector<endpoint> seeds) { m_seeds = std::move(seeds); }
+
+private:
+    bool lacksNothing(instant now) const;
+    void pull();
+    void pullFrom(const endpoint& peer);
+    void pulled(const endpoint& peer, const http_response* response, const exchange_failure& failure);
+
+    dependencies m_parts;
+    duration m_interval;
+    endpoint m_self;
+    std::vector<endpoint> m_seeds;
+    QTimer m_timer;
+    std::size_t m_seedTurn = 0;
+    bool m_isAsking = false;
+};
+
+}
--- a/libs/gateway/tests/test_record_feed.cpp
+++ b/libs/gateway/tests/test_record_feed.cpp
@@ -91,3 +91,17 @@
     late(record_page { { record(5, "new") }, 6, 6 }); // has no effect any more
     CHECK(topic.keys.size() == 1);
 }
+
+TEST_CASE("test_feed_tells_that_the_store_failed_at_first")
+{
+    // Symptom: a node that starts during an outage of the store says nothing about it, and waits before asking peers.
+    // Sequence: the very first read fails.
+    // Cause: only the change from reached to lost is told, and nothing was ever reached.
+    followed_topic topic;
+    topic.last(1).onNewest(store_error::refused);
+    CHECK(topic.reach == std::vector<bool> { false });
+    topic.last(2).onNewest(store_error::refused);
+    CHECK(topic.reach == std::vector<bool> { false });
+    topic.last(3).onNewest(newest_page { {}, 0, false });
+    CHECK(topic.reach == std::vector<bool> { false, true });
+}
--- a/libs/gateway/tests/test_shared_view.cpp
+++ b/libs/gateway/tests/test_shared_view.cpp
@@ -17,6 +17,7 @@
     logger log { quiet() };
     std::vector<std::uint64_t> versions;
     std::vector<keyed_record> told;
+    int storeLosses = 0;
     shared_view view;
 
     static logger_options quiet()
@@ -28,12 +29,10 @@
     }
 
     viewed_store()
-        : view(
-            { decoder, store, decisions, nodes, counters, log }, {},
-            [this](std::shared_ptr<const serving::serving_configuration> configuration) {
-                versions.push_back(configuration->version());
-            },
-            [this](std::vector<keyed_record> changes) { told.insert(told.end(), changes.begin(), changes.end()); })
+        : view({ decoder, store, decisions, nodes, counters, log }, {},
+            { [this](const auto& configuration) { versions.push_back(configuration->version()); },
+                [this](std::vector<keyed_record> changes) { told.insert(told.end(), changes.begin(), changes.end()); },
+                [this] { ++storeLosses; } })
     {
         view.start();
     }
