A peer's state is sight of the lease: a thawed node no longer claims it from its holder

New log lines (lease_changed) show it: the former holder thaws, takes a peer's state before the log has answered, finds the successor's claim as old as its own freeze, and claims within 1 ms from a holder that trusts itself for 2 s more. Ruled out: a lease lost by a slow successor (its renewals were on time); a re-issue after a lost answer (each was answered 202). Change: lease records that are new in a state taken over count as seen now. The worlds of leases and orders now take over states. The test of the thawed node failed before the change.

--- a/libs/decide/include/decide/control_system.h
+++ b/libs/decide/include/decide/control_system.h
@@ -84,6 +84,7 @@
 
 private:
     void onRecord(const log_record& record, verdict v);
+    void stateRestored(instant now);
     void takeConfiguration(instant now, control_output& out);
     void assignLeases(instant now);
     struct pending_change {
--- a/libs/decide/include/decide/lease_system.h
+++ b/libs/decide/include/decide/lease_system.h
@@ -35,6 +35,9 @@
     void setLeases(const std::map<std::string, int>& rankByLease);
     /// Call for every record read, after the fold has judged it.
     void recordSeen(const log_record& record, verdict v, instant now);
+    /// The agreed state was taken over from a restatement at `now`: each lease record that is new in it counts as seen
+    /// now.
+    void restored(const agreed_state& state, instant now);
     /// Claims, renewals and releases that are due. `mayClaim` is false while this node is stopping or not ready.
     std::vector<wanted_append> step(const agreed_state& state, instant now, bool mayClaim);
     /// The append was given `sequence` and is being sent at `now`.
@@ -50,7 +53,8 @@
 private:
     struct entry {
         int rank = 0;
-        instant sightOfLast; // when this node saw the lease's last valid record
+        log_offset lastSeen; // the lease's last valid record that this node saw, itself or in a peer's state
+        instant sightOfLast; // when this node saw it
         bool everSeen = false;
         instant trustedUntil; // from the sending time of the last confirmed claim or renewal
         bool isTrusted = false;
--- a/libs/decide/src/control_system.cpp
+++ b/libs/decide/src/control_system.cpp
@@ -35,7 +35,7 @@
     const bool hadGap = m_follower.hasGap();
     m_follower.take(page);
     if (hadGap && !m_follower.hasGap() && agreed().next() > before)
-        m_orders.restored(agreed(), now);
+        stateRestored(now);
     m_ready.logAnswered(m_follower.hasReachedEnd(), now);
 }
 
@@ -57,7 +57,13 @@
 {
     m_now = now;
     if (m_follower.adopt(data))
-        m_orders.restored(agreed(), now);
+        stateRestored(now);
+}
+
+void control_system::stateRestored(instant now)
+{
+    m_leases.restored(agreed(), now);
+    m_orders.restored(agreed(), now);
 }
 
 void control_system::vmsListed(const std::vector<listed_vm>& vms, instant now) { m_members.listed(vms, now); }
--- a/libs/decide/src/lease_system.cpp
+++ b/libs/decide/src/lease_system.cpp
@@ -48,6 +48,7 @@
         item.isPending = false;
     if (v != verdict::valid)
         return;
+    item.lastSeen = record.offset;
     item.sightOfLast = now;
     item.everSeen = true;
     const auto sent = isMine ? item.sentAt.find(record.origin.sequence) : item.sentAt.end();
@@ -63,6 +64,23 @@
     item.sentAt.erase(item.sentAt.begin(), std::next(sent));
 }
 
+// What goes wrong without it: a node that was frozen gets a peer's state before the log answers, finds the lease's last
+// record as old as its own freeze, and claims it from a holder that renewed a moment ago. Two nodes then hold the lease
+// until the first one reads the claim; one notices by targets that get the same order under two numbers.
+void lease_system::restored(const agreed_state& state, instant now)
+{
+    for (auto& [name, item] : m_entries) {
+        const lease_state& held = state.lease(name);
+        if (!held.last.isValid() || held.last == item.lastSeen)
+            continue;
+        item.lastSeen = held.last;
+        item.sightOfLast = now;
+        item.everSeen = true;
+        if (held.holder != m_self)
+            item.isTrusted = false;
+    }
+}
+
 std::vector<wanted_append> lease_system::step(const agreed_state& state, instant now, bool mayClaim)
 {
     std::vector<wanted_append> out;
--- a/libs/decide/tests/authority_world.cpp
+++ b/libs/decide/tests/authority_world.cpp
@@ -123,6 +123,19 @@
     node.follower->take(page);
 }
 
+void authority_world::adoptFromPeer(world_node& node)
+{
+    const auto& peer = m_nodes[m_random.below(m_nodes.size())];
+    if (&peer == &node || !peer.isAlive || m_now < peer.frozenUntil)
+        return;
+    if (!node.follower->adopt(peer.follower->state().data()))
+        return;
+    const auto& state = node.follower->state();
+    if (m_settings.offeredStateIsSight)
+        node.leases->restored(state, localNow(node));
+    node.orders->restored(state, localNow(node));
+}
+
 void authority_world::append(world_node& node, const record_body& body)
 {
     const auto sequence = ++node.sequence;
@@ -158,6 +171,9 @@
         }
     }
     if (m_now >= node.nextRead) {
+        // A thawed node finds its peers' heartbeats waiting, and asks one for its state before the log has answered.
+        if (m_random.unit() < 0.3)
+            adoptFromPeer(node);
         readLog(node);
         node.nextRead = m_now + 100ms + randomDelay(0.1);
     }
--- a/libs/decide/tests/authority_world.h
+++ b/libs/decide/tests/authority_world.h
@@ -19,6 +19,7 @@
     order_safeguards safeguards;
     duration margin = std::chrono::milliseconds(200);
     double seconds = 60;
+    bool offeredStateIsSight = true; ///< the lease system is told of states that were taken over from a peer
 };
 
 struct world_result {
@@ -96,6 +97,7 @@
     void stepNetwork();
     void stepEngines();
     void readLog(world_node& node);
+    void adoptFromPeer(world_node& node);
     void append(world_node& node, const record_body& body);
     void take(engine& target, const deliver_order& order, std::size_t node, std::uint64_t incarnation);
     void checkHolders();
--- a/libs/decide/tests/test_authority.cpp
+++ b/libs/decide/tests/test_authority.cpp
@@ -1,6 +1,8 @@
 // Proofs about leases and orders under random interleavings of faults.
 #include "authority_world.h"
+#include "decide/control_system.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <cstdlib>
@@ -105,6 +107,52 @@
     CHECK(total(settings).doubleHolders > 0);
 }
 
+TEST_CASE("test_two_holders_appear_when_a_peers_state_is_no_sight_of_the_lease")
+{
+    // Symptom: two nodes act under one lease for up to its length.
+    // Sequence: a node freezes, another takes the lease and renews it, the first thaws and learns of it from a peer.
+    // Cause: it knows the lease's last record, but takes it for as old as what it read before the freeze.
+    world_settings settings;
+    settings.offeredStateIsSight = false;
+    CHECK(total(settings).doubleHolders > 0);
+}
+
+TEST_CASE("test_thawed_node_leaves_the_lease_to_the_holder_it_learns_of")
+{
+    // Symptom: an engine gets one order under two numbers, from two nodes.
+    // Sequence: a node reads the log, freezes, thaws after another's claim, and a peer's state arrives first.
+    // Cause: a state that a peer offers was no sight of the lease's record, so the lease looked vacant.
+    const instance_id self { "a", 1 };
+    const instance_id other { "b", 1 };
+    control_system node({ self, "r", "z" }, {}, instant(fromSeconds(1000)));
+    const std::string text = R"({ "deployment": "d", "region": "r", "availability_zones": ["z"], "services": [
+        { "name": "s", "kind": "engine", "model": "m", "targets": [
+            { "name": "t", "address": "10.0.0.1:1", "availability_zone": "z" } ] } ] })";
+    const auto atSecond = [](double seconds) { return instant(fromSeconds(1000 + seconds)); };
+    agreed_state truth;
+    decoded_page page { { 0 }, { 2 }, {} };
+    const auto put = [&](std::int64_t offset, const instance_id& writer, std::uint64_t sequence, record_body body) {
+        const log_record record { { offset }, { writer, sequence }, std::move(body) };
+        REQUIRE(truth.apply(record) == verdict::valid);
+        page.items.push_back({ record.offset, record });
+    };
+    put(0, other, 1, publication_record { 0, text, "operator" });
+    put(1, other, 2, claim_record { "r/s", {} });
+    node.pageRead(page, atSecond(0));
+    node.tick(atSecond(0.1));
+    put(2, other, 3, renewal_record { "r/s", { 1 } });
+    node.stateOffered(truth.data(), atSecond(60));
+    const auto isClaim = [](const record_body& body) { return std::holds_alternative<claim_record>(body); };
+    const auto claims = [&](double seconds) {
+        node.pageRead({ { 0 }, { 3 }, {} }, atSecond(seconds));
+        const auto out = node.tick(atSecond(seconds));
+        return std::count_if(out.appends.begin(), out.appends.end(), isClaim);
+    };
+    CHECK(claims(60) == 0);
+    CHECK(claims(64) == 0); // the holder may trust itself for 6 s since its renewal
+    CHECK(claims(67) == 1);
+}
+
 TEST_CASE("test_order_learned_from_a_peer_is_never_sent")
 {
     // Symptom: a node ends, or sends an order whose turn is long over.
--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -338,6 +338,19 @@
     });
 }
 
+void control_plane::logLeaseChanges()
+{
+    for (const auto& [name, lease] : m_control.agreed().data().leases) {
+        auto& told = m_toldLeases[name];
+        if (told.holder == lease.holder && told.term == lease.term)
+            continue;
+        told = lease;
+        m_log.write(log_event::lease_changed,
+            { { "lease", name }, { "holder", toString(lease.holder) }, { "term", lease.term.value },
+                { "read_to", m_control.agreed().next().value } });
+    }
+}
+
 void control_plane::tick()
 {
     const auto now = boot_clock::now();
@@ -348,6 +361,7 @@
             { { "version", m_control.servedVersion() }, { "deployment", output.configuration->name } });
         m_onConfiguration(output.configuration);
     }
+    logLeaseChanges();
     markTargets(now);
     for (const auto& body : output.appends)
         append(body);
--- a/libs/node/src/control_plane.h
+++ b/libs/node/src/control_plane.h
@@ -55,6 +55,7 @@
     void markTargets(instant now);
     void sumDemand(instant now);
     std::vector<digest_entry> digest(instant now);
+    void logLeaseChanges();
     void publishMetrics(instant now);
 
     struct peer_demand {
@@ -81,6 +82,7 @@
     std::map<std::string, int> m_silences; // polls in a row without an answer, by target
     std::map<std::string, bool> m_listedLeaving; // targets that the VM list calls leaving
     std::set<std::string> m_raised; // alarms that are on
+    std::map<std::string, lease_state> m_toldLeases; // as last logged, by lease
     std::uint64_t m_sequence = 0;
     std::size_t m_digestTurn = 0;
     bool m_isReading = false;
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -45,6 +45,7 @@
     cache_not_released,
     alarm_raised,
     alarm_cleared,
+    lease_changed,
     order_sent,
     order_answered,
     order_unanswered,
