A target's leaving is heard by all nodes: notes that fit, removals with their place, confirmations taken up

From the logs: 10 of 21 nodes of a zone dropped the target 2.5 s after the others. Some 20 targets changed at once, their note was longer than its readers' 2,048 byte buffer, and nobody could read it; nodes that hurried to read the list themselves found the removal before it was confirmed, and waited out the grace, since a later confirmation was not taken up. Found beside it: removals seen by reading the list anew were told to nobody, or without an offset; an offset that is told could confirm a removal that its teller still waited for. Ruled out: a slow reader (it read within 1.4 s), lost datagrams alone (all of ten nodes lost the same note). Change: notes are split below the MTU, the buffer holds any datagram, confirmations reach removals that wait, removals found anew carry the offset up to which the list was read.

--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -20,6 +20,10 @@
     constexpr std::size_t mostLoads = 70;
     constexpr std::size_t mostJobs = 30;
     constexpr std::size_t mostCaches = 25;
+    /// Of changes in one note, besides the note's own 20 bytes; a single larger record goes alone.
+    constexpr std::size_t mostNoteBytes = 1'300;
+    /// What a record takes beyond its key and value.
+    constexpr std::size_t recordOverhead = 33;
 
     template <class Message> std::string encode(const Message& message)
     {
@@ -94,6 +98,22 @@
     return encode(message);
 }
 
+std::vector<target_note> notesFor(std::vector<keyed_record> changes)
+{
+    std::vector<target_note> notes;
+    std::size_t bytes = 0;
+    for (auto& change : changes) {
+        const std::size_t size = recordOverhead + change.key.size() + (change.value ? change.value->size() : 0);
+        if (notes.empty() || bytes + size > mostNoteBytes) {
+            notes.emplace_back();
+            bytes = 0;
+        }
+        notes.back().changes.push_back(std::move(change));
+        bytes += size;
+    }
+    return notes;
+}
+
 std::optional<peer_datagram> decodeDatagram(const std::string& bytes) { return decode<peer_datagram>(bytes); }
 
 std::string encodeState(const shared_state& state) { return encode(state); }
--- a/libs/gateway/src/node_messages.h
+++ b/libs/gateway/src/node_messages.h
@@ -47,8 +47,10 @@
 
 using peer_datagram = std::variant<node_heartbeat, job_note, target_note>;
 
-/// Datagrams stay below the usual path MTU; what does not fit is left out.
+/// Heartbeats stay below the usual path MTU; what does not fit is left out.
 std::string encodeDatagram(peer_datagram message);
+/// As many notes as it takes for each to stay below the usual path MTU, the changes in their order.
+std::vector<target_note> notesFor(std::vector<keyed_record> changes);
 std::optional<peer_datagram> decodeDatagram(const std::string& bytes);
 std::string encodeState(const shared_state& state);
 std::optional<shared_state> decodeState(const std::string& bytes);
--- a/libs/gateway/src/peer_mesh.cpp
+++ b/libs/gateway/src/peer_mesh.cpp
@@ -1,8 +1,6 @@
 // QUdpSocket; a datagram that is lost is made up for by the next.
 #include "peer_mesh.h"
 
-#include <array>
-
 namespace tamarack {
 
 peer_mesh::peer_mesh(std::function<void(peer_datagram)> onMessage)
@@ -28,10 +26,9 @@
 
 void peer_mesh::readDatagrams()
 {
-    std::array<char, 2048> buffer; // above any heartbeat
     while (m_socket.hasPendingDatagrams()) {
-        const auto size = m_socket.readDatagram(buffer.data(), buffer.size());
-        auto message = decodeDatagram({ buffer.data(), static_cast<std::size_t>(std::max<qint64>(size, 0)) });
+        const auto size = m_socket.readDatagram(m_buffer.data(), m_buffer.size());
+        auto message = decodeDatagram({ m_buffer.data(), static_cast<std::size_t>(std::max<qint64>(size, 0)) });
         if (message)
             m_onMessage(std::move(*message));
         else
--- a/libs/gateway/src/peer_mesh.h
+++ b/libs/gateway/src/peer_mesh.h
@@ -6,6 +6,7 @@
 #include "http/http_client.h"
 
 #include <QUdpSocket>
+#include <array>
 #include <functional>
 
 namespace tamarack {
@@ -25,6 +26,7 @@
 
     std::function<void(peer_datagram)> m_onMessage;
     QUdpSocket m_socket;
+    std::array<char, 65536> m_buffer; // above any datagram: one that is cut short could not be read
     std::uint64_t m_undecodable = 0;
 };
 
--- a/libs/gateway/src/peer_talk.cpp
+++ b/libs/gateway/src/peer_talk.cpp
@@ -68,7 +68,9 @@
 
 void peer_talk::tellTargets(std::vector<keyed_record> changes)
 {
-    m_mesh.send(m_parts.nodes.alive(boot_clock::now()), target_note { std::move(changes) });
+    const auto peers = m_parts.nodes.alive(boot_clock::now());
+    for (auto& note : notesFor(std::move(changes)))
+        m_mesh.send(peers, std::move(note));
 }
 
 void peer_talk::heard(peer_datagram message)
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -1,6 +1,8 @@
 // Records into decisions.
 #include "shared_view.h"
 
+#include <utility>
+
 namespace tamarack {
 
 namespace {
@@ -167,7 +169,7 @@
 void shared_view::onTargetSnapshot(const std::vector<keyed_record>& records)
 {
     std::vector<serving::target_record> all;
-    m_targetRecords.clear();
+    const auto before = std::exchange(m_targetRecords, {});
     for (const auto& record : records) {
         if (!record.value)
             continue;
@@ -180,8 +182,22 @@
         m_targetRecords[record.key] = record;
         all.push_back(std::get<serving::target_record>(std::move(decoded)));
     }
-    m_hasTargets = true;
-    apply(m_targetList.snapshot(all, boot_clock::now()));
+    for (const auto& [instance, record] : before) {
+        if (!m_targetRecords.contains(instance))
+            markRemoved(instance);
+    }
+    const auto changes = m_targetList.snapshot(all, boot_clock::now());
+    apply(changes);
+    // What everybody reads at its start is told to nobody.
+    if (std::exchange(m_hasTargets, true))
+        tellPeers(changes);
+}
+
+// What goes wrong without it: peers take a removal that is told without its place in the list for older than what they
+// know, and go on sending to a target that has left. The list was read up to the feed's next offset and had no entry.
+void shared_view::markRemoved(const std::string& instance)
+{
+    m_targetRecords[instance] = { m_targetFeed.next() - 1, instance, std::nullopt };
 }
 
 void shared_view::tellPeers(const serving::target_changes& changes)
@@ -218,13 +234,37 @@
 void shared_view::targetChangeSeen(std::int64_t offset)
 {
     const auto now = boot_clock::now();
-    m_confirmedChange = std::max(m_confirmedChange, offset);
+    if (offset > m_confirmedChange) {
+        m_confirmedChange = offset;
+        confirmLapsed();
+    }
     if (offset <= m_lastTargetChange || offset < m_targetFeed.next() || now < m_targetsHurriedAt + hurryInterval)
         return;
     m_targetsHurriedAt = now;
     m_targetFeed.hurry();
 }
 
+// What goes wrong without it: a node that reads a removal before the peers that follow the list have told it waits out
+// the whole grace, and sends to the target for longer than the drain bound allows.
+void shared_view::confirmLapsed()
+{
+    for (const auto& [instance, record] : m_targetRecords) {
+        if (!record.value && record.offset <= m_confirmedChange)
+            apply(m_targetList.confirmedGone(instance, boot_clock::now()));
+    }
+}
+
+// A removal that this node still waits for is not yet obeyed; to name a later change would confirm it to the peers.
+std::int64_t shared_view::lastTargetChange() const
+{
+    std::int64_t last = m_lastTargetChange;
+    for (const auto& [instance, record] : m_targetRecords) {
+        if (!record.value && m_targetList.isLapsed(instance))
+            last = std::min(last, record.offset - 1);
+    }
+    return last;
+}
+
 void shared_view::setReadsClosely(bool readsClosely)
 {
     if (readsClosely == m_readsClosely)
--- a/libs/gateway/src/shared_view.h
+++ b/libs/gateway/src/shared_view.h
@@ -46,7 +46,8 @@
     void targetsTold(const std::vector<keyed_record>& changes);
     /// A peer knows of a change of the target list at this offset.
     void targetChangeSeen(std::int64_t offset);
-    std::int64_t lastTargetChange() const { return m_lastTargetChange; }
+    /// The newest offset up to which this node has obeyed every change of the target list.
+    std::int64_t lastTargetChange() const;
     /// A peer has a newer version in force than this node.
     void versionSeen(std::uint64_t version);
     /// What a peer knows; taken where it is newer.
@@ -70,6 +71,9 @@
     void onNodeRecord(const keyed_record& record);
     void apply(const serving::target_changes& changes);
     void tellPeers(const serving::target_changes& changes);
+    void confirmLapsed();
+    /// Notes that the list has no entry for the target any more.
+    void markRemoved(const std::string& instance);
     /// Offset of what is known of a target; -1 if nothing is.
     std::int64_t knownOffset(const std::string& instance) const;
     void reachChanged(std::string_view topic, bool isReachable, std::string_view reason);
--- a/libs/gateway/tests/test_shared_view.cpp
+++ b/libs/gateway/tests/test_shared_view.cpp
@@ -89,6 +89,76 @@
     CHECK(world.told.empty()); // not told on: the one that found it tells all
 }
 
+TEST_CASE("test_removal_read_before_it_was_confirmed_is_obeyed_when_a_peer_confirms_it")
+{
+    // Symptom: a request reaches a target later after its leaving than the drain bound allows.
+    // Sequence: a node that reads seldom hurries to read a change, and finds a removal behind it; then a peer's
+    // heartbeat names that removal.
+    // Cause: removals that waited for a confirmation were looked at again only when the grace was over.
+    viewed_store world;
+    world.listTargets({ { 1, "t1", "s/1" }, { 2, "t2", "s/1" } }, 3);
+    world.view.setReadsClosely(false);
+    world.view.targetChangeSeen(5);
+    world.lastCall("read", store_topic::targets)
+        .onRead(record_page { { { 5, "t1", "s/2/draining" }, { 6, "t2", std::nullopt } }, 7, 7 });
+    CHECK(world.takesWork("t2")); // it may have lapsed while the store was away, of which this node does not know
+    world.view.targetChangeSeen(6);
+    CHECK_FALSE(world.takesWork("t2"));
+}
+
+TEST_CASE("test_removal_that_is_waited_for_is_not_confirmed_to_peers")
+{
+    // Symptom: after an outage of the store targets that work are given up by nodes that read seldom.
+    // Sequence: an entry lapses during the outage, and another one changes after it; the change's offset is told.
+    // Cause: a node that follows the list tells the offset of its last change, though it waits for an earlier removal.
+    viewed_store world;
+    world.listTargets({ { 1, "t1", "s/1" }, { 2, "t2", "s/1" } }, 3);
+    world.lastCall("read", store_topic::targets).onRead(store_error::unreachable);
+    world.lastCall("read", store_topic::targets)
+        .onRead(record_page { { { 5, "t1", std::nullopt }, { 6, "t2", "s/2/draining" } }, 7, 7 });
+    CHECK(world.takesWork("t1"));
+    CHECK(world.view.lastTargetChange() == 4);
+}
+
+TEST_CASE("test_removal_found_by_reading_anew_is_told_with_its_place")
+{
+    // Symptom: peers go on sending to a target that has left.
+    // Sequence: the store drops its history, the list is read anew, and an entry is missing.
+    // Cause: the removal was told without an offset, so that peers took it for older than the entry.
+    viewed_store world;
+    world.listTargets({ { 1, "t1", "s/1" }, { 2, "t2", "s/1" } }, 3);
+    world.lastCall("read", store_topic::targets).onRead(store_error::expired);
+    REQUIRE(spinUntil([&] { return world.store.count("newest", store_topic::targets) == 2; }));
+    world.listTargets({ { 8, "t1", "s/2" } }, 10);
+    REQUIRE(world.told.size() == 1);
+    CHECK(world.told[0].key == "t2");
+    CHECK(world.told[0].offset == 9);
+}
+
+TEST_CASE("test_notes_of_many_changes_fit_into_datagrams")
+{
+    // Symptom: when many targets change at once, none of the peers hears of it.
+    // Cause: all changes went into one datagram, longer than its readers' buffer.
+    constexpr std::size_t mtu = 1'472;
+    std::vector<keyed_record> changes;
+    for (int i = 0; i < 40; ++i)
+        changes.push_back({ i, "target-" + std::to_string(i), std::string(static_cast<std::size_t>(20 * i), 'x') });
+    changes.push_back({ 40, "target-gone", std::nullopt });
+    std::vector<keyed_record> received;
+    for (auto& note : notesFor(changes)) {
+        const auto bytes = encodeDatagram(std::move(note));
+        CHECK(bytes.size() <= mtu);
+        const auto decoded = decodeDatagram(bytes);
+        REQUIRE(decoded);
+        const auto& read = std::get<target_note>(*decoded).changes;
+        received.insert(received.end(), read.begin(), read.end());
+    }
+    REQUIRE(received.size() == changes.size());
+    for (std::size_t i = 0; i < received.size(); ++i)
+        CHECK(received[i].offset == changes[i].offset);
+    CHECK_FALSE(received.back().value);
+}
+
 TEST_CASE("test_late_word_of_a_peer_does_not_undo_what_was_read")
 {
     viewed_store world;
--- a/libs/serving/include/serving/target_list.h
+++ b/libs/serving/include/serving/target_list.h
@@ -35,6 +35,8 @@
     target_changes snapshot(const std::vector<target_record>& all, instant now);
     /// Removals that had to wait.
     target_changes tick(instant now);
+    /// Whether the target's entry is missing, but may still come back.
+    bool isLapsed(const std::string& instance) const;
     std::size_t size() const { return m_entries.size(); }
 
 private:
--- a/libs/serving/src/target_list.cpp
+++ b/libs/serving/src/target_list.cpp
@@ -94,6 +94,12 @@
     return out;
 }
 
+bool target_list::isLapsed(const std::string& instance) const
+{
+    const auto found = m_entries.find(instance);
+    return found != m_entries.end() && found->second.isLapsed;
+}
+
 target_changes target_list::snapshot(const std::vector<target_record>& all, instant now)
 {
     target_changes out;
