--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -243,11 +243,20 @@
         return; // the caller has it already, from an earlier attempt
     if (!event.idText.empty())
         m_lastEvent = std::string(event.idText);
-    if (++m_events == 1)
-        m_firstMs = millisecondsSince(m_startedAt);
+    notePause();
     m_caller->write(event.bytes);
 }
 
+void caller_flow::notePause()
+{
+    const auto now = boot_clock::now();
+    if (++m_events == 1)
+        m_firstMs = milliseconds(now - m_startedAt);
+    else
+        m_longestPause = std::max(m_longestPause, now - m_lastEventAt);
+    m_lastEventAt = now;
+}
+
 void caller_flow::applyBackPressure()
 {
     if (!m_attempt || !m_attempt->exchange || m_isFinished)
@@ -383,11 +392,13 @@
     if (end == flow_end::answered) {
         m_services.log.write(log_event::request_ended,
             { { "request", m_decoded.id }, { "route", m_routeName }, { "first_ms", m_firstMs },
-                { "took_ms", millisecondsSince(m_startedAt) }, { "events", m_events }, { "attempts", m_attempts } });
+                { "took_ms", millisecondsSince(m_startedAt) }, { "events", m_events }, { "attempts", m_attempts },
+                { "longest_pause_ms", milliseconds(m_longestPause) } });
     } else if (end != flow_end::refused) {
         m_services.log.write(log_event::request_failed,
             { { "request", m_decoded.id }, { "route", m_routeName }, { "outcome", name }, { "first_ms", m_firstMs },
-                { "took_ms", millisecondsSince(m_startedAt) }, { "events", m_events }, { "attempts", m_attempts } });
+                { "took_ms", millisecondsSince(m_startedAt) }, { "events", m_events }, { "attempts", m_attempts },
+                { "longest_pause_ms", milliseconds(m_longestPause) } });
     }
     if (m_on.onFinished)
         m_on.onFinished();
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -82,6 +82,8 @@
     void beginAnswer(const attempt_ptr& attempt);
     void conclude(const attempt_ptr& attempt, serving::attempt_result result, const std::string& cacheName = {});
     void finish(flow_end end);
+    /// An event goes to the caller.
+    void notePause();
     void applyBackPressure();
     bool isFailure(const target_answer& answer) const;
     bool isEventStream(const attempt_ptr& attempt) const;
@@ -103,6 +105,8 @@
     int m_attempts = 0;
     int m_events = 0; // of a stream, that went to the caller
     std::int64_t m_firstMs = -1; // from the request to the first of them
+    instant m_lastEventAt;
+    duration m_longestPause = duration::zero(); // between two of them
     bool m_isFinished = false;
     bool m_isPaused = false;
 };
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -45,7 +45,7 @@
         { log_event::request_refused, "request_refused", info, failed,
             "request route kind retry_after_ms held_ms waiting version" },
         { log_event::request_failed, "request_failed", warning, failed,
-            "request route outcome first_ms took_ms events attempts" },
+            "request route outcome first_ms took_ms events attempts longest_pause_ms" },
         { log_event::request_without_route, "request_without_route", info, failed, "request host path version" },
         { log_event::attempt_failed, "attempt_failed", info, failed,
             "request target stage result reason status may_have_reached took_ms" },
@@ -55,7 +55,8 @@
         { log_event::attempt_started, "attempt_started", info, served,
             "request target stage late urgency work wait_ms running predicted_ms left_ms fetch_from" },
         { log_event::attempt_ended, "attempt_ended", info, served, "request target stage status first_ms took_ms" },
-        { log_event::request_ended, "request_ended", info, served, "request route first_ms took_ms events attempts" },
+        { log_event::request_ended, "request_ended", info, served,
+            "request route first_ms took_ms events attempts longest_pause_ms" },
     } };
 
     constexpr bool isComplete()
