--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -223,6 +223,7 @@
     out.configurationVersion = view.hasConfiguration() ? view.configuration()->version() : 0;
     out.isStoreReachable = view.isStoreReachable();
     out.lastTargetChange = view.lastTargetChange();
+    out.readsForOthers = view.readsClosely();
     out.linkMegabits = settings.linkMegabits;
     return out;
 }
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -14,7 +14,7 @@
 namespace {
 
     /// Another version is another format: what cannot be read is dropped, and the nodes of a version know each other.
-    constexpr char formatVersion = 3;
+    constexpr char formatVersion = 4;
     /// 1,472 bytes fit into a datagram that is not split; a load takes 6, a job 27, news of a cache 16, the
     /// sender some 110.
     constexpr std::size_t mostLoads = 70;
@@ -66,7 +66,8 @@
     template <class Archive> void serialize(Archive& archive, node_state& m)
     {
         archive(m.vm, m.incarnation, m.availabilityZone, m.address, m.callerPort, m.peerPort, m.adminPort, m.isReady,
-            m.isStopping, m.configurationVersion, m.isStoreReachable, m.lastTargetChange, m.linkMegabits);
+            m.isStopping, m.configurationVersion, m.isStoreReachable, m.lastTargetChange, m.readsForOthers,
+            m.linkMegabits);
     }
 
     template <class Archive> void serialize(Archive& archive, load_entry& m) { archive(m.target, m.running); }
--- a/libs/gateway/src/shared_view.h
+++ b/libs/gateway/src/shared_view.h
@@ -42,6 +42,7 @@
     void stop();
     /// Whether this node reads the target list closely, for all; else it reads seldom and listens to those that do.
     void setReadsClosely(bool readsClosely);
+    bool readsClosely() const { return m_readsClosely; }
     /// A peer that reads closely has found these changes.
     void targetsTold(const serving::target_note& note);
     /// A peer knows of a change of the target list at this offset.
--- a/libs/serving/include/serving/node_directory.h
+++ b/libs/serving/include/serving/node_directory.h
@@ -25,6 +25,7 @@
     bool isStoreReachable = false;
     /// It follows the target list and has obeyed every change up to this offset; -1: it does not follow it.
     std::int64_t lastTargetChange = -1;
+    bool readsForOthers = false; ///< it follows the target list and the configuration closely
     std::uint32_t linkMegabits = 0; ///< a second, of its VM's link; 0: not known
 
     bool operator==(const node_state&) const = default;
--- a/libs/serving/include/serving/target_follower.h
+++ b/libs/serving/include/serving/target_follower.h
@@ -56,7 +56,7 @@
     follow_step tick(instant now);
 
     bool hasList() const { return m_hasList; }
-    /// Every change up to this offset is known and obeyed here; -1: no change was seen yet.
+    /// Every change up to this offset is known and obeyed here; -1: there was none.
     std::int64_t lastChange() const;
     /// The entries that there are, for a peer that cannot read them.
     std::vector<target_news> known() const;
--- a/libs/serving/src/duty_roster.cpp
+++ b/libs/serving/src/duty_roster.cpp
@@ -47,7 +47,11 @@
     if (!self.isStoreReachable && !reachable.empty())
         return false;
     // With the store away from all, one goes on asking for the others.
-    const auto& candidates = self.isStoreReachable ? reachable : others;
+    auto candidates = self.isStoreReachable ? reachable : others;
+    // What goes wrong without it: a node that has just started is the one to read, but listens first; the former reader
+    // leaves at once, and a change that is recorded meanwhile is told by nobody.
+    if (self.readsForOthers)
+        std::erase_if(candidates, [](const node_state& node) { return !node.readsForOthers; });
     return hasWidestLink(self, candidates) && isOnDuty("targets", self, withLink(candidates, self.linkMegabits), 1);
 }
 
--- a/libs/serving/src/target_follower.cpp
+++ b/libs/serving/src/target_follower.cpp
@@ -70,6 +70,9 @@
         // What everybody reads at its start is told to nobody; the first note says from where on it tells.
         m_hasList = true;
         m_toldTo = next - 1;
+        // What goes wrong without it: a change that a node finds in its first list is told by nobody, if the one that
+        // followed the list before had not read it yet. Peers whose list is older read once when they hear this offset.
+        m_lastChange = std::max(m_lastChange, next - 1);
         return { std::move(changes), std::nullopt, false };
     }
     return found(std::move(changes));
--- a/libs/serving/tests/test_duty_roster.cpp
+++ b/libs/serving/tests/test_duty_roster.cpp
@@ -54,6 +54,22 @@
     CHECK(readsForZone(nodes[1], {}));
 }
 
+TEST_CASE("test_reader_goes_on_until_its_successor_reads")
+{
+    // Symptom: for a second after the start of a node, no node of its zone follows the list of targets.
+    // Sequence: the node that starts is the one to read for the others; it listens first, and they know it at once.
+    // Cause: the former reader left when it heard of the successor, not when that one began.
+    for (int heavier = 0; heavier < 2; ++heavier) {
+        auto former = node(heavier, "a", true);
+        auto starting = node(1 - heavier, "a", true);
+        former.readsForOthers = true;
+        CHECK(readsForZone(former, { starting }));
+        const bool isSuccessor = readsForZone(starting, { former });
+        starting.readsForOthers = isSuccessor;
+        CHECK(readsForZone(former, { starting }) == !isSuccessor);
+    }
+}
+
 TEST_CASE("test_nodes_with_wide_links_read_for_the_others")
 {
     // Symptom: of the notes on many changes at once some peers get none.
--- a/libs/serving/tests/test_target_follower.cpp
+++ b/libs/serving/tests/test_target_follower.cpp
@@ -141,6 +141,23 @@
     CHECK(world.believed == world.truth());
 }
 
+TEST_CASE("test_change_before_a_new_readers_first_list_reaches_the_others")
+{
+    // Symptom: one node sends to a leaving target for seconds longer than the others.
+    // Sequence: a target's leaving is recorded; a node starts, finds it in its first list, and reads for all from then
+    // on; the former reader had not read it yet.
+    // Cause: what a node finds in its first list is told to nobody.
+    followed_list world;
+    world.write("t3", true);
+    target_follower starting { 2s };
+    starting.listRead(world.log, world.end(), at(1s));
+    world.take(world.hearer.changeSeen(starting.lastChange(), at(1s)), at(1s));
+    CHECK_FALSE(world.believed["t3"]);
+    CHECK(world.reads == 1);
+    world.take(world.hearer.changeSeen(starting.lastChange(), at(2s)), at(2s));
+    CHECK(world.reads == 1);
+}
+
 TEST_CASE("test_what_is_waited_for_is_not_confirmed_to_peers")
 {
     // Symptom: after an outage of the store targets that work are given up by nodes that read seldom.
