--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -2,7 +2,7 @@
 #include "gateway/gateway.h"
 
 #include "cache_watch.h"
-#include "caller_flow.h"
+#include "flow_table.h"
 #include "peer_talk.h"
 #include "registration.h"
 #include "role_orders.h"
@@ -15,8 +15,6 @@
 #include "serving/duty_roster.h"
 
 #include <QTimer>
-#include <deque>
-#include <unordered_map>
 
 namespace tamarack {
 
@@ -65,15 +63,8 @@
     bool isReady() const;
 
     void handleCaller(http_request request, std::shared_ptr<response_writer> caller);
-    void submit(http_request request, caller_request decoded, const serving::route_rule& route,
-        std::shared_ptr<response_writer> caller);
     void refuse(const std::shared_ptr<response_writer>& caller, error_kind kind, std::string_view detail);
 
-    void callerGone(request_id id);
-    void execute(serving::command_list commands);
-    void executeOne(const serving::command& command);
-    void release(const serving::cache_handle& cache);
-
     void tick();
     void checkDrain(instant now);
     void publishMetrics(instant now);
@@ -98,15 +89,13 @@
     peer_talk peers;
     http_server callers;
     service_pages pages;
-    std::unordered_map<request_id, std::shared_ptr<caller_flow>> flows;
-    std::deque<serving::command> pending; // commands not carried out yet
+    flow_table flows;
     QTimer decisionTimer;
     instant drainingSince; // set by drain()
     instant nextMetrics;
     instant nextDuties;
     instant startedAt = boot_clock::now();
     bool isDraining = false;
-    bool isExecuting = false;
     bool isStopped = false;
     bool wasReady = false;
 };
@@ -173,6 +162,7 @@
           })
     , pages({ ports.callers, nodes, counters, [this] { return self(); },
           [this] { return encodeState(view.offered(self())); }, [this] { return encodeCaches(caches.known()); } })
+    , flows(services, [this] { peers.jobsSent(); })
 {
     QObject::connect(&decisionTimer, &QTimer::timeout, [this] { tick(); });
 }
@@ -262,109 +252,7 @@
                 { "version", view.configuration()->version() } });
         return refuse(caller, error_kind::unknown_service, "no route for " + call.path);
     }
-    submit(std::move(request), std::move(call), *route, std::move(caller));
-}
-
-void gateway::state::submit(http_request request, caller_request decoded, const serving::route_rule& route,
-    std::shared_ptr<response_writer> caller)
-{
-    /// For callers that do not say how long they wait.
-    constexpr duration usualPatience = 30s;
-    serving::serving_request wanted;
-    wanted.id = decoded.id;
-    wanted.configuration = view.configuration();
-    wanted.route = &route;
-    wanted.service = serving::chooseService(route, decoded.id);
-    wanted.patience = decoded.patience.value_or(usualPatience);
-    wanted.text = decoded.text;
-    serving::command_list commands;
-    auto flow
-        = std::make_shared<caller_flow>(services, std::move(request), std::move(decoded), route, std::move(caller));
-    flow->taken(wanted.service, wanted.configuration->version());
-    const request_id id = decisions.arrive(std::move(wanted), boot_clock::now(), commands);
-    caller_flow::callbacks callbacks;
-    callbacks.onAttemptEnded
-        = [this, id](attempt_id attempt, serving::attempt_result result, const std::string& cacheName) {
-              serving::command_list next;
-              decisions.ended(id, attempt, result, cacheName, boot_clock::now(), next);
-              execute(std::move(next));
-          };
-    callbacks.onCallerGone = [this, id] { callerGone(id); };
-    callbacks.onFinished = [this, id] { flows.erase(id); };
-    flows[id] = flow;
-    flow->bind(id, std::move(callbacks));
-    execute(std::move(commands));
-}
-
-void gateway::state::callerGone(request_id id)
-{
-    const auto found = flows.find(id);
-    if (found == flows.end())
-        return;
-    const auto flow = found->second;
-    counters.count("tamarack_callers_gone_total");
-    // A call that may run only once and is at its target goes on there: breaking it off would leave half of its work
-    // done, with nobody to ask again. Everything else stops, so that targets do not work for nobody.
-    if (!flow->isRepeatable() && !flow->isStream() && flow->isAtTarget())
-        return;
-    serving::command_list commands;
-    decisions.abandoned(id, boot_clock::now(), commands);
-    execute(std::move(commands));
-    flow->drop();
-}
-
-// Carrying out a command may yield further ones; they queue up here instead of recursing.
-void gateway::state::execute(serving::command_list commands)
-{
-    pending.insert(pending.end(), std::make_move_iterator(commands.begin()), std::make_move_iterator(commands.end()));
-    if (isExecuting)
-        return;
-    isExecuting = true;
-    while (!pending.empty()) {
-        const auto command = std::move(pending.front());
-        pending.pop_front();
-        executeOne(command);
-    }
-    isExecuting = false;
-    peers.jobsSent();
-}
-
-void gateway::state::executeOne(const serving::command& command)
-{
-    if (const auto* released = std::get_if<serving::release_cache>(&command))
-        return release(released->cache);
-    const auto flowOf = [this](request_id id) {
-        const auto found = flows.find(id);
-        return found == flows.end() ? nullptr : found->second; // its caller may have gone meanwhile
-    };
-    if (const auto* start = std::get_if<serving::start_attempt>(&command)) {
-        if (const auto flow = flowOf(start->request); flow && decisions.isCurrent(start->request, start->attempt))
-            flow->start(*start);
-    } else if (const auto* stop = std::get_if<serving::stop_attempt>(&command)) {
-        if (const auto flow = flowOf(stop->request))
-            flow->stop(stop->attempt);
-    } else if (const auto* refusal = std::get_if<serving::refuse_request>(&command)) {
-        if (const auto flow = flowOf(refusal->request))
-            flow->refuse(refusal->kind, refusal->retryAfter);
-    } else if (const auto* passed = std::get_if<serving::pass_failure_on>(&command)) {
-        if (const auto flow = flowOf(passed->request))
-            flow->passFailureOn();
-    }
-}
-
-// What goes wrong without it: the engine keeps a KV cache that nobody will take, and has less room for requests.
-void gateway::state::release(const serving::cache_handle& cache)
-{
-    const auto& fleet = decisions.fleet();
-    const auto request = ports.targets.releaseCache(cache.name, fleet.instance[cache.source.value]);
-    exchange_options options;
-    options.silenceTimeout = 1s;
-    client.fetch(parseEndpoint(fleet.address[cache.source.value]), request, options,
-        [this](const http_response* response, const exchange_failure& failure) {
-            // The engine frees it by itself after some seconds; there is nothing more to do.
-            if (!response)
-                log.write(log_event::cache_not_released, { { "reason", failure.reason } });
-        });
+    flows.submit({ std::move(request), std::move(call), view.configuration(), route, std::move(caller) });
 }
 
 void gateway::state::tick()
@@ -380,7 +268,7 @@
         shareDuties(now);
     serving::command_list commands;
     decisions.tick(now, commands);
-    execute(std::move(commands));
+    flows.execute(std::move(commands));
     logReadiness();
     publishMetrics(now);
     if (isDraining)
--- a/libs/gateway/tests/fake_ports.h
+++ b/libs/gateway/tests/fake_ports.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/gateway.h"
+#include "observe/logger.h"
 
 #include <QCoreApplication>
 #include <QEventLoop>
@@ -25,6 +26,15 @@
     return condition();
 }
 
+/// Of a logger that says nothing but errors, and not on the tests' standard output.
+inline logger_options quietLog()
+{
+    logger_options out;
+    out.lowest = log_level::error;
+    out.descriptor = 2;
+    return out;
+}
+
 /// Keeps every call until the test answers it.
 class fake_store : public keyed_log {
 public:
--- a/libs/gateway/tests/test_cache_watch.cpp
+++ b/libs/gateway/tests/test_cache_watch.cpp
@@ -56,19 +56,11 @@
     plain_caches protocol;
     serving::dispatcher decisions { {} };
     metrics counters;
-    logger log { quiet() };
+    logger log { quietLog() };
     http_client client;
     cache_watch caches { client, protocol, decisions, counters, log };
     std::vector<serving::node_state> peers;
 
-    static logger_options quiet()
-    {
-        logger_options out;
-        out.lowest = log_level::error;
-        out.descriptor = 2;
-        return out;
-    }
-
     watching_node()
     {
         serving::target_record record;
--- a/libs/gateway/tests/test_role_orders.cpp
+++ b/libs/gateway/tests/test_role_orders.cpp
@@ -60,19 +60,11 @@
     fake_store store;
     serving::dispatcher decisions { {} };
     metrics counters;
-    logger log { quiet() };
+    logger log { quietLog() };
     http_client client;
     int beats = 0;
     role_orders roles { { client, protocol, store, decisions, counters, log, [this] { ++beats; } }, "n1", {} };
 
-    static logger_options quiet()
-    {
-        logger_options out;
-        out.lowest = log_level::error;
-        out.descriptor = 2;
-        return out;
-    }
-
     ordering_node()
     {
         for (const char* name : { "e1", "e2", "e3" }) {
--- a/libs/gateway/tests/test_shared_view.cpp
+++ b/libs/gateway/tests/test_shared_view.cpp
@@ -14,21 +14,13 @@
     serving::dispatcher decisions { {} };
     serving::node_directory nodes { "n1", {} };
     metrics counters;
-    logger log { quiet() };
+    logger log { quietLog() };
     std::vector<std::uint64_t> versions;
     std::vector<serving::target_note> told;
     int storeLosses = 0;
     int timesBehind = 0;
     shared_view view;
 
-    static logger_options quiet()
-    {
-        logger_options out;
-        out.lowest = log_level::error;
-        out.descriptor = 2;
-        return out;
-    }
-
     viewed_store()
         : view({ decoder, store, decisions, nodes, counters, log }, {},
             { [this](const auto& configuration) { versions.push_back(configuration->version()); },
--- a/libs/gateway/tests/test_state_pull.cpp
+++ b/libs/gateway/tests/test_state_pull.cpp
@@ -44,19 +44,11 @@
     serving::dispatcher decisions { {} };
     serving::node_directory nodes { "n1", {} };
     metrics counters;
-    logger log { quiet() };
+    logger log { quietLog() };
     http_client client;
     shared_view view;
     state_pull pull;
 
-    static logger_options quiet()
-    {
-        logger_options out;
-        out.lowest = log_level::error;
-        out.descriptor = 2;
-        return out;
-    }
-
     explicit starting_node(std::vector<endpoint> seeds)
         : view({ decoder, store, decisions, nodes, counters, log }, {},
             { [](const auto&) {}, [](const auto&) {}, [this] { pull.storeLost(); }, [this] { pull.versionBehind(); } })
--- /dev/null
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -0,0 +1,171 @@
+// How attempts end, and what becomes of their requests.
+#include "serving/dispatcher.h"
+
+#include "base/contract.h"
+
+namespace tamarack::serving {
+
+void dispatcher::releaseAttempt(std::size_t row)
+{
+    auto& current = m_book.current[row];
+    if (!current.id.isValid())
+        return;
+    if (current.isReading)
+        m_queues.removed(current.target, current.readKey);
+    m_fleet.ended(current.target);
+    current = {};
+    m_book.phase[row] = request_phase::waiting;
+}
+
+void dispatcher::releaseCache(std::size_t row, command_list& out)
+{
+    auto& cache = m_book.progress[row].cache;
+    if (!cache.name.empty())
+        out.push_back(release_cache { cache });
+    cache = {};
+}
+
+void dispatcher::remove(std::size_t row, command_list& out)
+{
+    releaseAttempt(row);
+    releaseCache(row, out);
+    m_book.remove(m_book.idOf(row));
+}
+
+bool dispatcher::hasRunOrMayRun(std::size_t row) const
+{
+    const auto& current = m_book.current[row];
+    const bool isAtTarget = current.id.isValid() && current.stage != attempt_stage::prefill;
+    return isAtTarget || m_book.progress[row].mayHaveRun;
+}
+
+void dispatcher::refuse(std::size_t row, error_kind kind, duration retryAfter, command_list& out)
+{
+    // An answer that promises "not run" must be true: once a target may have worked on it, nothing is promised.
+    if (hasRunOrMayRun(row) && answerFor(kind).executed == ran::no)
+        kind = error_kind::attempt_timeout;
+    const request_id id = m_book.idOf(row);
+    const auto attempt = m_book.current[row].id;
+    if (attempt.isValid())
+        out.push_back(stop_attempt { id, attempt });
+    remove(row, out);
+    out.push_back(refuse_request { id, kind, retryAfter });
+}
+
+void dispatcher::endWithFailure(std::size_t row, error_kind kind, command_list& out)
+{
+    const auto& progress = m_book.progress[row];
+    const auto& route = *m_book.request[row].route;
+    if (progress.hasStarted)
+        return refuse(row, error_kind::answer_cut, duration::zero(), out);
+    if (progress.mayHaveRun && !route.isRepeatable)
+        kind = error_kind::outcome_unknown;
+    // The caller may come back for what has surely not run, and is told so.
+    if (!progress.mayHaveRun && answerFor(kind).executed != ran::no)
+        kind = error_kind::overloaded;
+    refuse(row, kind, answerFor(kind).retryAfter, out);
+}
+
+bool dispatcher::mayResend(std::size_t row, instant now)
+{
+    const auto& progress = m_book.progress[row];
+    const auto& request = m_book.request[row];
+    if (progress.sends == 0)
+        return true;
+    return progress.sends < request.route->maxAttempts && allowanceOf(request.service).maySend(m_knownNodes, now);
+}
+
+void dispatcher::ended(request_id request, attempt_id attempt, attempt_result result, const std::string& cacheName,
+    instant now, command_list& out)
+{
+    if (!isCurrent(request, attempt))
+        return;
+    m_peers.refresh(now);
+    settle(static_cast<std::size_t>(m_book.row(request)), result, cacheName, now, out);
+    dispatch(now, out); // a place may have become free
+}
+
+void dispatcher::settle(
+    std::size_t row, attempt_result result, const std::string& cacheName, instant now, command_list& out)
+{
+    auto& progress = m_book.progress[row];
+    const auto attempt = m_book.current[row];
+    const bool isRepeatable = m_book.request[row].route->isRepeatable;
+    const bool couldRun = attempt.stage != attempt_stage::prefill;
+    if (result == attempt_result::answered)
+        return succeeded(row);
+    if (result == attempt_result::prefilled)
+        return prefilled(row, cacheName, now, out);
+    progress.avoid = attempt.target;
+    progress.hasFailed = true;
+    releaseAttempt(row);
+    switch (result) {
+    case attempt_result::unreached:
+        m_health.failed(attempt.target, now);
+        if (couldRun)
+            --progress.sends; // it never arrived
+        return retryOrEnd(row, false, error_kind::no_target, now, out);
+    case attempt_result::rejected:
+    case attempt_result::misdirected:
+        if (result == attempt_result::rejected)
+            m_health.rejected(attempt.target, now);
+        else
+            m_health.misdirected(attempt.target, now);
+        if (!couldRun && progress.sends == 0)
+            countSend(row, now); // only a prefill that was accepted is free
+        releaseCache(row, out); // gone, or held by an engine whose importer has no room
+        return retryOrEnd(row, true, error_kind::overloaded, now, out);
+    case attempt_result::failure_answer:
+        m_health.answeredFailure(attempt.target);
+        progress.mayHaveRun |= couldRun;
+        progress.hasFailureAnswer = true;
+        if (isRepeatable && mayResend(row, now) && tryStart(row, now, out))
+            return;
+        out.push_back(pass_failure_on { m_book.idOf(row), attempt.id });
+        return remove(row, out);
+    case attempt_result::broken:
+        m_health.failed(attempt.target, now);
+        progress.mayHaveRun |= couldRun;
+        releaseCache(row, out);
+        if (couldRun && !isRepeatable)
+            return endWithFailure(row, error_kind::outcome_unknown, out);
+        return retryOrEnd(row, true, error_kind::attempt_timeout, now, out);
+    case attempt_result::cut:
+        m_health.failed(attempt.target, now);
+        progress.mayHaveRun = true;
+        releaseCache(row, out);
+        if (!isRepeatable)
+            return endWithFailure(row, error_kind::answer_cut, out);
+        return retryOrEnd(row, true, error_kind::answer_cut, now, out);
+    default:
+        TAMARACK_ASSERT(false, "attempt result out of range");
+    }
+}
+
+void dispatcher::succeeded(std::size_t row)
+{
+    m_health.succeeded(m_book.current[row].target);
+    releaseAttempt(row);
+    m_book.progress[row].cache = {}; // taken
+    m_book.remove(m_book.idOf(row));
+}
+
+void dispatcher::prefilled(std::size_t row, const std::string& cacheName, instant now, command_list& out)
+{
+    const auto attempt = m_book.current[row];
+    m_health.succeeded(attempt.target);
+    endReading(row, now, true);
+    releaseAttempt(row);
+    m_book.progress[row].cache = { attempt.target, cacheName };
+    if (!startDecode(row, now, out))
+        m_waiting.insert(m_waiting.begin(), m_book.idOf(row));
+}
+
+void dispatcher::retryOrEnd(std::size_t row, bool countsAsSend, error_kind kind, instant now, command_list& out)
+{
+    if (countsAsSend && !mayResend(row, now))
+        return endWithFailure(row, kind, out);
+    startOrWait(row, now, out);
+}
+
+}
