Roles: engines lost without a word are waited for, a surplus of readers is made good when writers leave

From the logs: two of five readers crashed for 5 s, a writer was ordered to read after 1.5 s, and back to writing when they returned: three of eight engines wrote meanwhile, and long answers took longer than their callers wait (58 cut, 39 at their deadline). Change: 10 s without a change after an engine went without a word, unless all is idle; a surplus counts from a tenth of the engines, at once when a writer said that it leaves.

--- a/libs/serving/include/serving/role_split.h
+++ b/libs/serving/include/serving/role_split.h
@@ -52,6 +52,7 @@
         instant orderedAt; // the last order; none: the epoch
         target_role orderedRole = target_role::plain;
         bool isSeen = false;
+        bool isLeaving = false; // it said so
     };
     /// How long a service has had the same number of engines that should change.
     struct shortage {
@@ -73,6 +74,7 @@
     role_split_settings m_settings;
     std::unordered_map<std::string, engine_note> m_notes; // by instance
     std::unordered_map<std::string, shortage> m_shortages; // by service
+    instant m_lostAt; // when an engine went without a word; the epoch: never
     split_view m_view;
 };
 
--- a/libs/serving/src/role_split.cpp
+++ b/libs/serving/src/role_split.cpp
@@ -15,8 +15,9 @@
     /// The list of targets comes in over some seconds when a node starts, and engines that crash are back or gone from
     /// it within about 4 s.
     constexpr duration settleTime = 1500ms;
-    /// Too many readers: seen also while writers are away for some seconds, and nothing is lost meanwhile but room.
-    constexpr duration surplusSettleTime = 10s;
+    /// After engines were lost without a word: they may be back within some seconds, and until then the others seem to
+    /// be too many in one role. Those that said that they leave are not waited for.
+    constexpr duration lossSettleTime = 10s;
     /// From the order to the new role in the list: running answers end, the change takes 3 s, the entry is written.
     constexpr duration changeTime = 8s;
     /// An order without an answer may be carried out up to 12 s later; nothing else is ordered there before.
@@ -25,8 +26,9 @@
     constexpr double busyShare = 0.1;
     /// Of the engines; a smaller shortage is not worth a change while they are at work.
     constexpr double busyTolerance = 0.05;
-    /// Of the engines, readers above what is wanted before one is changed back.
-    constexpr double surplusTolerance = 0.15;
+    /// Of the engines, readers above what is wanted before one is changed back. In a fleet of 8 one is a quarter of
+    /// the writers: with 3 of 8 left to write, long answers of Vodoslet took longer than their callers wait.
+    constexpr double surplusTolerance = 0.1;
     /// One may hang or crash, and only writers can give an answer.
     constexpr int fewestWriters = 2;
     /// An engine listed for less than this has nothing in memory yet that a change would lose.
@@ -56,8 +58,14 @@
         if (isNew)
             at->second.listedAt = now;
         at->second.isSeen = true;
+        at->second.isLeaving = m_fleet.isDraining[row];
     }
-    std::erase_if(m_notes, [](const auto& item) { return !item.second.isSeen; });
+    std::erase_if(m_notes, [&](const auto& item) {
+        const auto& note = item.second;
+        if (!note.isSeen && !note.isLeaving)
+            m_lostAt = now;
+        return !note.isSeen;
+    });
 }
 
 std::vector<role_change> role_split::due(instant now)
@@ -117,13 +125,14 @@
     const int wanted = std::clamp(share(m_settings.readingShare, rows.size()), 1, engines - fewestWriters);
     const int missing = wanted - readers;
     const int least = isIdle ? 1 : std::max(1, share(busyTolerance, rows.size()));
-    const bool isSurplus = -missing > std::max(1, share(surplusTolerance, rows.size()));
+    const bool isSurplus = -missing > static_cast<int>(surplusTolerance * engines);
     const int size = missing >= least || isSurplus ? missing : 0;
 
     auto& held = m_shortages[service];
     if (held.size != size || held.engines != engines || size == 0)
         held = { size, engines, now };
-    if (size == 0 || now < held.since + (size > 0 ? settleTime : surplusSettleTime))
+    const bool mayComeBack = !isIdle && m_lostAt != instant() && now < m_lostAt + lossSettleTime;
+    if (size == 0 || mayComeBack || now < held.since + settleTime)
         return {};
     const int most = isIdle ? std::abs(size) : std::max(1, share(busyShare, rows.size())) - underWay;
     if (most <= 0)
