Failures of targets are told between nodes, and fade by time

A node's share went over its last 20 answers, of which it sees some three a second. Ruled out: no room (18 slots, less than one taken at the mean), the block after failures in a row (250 ms, reached now and then). Change: evidence of own attempts and of the peers', told with heartbeats, of which half is forgotten in 3 s; lost answers count whole, told failures and rejections 0.3.

--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -16,12 +16,14 @@
 namespace {
 
     /// Another version is another format: what cannot be read is dropped, and the nodes of a version know each other.
-    constexpr char formatVersion = 6;
-    /// 1,472 bytes fit into a datagram that is not split; a load takes 6, a job 27, news of a cache 16, a change of
-    /// role 4, the sender some 110. Changes of role are seldom many, and then before there is any load.
+    constexpr char formatVersion = 7;
+    /// 1,472 bytes fit into a datagram that is not split; a load takes 6, a job 27, news of a cache 16, of a
+    /// target's health 8, a change of role 4, the sender some 110. Changes of role are seldom many, and then before
+    /// there is any load.
     constexpr std::size_t mostLoads = 60;
-    constexpr std::size_t mostJobs = 25;
-    constexpr std::size_t mostCaches = 15;
+    constexpr std::size_t mostJobs = 18;
+    constexpr std::size_t mostCaches = 12;
+    constexpr std::size_t mostHealth = 12;
     constexpr std::size_t mostChanging = 30;
     /// Of changes in one note, besides the note's own 40 bytes; a single larger one goes alone.
     constexpr std::size_t mostNoteBytes = 1'300;
@@ -82,6 +84,11 @@
 
     template <class Archive> void serialize(Archive& archive, load_entry& m) { archive(m.target, m.running); }
 
+    template <class Archive> void serialize(Archive& archive, health_news& m)
+    {
+        archive(m.target, m.answers, m.failures);
+    }
+
     template <class Archive> void serialize(Archive& archive, target_record& m)
     {
         auto coldTime = m.coldTime.count();
@@ -113,7 +120,7 @@
 
 template <class Archive> void serialize(Archive& archive, node_heartbeat& m)
 {
-    archive(m.sender, m.load, m.jobs, m.caches, m.changing);
+    archive(m.sender, m.load, m.jobs, m.caches, m.health, m.changing);
 }
 
 template <class Archive> void serialize(Archive& archive, job_note& m) { archive(m.vm, m.jobs); }
@@ -151,6 +158,7 @@
         heartbeat->load.resize(std::min(heartbeat->load.size(), mostLoads));
         heartbeat->jobs.resize(std::min(heartbeat->jobs.size(), mostJobs));
         heartbeat->caches.resize(std::min(heartbeat->caches.size(), mostCaches));
+        heartbeat->health.resize(std::min(heartbeat->health.size(), mostHealth));
         heartbeat->changing.resize(std::min(heartbeat->changing.size(), mostChanging));
     }
     return encode(message);
--- a/libs/gateway/src/node_messages.h
+++ b/libs/gateway/src/node_messages.h
@@ -6,6 +6,7 @@
 #include "serving/peer_load.h"
 #include "serving/read_queues.h"
 #include "serving/target_follower.h"
+#include "serving/target_health.h"
 
 #include <optional>
 #include <string>
@@ -26,6 +27,7 @@
     std::vector<serving::load_entry> load;
     std::vector<serving::told_job> jobs; ///< all that are not read yet
     std::vector<cache_news> caches;
+    std::vector<serving::health_news> health; ///< of targets that have failed lately
     std::vector<std::uint32_t> changing; ///< engines that the sender has change their role; shortHash() of each
 };
 
--- a/libs/gateway/src/peer_talk.cpp
+++ b/libs/gateway/src/peer_talk.cpp
@@ -18,7 +18,7 @@
     constexpr duration shortestPeerLife = 600ms;
     /// Heartbeats that may be lost before a node counts as away, and a part of one for its way.
     constexpr double heartbeatsUntilAway = 3.2;
-    constexpr std::size_t mostCacheNews = 15; // of a heartbeat
+    constexpr std::size_t mostCacheNews = 12; // of a heartbeat
     constexpr int millisecondsPerSecond = 1000;
 
 }
@@ -41,7 +41,7 @@
     auto& nodes = m_parts.nodes;
     m_mesh.send(nodes.recipients(now),
         node_heartbeat { m_parts.self(), decisions.ownLoad(), decisions.ownJobs(now),
-            m_parts.caches.takeNews(mostCacheNews), m_parts.roles.changing() });
+            m_parts.caches.takeNews(mostCacheNews), decisions.takeHealthNews(now), m_parts.roles.changing() });
     const int wanted = nodes.knownCount() * millisecondsPerSecond / heartbeatsPerSecond;
     const int interval = std::max(static_cast<int>(heartbeatInterval.count()), wanted);
     m_beatTimer.start(interval);
@@ -95,6 +95,7 @@
     m_parts.view.versionSeen(sender.configurationVersion);
     m_parts.view.targetChangeSeen(sender.lastTargetChange);
     m_parts.caches.told(message.caches);
+    m_parts.decisions.peerSaw(message.health, now);
     m_parts.roles.told(message.changing, now);
 }
 
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -35,6 +35,10 @@
     void roleChanging(target_id engine, instant until) { m_fleet.changingUntil[engine.value] = until; }
     /// How long a silent peer counts.
     void setPeerLife(duration life) { m_peers.setLife(life); }
+    /// What a peer's attempts came to.
+    void peerSaw(const std::vector<health_news>& news, instant now);
+    /// What own attempts came to since the last call, for the peers.
+    std::vector<health_news> takeHealthNews(instant now) { return m_health.takeNews(now); }
     /// All nodes known, this one included, whether they seem alive or not.
     void setKnownNodes(int nodes);
 
@@ -83,7 +87,7 @@
     void countSend(std::size_t row, instant now);
     void dispatch(instant now, command_list& out);
     void settle(std::size_t row, attempt_result result, const std::string& cacheName, instant now, command_list& out);
-    void succeeded(std::size_t row);
+    void succeeded(std::size_t row, instant now);
     void prefilled(std::size_t row, const std::string& cacheName, instant now, command_list& out);
     void retryOrEnd(std::size_t row, bool countsAsSend, error_kind kind, instant now, command_list& out);
     void endWithFailure(std::size_t row, error_kind kind, command_list& out);
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -93,7 +93,7 @@
     const bool isRepeatable = m_book.request[row].route->isRepeatable;
     const bool couldRun = attempt.stage != attempt_stage::prefill;
     if (result == attempt_result::answered)
-        return succeeded(row);
+        return succeeded(row, now);
     if (result == attempt_result::prefilled)
         return prefilled(row, cacheName, now, out);
     progress.avoid = attempt.target;
@@ -116,7 +116,7 @@
         releaseCache(row, out); // gone, or held by an engine whose importer has no room
         return retryOrEnd(row, true, error_kind::overloaded, now, out);
     case attempt_result::failure_answer:
-        m_health.answeredFailure(attempt.target);
+        m_health.answeredFailure(attempt.target, now);
         progress.mayHaveRun |= couldRun;
         progress.hasFailureAnswer = true;
         if (isRepeatable && mayResend(row, now) && tryStart(row, now, out))
@@ -142,9 +142,9 @@
     }
 }
 
-void dispatcher::succeeded(std::size_t row)
+void dispatcher::succeeded(std::size_t row, instant now)
 {
-    m_health.succeeded(m_book.current[row].target);
+    m_health.succeeded(m_book.current[row].target, now);
     releaseAttempt(row);
     m_book.progress[row].cache = {}; // taken
     m_book.remove(m_book.idOf(row));
@@ -153,7 +153,7 @@
 void dispatcher::prefilled(std::size_t row, const std::string& cacheName, instant now, command_list& out)
 {
     const auto attempt = m_book.current[row];
-    m_health.succeeded(attempt.target);
+    m_health.succeeded(attempt.target, now);
     endReading(row, now, true);
     releaseAttempt(row);
     m_book.progress[row].cache = { attempt.target, cacheName };
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -81,6 +81,14 @@
     }
 }
 
+void dispatcher::peerSaw(const std::vector<health_news>& news, instant now)
+{
+    for (const auto& item : news) {
+        if (const target_id target = m_fleet.findHash(item.target); target.isValid())
+            m_health.told(target, item, now);
+    }
+}
+
 void dispatcher::setKnownNodes(int nodes)
 {
     m_knownNodes = std::max(1, nodes);
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -122,7 +122,7 @@
     return isEngineService ? chooseEngine(need, now) : choosePlain(need, now);
 }
 
-target_choice placement::choosePlain(const placement_need& need, instant)
+target_choice placement::choosePlain(const placement_need& need, instant now)
 {
     const auto& fleet = m_inputs.fleet;
     target_choice best;
@@ -132,7 +132,7 @@
         if (!hasRoom(id, need))
             continue;
         double cost
-            = fleet.running(id) + noiseSlots * m_random.unit() + failureSlots * m_inputs.health.failureShare(id);
+            = fleet.running(id) + noiseSlots * m_random.unit() + failureSlots * m_inputs.health.failureShare(id, now);
         if (!fleet.isLocal(id))
             cost += otherZoneSlots;
         if (cost >= lowest)
@@ -262,7 +262,7 @@
             continue;
         const auto choice = reading(id, need, now);
         double cost = choice.seconds + sharedWorkWeight * m_inputs.queues.readSeconds(id, choice.work);
-        cost += noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id);
+        cost += noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id, now);
         if (choice.rank == read_rank::late)
             cost += lateSeconds + blockingWeight * newBlocking(choice) + lateTakesSlot(id);
         if (!isPrefill && fleet.running(id) > 0 && choice.work > smoothTokens(id, need))
@@ -306,7 +306,7 @@
         const bool isDisturbed = smoothTokens(id, need) < std::numeric_limits<double>::max();
         const auto rank = isDisturbed ? read_rank::late : read_rank::tiny;
         const double wait = m_inputs.queues.waitSeconds(id, rank, now) + fleet.running(id) * stepSecondsPerRunning;
-        double cost = wait + noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id);
+        double cost = wait + noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id, now);
         cost += crowdingSeconds(id);
         if (fleet.zone[row] != fleet.zone[source.value])
             cost += otherZoneMoveSeconds;
