--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -66,7 +66,10 @@
     constexpr double failureSeconds = 0.3;
     /// Of a slot, in favour of the node's own zone.
     constexpr double otherZoneSlots = 1.5;
-    constexpr double failureSlots = 12;
+    /// Of a plain target, for the share of attempts that are lost there; what is lost is worth far more than a wait.
+    /// Two of three targets lost 30% of their answers for 5 s: at 12 nine nodes lost 25 of 450 calls, at 40 they
+    /// lost 9.
+    constexpr double failureSlots = 40;
     /// A small random part keeps nodes with the same view from choosing the same target.
     constexpr double noiseSlots = 0.3;
     constexpr double noiseSeconds = 0.002;
--- a/libs/serving/src/target_health.cpp
+++ b/libs/serving/src/target_health.cpp
@@ -27,7 +27,7 @@
     /// What a failure counts: answers that were lost or spoiled; failures that the target tells, which can be its
     /// ordinary answers; rejections, which say that it is full. Of targets that are alike the one with fewer is taken.
     constexpr double lostWeight = 1;
-    constexpr double toldFailureWeight = 0.3;
+    constexpr double toldFailureWeight = 0.1;
     constexpr double rejectionWeight = 0.3;
     /// Peers in other zones may meet a target otherwise, so an own attempt counts for more.
     constexpr double peerWeight = 0.5;
--- a/libs/serving/tests/test_target_health.cpp
+++ b/libs/serving/tests/test_target_health.cpp
@@ -117,11 +117,12 @@
     // Symptom: for ten seconds 3 of 20 calls that may run only once end with an unknown outcome.
     // Sequence: two of three targets lose a third of their answers; the third one has room for all calls.
     // Cause: a failure share over the last 20 answers, of each node by itself, which sees a few answers a second.
-    // Lost of 450 calls at 9 nodes: 36 before, 25 since peers tell each other; of 2,000 calls at 82 nodes: 237 and 34.
+    // Lost of 450 calls at 9 nodes: 36 before, 9 since peers tell each other and a lost answer counts for
+    // more than a wait; of 2,000 calls at 82 nodes: 237 and 11.
     const auto played = failing_targets(9, true).run(45);
     std::printf(
         "%d lost, %d of %d at the failing targets afterwards\n", played.lost, played.atFailing, played.askedAfter);
-    CHECK(played.lost <= 30);
+    CHECK(played.lost <= 15);
     CHECK(played.atFailing * 3 > played.askedAfter); // used again when they are sound
     const auto many = failing_targets(82, true).run(200);
     const auto untold = failing_targets(82, false).run(200);
