--- a/libs/base/src/hash.cpp
+++ b/libs/base/src/hash.cpp
@@ -14,7 +14,14 @@
 
 std::uint64_t rendezvousWeight(std::string_view chooser, std::string_view item)
 {
-    return stableHash(item, stableHash(chooser));
+    return rendezvousWeight(rendezvousSeed(chooser), item);
+}
+
+std::uint64_t rendezvousSeed(std::string_view chooser) { return stableHash(chooser); }
+
+std::uint64_t rendezvousWeight(std::uint64_t chooserSeed, std::string_view item)
+{
+    return stableHash(item, chooserSeed);
 }
 
 std::string toString(const instance_id& id) { return id.node + "@" + std::to_string(id.incarnation); }
--- a/libs/gateway/src/cache_watch.cpp
+++ b/libs/gateway/src/cache_watch.cpp
@@ -1,6 +1,7 @@
 // Waiting calls, one after the other.
 #include "cache_watch.h"
 
+#include "base/hash.h"
 #include "serving/duty_roster.h"
 
 #include <algorithm>
@@ -23,6 +24,8 @@
     constexpr std::size_t mostNodesThatAllWatch = 10;
     /// One may be gone before the others notice.
     constexpr std::size_t watchersPerEngine = 2;
+    /// While nodes and targets come and go, the engines are shared out this often.
+    constexpr duration sharePause = 300ms;
     /// Kept for the next heartbeats; what is older is worth less.
     constexpr std::size_t mostNews = 200;
     constexpr std::string_view peerPath = "/caches";
@@ -50,60 +53,54 @@
     }
 }
 
-// An engine keeps only so many calls waiting and refuses the rest, so with many nodes a few watch each engine, in its
-// own zone where there are any, and tell the others.
-bool cache_watch::isMine(
-    std::uint32_t row, const serving::node_state& self, const std::vector<serving::node_state>& alive) const
+void cache_watch::tick(const serving::node_state& self, const std::vector<serving::node_state>& alive, instant now)
 {
-    if (!m_sharesWatches)
-        return true;
-    const auto& fleet = m_decisions.fleet();
-    auto candidates = alive;
-    candidates.push_back(self);
-    const auto near = serving::nodesOfZone(candidates, fleet.zone[row]);
-    const bool isCandidate
-        = std::any_of(near.begin(), near.end(), [&](const auto& node) { return node.vm == self.vm; });
-    return isCandidate && serving::isOnDuty(fleet.instance[row], self, near, watchersPerEngine);
+    shareOut(self, alive, now);
+    askPeer(self, alive, now);
+    for (auto& [instance, engine] : m_engines) {
+        if (engine.call || now < engine.askAt)
+            continue;
+        if (engine.isToList)
+            list(instance, engine);
+        else
+            ask(instance, engine);
+    }
 }
 
-void cache_watch::tick(const serving::node_state& self, const std::vector<serving::node_state>& alive, instant now)
+// An engine keeps only so many calls waiting and refuses the rest, so with many nodes a few watch each engine, in its
+// own zone where there are any, and tell the others. One of them asks for the list when events were missed.
+void cache_watch::shareOut(const serving::node_state& self, const std::vector<serving::node_state>& alive, instant now)
 {
     const auto& fleet = m_decisions.fleet();
+    std::uint64_t nodes = alive.size();
+    for (const auto& node : alive)
+        nodes += rendezvousSeed(node.vm);
+    if ((nodes == m_nodesSeen && fleet.generation() == m_fleetSeen) || now < m_shareAt)
+        return;
+    m_nodesSeen = nodes;
+    m_fleetSeen = fleet.generation();
+    m_shareAt = now + sharePause;
     m_sharesWatches = alive.size() + 1 > mostNodesThatAllWatch;
+    const serving::zone_roster roster(self, alive);
     std::set<std::string> mine;
     for (std::uint32_t row = 0; row < fleet.size(); ++row) {
-        if (!fleet.isListed[row] || fleet.role[row] == serving::target_role::plain || !isMine(row, self, alive))
+        if (!fleet.isListed[row] || fleet.role[row] == serving::target_role::plain)
             continue;
-        mine.insert(fleet.instance[row]);
-        auto& engine = m_engines[fleet.instance[row]];
+        const auto& instance = fleet.instance[row];
+        if (m_sharesWatches && !roster.isOnDuty(instance, fleet.zone[row], watchersPerEngine))
+            continue;
+        mine.insert(instance);
+        auto& engine = m_engines[instance];
         engine.row = { row };
         engine.address = fleet.address[row];
-        engine.isLister = isMineToList(row, self, alive);
+        engine.isLister = roster.isOnDuty(instance, fleet.zone[row], 1);
     }
-    askPeer(self, alive, now);
     std::erase_if(m_engines, [&](auto& item) {
         const bool isOver = !mine.contains(item.first);
         if (isOver && item.second.call)
             item.second.call->cancel();
         return isOver;
     });
-    for (auto& [instance, engine] : m_engines) {
-        if (engine.call || now < engine.askAt)
-            continue;
-        if (engine.isToList)
-            list(instance, engine);
-        else
-            ask(instance, engine);
-    }
-}
-
-bool cache_watch::isMineToList(
-    std::uint32_t row, const serving::node_state& self, const std::vector<serving::node_state>& alive) const
-{
-    const auto& fleet = m_decisions.fleet();
-    auto candidates = alive;
-    candidates.push_back(self);
-    return serving::isOnDuty(fleet.instance[row], self, serving::nodesOfZone(candidates, fleet.zone[row]), 1);
 }
 
 // What goes wrong without it: a node that has just started takes all engines for empty, sends prompts to any of them,
--- a/libs/gateway/src/cache_watch.h
+++ b/libs/gateway/src/cache_watch.h
@@ -49,11 +49,8 @@
         std::unordered_set<std::uint64_t> toldParts; // that peers take for kept
     };
 
-    bool isMine(
-        std::uint32_t row, const serving::node_state& self, const std::vector<serving::node_state>& alive) const;
-    /// Whether this node asks for the list when events were missed, and tells the others.
-    bool isMineToList(
-        std::uint32_t row, const serving::node_state& self, const std::vector<serving::node_state>& alive) const;
+    /// Which engines are this node's to watch; looked at anew when nodes or targets have changed.
+    void shareOut(const serving::node_state& self, const std::vector<serving::node_state>& alive, instant now);
     void askPeer(const serving::node_state& self, const std::vector<serving::node_state>& alive, instant now);
     void peerAnswered(const http_response* response);
     void ask(const std::string& instance, watched_engine& engine);
@@ -70,6 +67,9 @@
     const logger& m_log;
     std::map<std::string, watched_engine> m_engines; // by instance
     std::deque<cache_news> m_news; // the oldest first
+    std::uint64_t m_fleetSeen = 0; // generation that was last shared out
+    std::uint64_t m_nodesSeen = 0; // of the nodes then
+    instant m_shareAt; // not before
     instant m_askPeerAt; // not before
     int m_peersAsked = 0;
     bool m_isInformed = false; // a peer has told what it knows, or there is none that knows anything
--- a/libs/gateway/src/peer_talk.cpp
+++ b/libs/gateway/src/peer_talk.cpp
@@ -90,7 +90,7 @@
     if (!m_parts.nodes.isAlive(sender.vm, now))
         m_parts.log.write(log_event::peer_reached, { { "peer", sender.vm }, { "incarnation", sender.incarnation } });
     m_parts.nodes.heard(sender, now);
-    m_parts.decisions.peerTold(sender.vm, std::move(message.load), now);
+    m_parts.decisions.peerTold(sender.vm, message.load, now);
     m_parts.decisions.peerSent(sender.vm, message.jobs, true, now);
     m_parts.view.versionSeen(sender.configurationVersion);
     m_parts.view.targetChangeSeen(sender.lastTargetChange);
--- a/libs/gateway/src/role_orders.cpp
+++ b/libs/gateway/src/role_orders.cpp
@@ -1,7 +1,7 @@
 // The steps of a change of role.
 #include "role_orders.h"
 
-#include "serving/duty_roster.h"
+#include "base/hash.h"
 
 #include <algorithm>
 
@@ -21,9 +21,13 @@
     /// Peers leave an engine alone for so long after a heartbeat that names it: two heartbeats of a large fleet may be
     /// lost.
     constexpr duration toldLife = 2s;
+    /// The split is looked at this often; what is found has to last for 1.5 s anyway.
+    constexpr duration lookPause = 250ms;
     /// Then an engine that was ordered is used again whatever its role in the list.
     constexpr duration longestChange = 8s;
 
+    constexpr std::string_view duty = "roles";
+
     std::string_view roleName(target_role role) { return role == target_role::prefill ? "prefill" : "decode"; }
 
     exchange_options callOptions()
@@ -51,18 +55,22 @@
 {
     if (!self.isReady || !self.isStoreReachable)
         return false;
-    std::vector<serving::node_state> able;
-    std::copy_if(alive.begin(), alive.end(), std::back_inserter(able),
-        [](const auto& node) { return node.isReady && node.isStoreReachable && !node.isStopping; });
-    return serving::isOnDuty("roles", self, able, 1);
+    const auto own = rendezvousWeight(self.vm, duty);
+    return std::none_of(alive.begin(), alive.end(), [own](const auto& node) {
+        const bool isAble = node.isReady && node.isStoreReachable && !node.isStopping;
+        return isAble && rendezvousWeight(node.vm, duty) > own;
+    });
 }
 
 void role_orders::tick(const serving::node_state& self, const std::vector<serving::node_state>& alive, instant now)
 {
     proceed(now);
     markAll(now);
+    if (now < m_lookAt || !isOnDuty(self, alive))
+        return;
+    m_lookAt = now + lookPause;
     const auto changes = m_split.due(now);
-    if (changes.empty() || !isOnDuty(self, alive))
+    if (changes.empty())
         return;
     if (m_lease.holdsFor(tellTime + 2 * callLimit, now))
         return begin(changes, now);
--- a/libs/gateway/src/role_orders.h
+++ b/libs/gateway/src/role_orders.h
@@ -69,6 +69,7 @@
     serving::order_lease m_lease;
     serving::role_split m_split;
     std::vector<role_change_under_way> m_changes;
+    instant m_lookAt; // not before
 };
 
 }
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -30,6 +30,8 @@
     constexpr duration lapseGrace = 2500ms;
     /// A version that a peer names is asked for again after this time.
     constexpr duration hurryInterval = 300ms;
+    /// Removals that had to wait are looked at this often, which goes over all targets.
+    constexpr duration tickPause = 100ms;
     /// A configuration of 1 MB takes 0.9 s over a link of 10 Mbit/s. What peers tell meanwhile would slow it down.
     constexpr duration firstReadTime = 1500ms;
 
@@ -262,6 +264,12 @@
     return out;
 }
 
-void shared_view::tick(instant now) { carryOut(m_targets.tick(now)); }
+void shared_view::tick(instant now)
+{
+    if (now < m_tickAt)
+        return;
+    m_tickAt = now + tickPause;
+    carryOut(m_targets.tick(now));
+}
 
 }
--- a/libs/gateway/src/shared_view.h
+++ b/libs/gateway/src/shared_view.h
@@ -97,6 +97,7 @@
     std::optional<keyed_record> m_configurationRecord; // as the store had it
     std::optional<packed_record> m_packedConfiguration; // the same, once a peer has asked for it
     instant m_startedAt;
+    instant m_tickAt; // not before
     instant m_hurriedAt;
     instant m_targetsHurriedAt;
     bool m_readsClosely = false;
--- a/libs/serving/include/serving/duty_roster.h
+++ b/libs/serving/include/serving/duty_roster.h
@@ -4,7 +4,9 @@
 
 #include "serving/node_directory.h"
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,7 +27,24 @@
 const node_state* peerToAsk(
     const node_state& self, const std::vector<node_state>& alive, const std::function<bool(const node_state&)>& knows);
 
-/// The nodes of one availability zone; all, if there are none in it.
-std::vector<node_state> nodesOfZone(const std::vector<node_state>& nodes, std::string_view zone);
+/// Shares many duties out among the nodes of each zone; made once for all of them, since with 300 nodes and 3,000
+/// duties each look at a node counts.
+class zone_roster {
+public:
+    zone_roster(const node_state& self, const std::vector<node_state>& alive);
+
+    /// Whether `self` is among the `count` nodes of the zone for a duty; of all nodes, if there are none in the zone.
+    bool isOnDuty(std::string_view duty, std::string_view zone, std::size_t count) const;
+
+private:
+    struct zone_nodes {
+        std::vector<std::uint64_t> others; // seeds of the names
+        bool hasSelf = false;
+    };
+
+    std::uint64_t m_self; // seed of the own name
+    std::map<std::string, zone_nodes, std::less<>> m_zones;
+    zone_nodes m_all;
+};
 
 }
--- a/libs/serving/include/serving/fleet_table.h
+++ b/libs/serving/include/serving/fleet_table.h
@@ -32,6 +32,8 @@
     target_id find(std::string_view instance) const;
     target_id findHash(std::uint32_t hash) const;
     std::size_t size() const { return instance.size(); }
+    /// Changes when a target comes, goes, or takes another role.
+    std::uint64_t generation() const { return m_generation; }
 
     /// Rows of listed targets of a service.
     const std::vector<std::uint32_t>& rowsOf(std::string_view service) const;
@@ -62,9 +64,11 @@
 private:
     target_id addRow(const std::string& name);
     void reset(std::size_t row);
-    void rebuildIndex();
+    void index(std::uint32_t row);
+    void unindex(std::uint32_t row);
 
     std::string m_ownZone;
+    std::uint64_t m_generation = 0;
     std::unordered_map<std::string, std::uint32_t> m_byInstance;
     std::unordered_map<std::uint32_t, std::uint32_t> m_byHash;
     std::unordered_map<std::string, std::vector<std::uint32_t>> m_byService;
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -63,8 +63,8 @@
 
     /// Targets that take new work now; those to avoid only if there are no others.
     const std::vector<std::uint32_t>& candidates(const placement_need& need, instant now);
-    bool hasRoom(target_id id, const placement_need& need) const;
-    target_choice choosePlain(const placement_need& need, instant now);
+    bool hasRoom(target_id id) const;
+    target_choice choosePlain(instant now);
     target_choice chooseEngine(const placement_need& need, instant now);
     /// Seconds of waiting that are as bad as the slots taken at an engine.
     double crowdingSeconds(target_id id) const;
@@ -87,6 +87,7 @@
     placement_inputs m_inputs;
     random_source m_random;
     int m_knownNodes = 1;
+    const service_profile* m_profile = nullptr; // of the service that is chosen for; may be null
     // Kept between calls to avoid allocation.
     std::vector<std::uint32_t> m_candidates;
     std::vector<kept_beginning> m_keepers;
--- a/libs/serving/include/serving/read_queues.h
+++ b/libs/serving/include/serving/read_queues.h
@@ -5,6 +5,7 @@
 #include "serving/engine_queue.h"
 #include "serving/fleet_table.h"
 
+#include <unordered_map>
 #include <vector>
 
 namespace tamarack::serving {
@@ -55,7 +56,14 @@
         bool wasTold = false;
     };
 
+    /// A prompt that a peer has told of.
+    struct peer_job {
+        target_id engine;
+        std::uint32_t number = 0;
+    };
+
     engine_queue& queueOf(target_id engine);
+    void dropAllBut(std::uint32_t peer, const std::vector<told_job>& named);
     /// Whether peers hear of it.
     bool isTold(const own_job& job) const;
     told_job describe(const own_job& job, instant now) const;
@@ -68,6 +76,7 @@
     int m_nodes = 1; // known, this one included
     std::vector<engine_queue> m_queues; // by row
     std::vector<own_job> m_own;
+    std::unordered_map<std::uint32_t, std::vector<peer_job>> m_byPeer; // told and not known to be over
 };
 
 /// The rank of a prompt that can still be answered within its aim.
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -67,9 +67,9 @@
 
 void dispatcher::targetGone(const std::string& instance, instant) { m_fleet.remove(instance); }
 
-void dispatcher::peerTold(const std::string& peer, std::vector<load_entry> load, instant now)
+void dispatcher::peerTold(const std::string& peer, const std::vector<load_entry>& load, instant now)
 {
-    m_peers.heard(peer, std::move(load), now);
+    m_peers.heard(peer, load, now);
 }
 
 void dispatcher::peerSent(const std::string& peer, const std::vector<told_job>& jobs, bool isAll, instant now)
--- a/libs/serving/src/duty_roster.cpp
+++ b/libs/serving/src/duty_roster.cpp
@@ -73,12 +73,32 @@
     return best;
 }
 
-std::vector<node_state> nodesOfZone(const std::vector<node_state>& nodes, std::string_view zone)
+zone_roster::zone_roster(const node_state& self, const std::vector<node_state>& alive)
+    : m_self(rendezvousSeed(self.vm))
 {
-    std::vector<node_state> out;
-    std::copy_if(nodes.begin(), nodes.end(), std::back_inserter(out),
-        [&](const node_state& node) { return node.availabilityZone == zone; });
-    return out.empty() ? nodes : out;
+    m_zones[self.availabilityZone].hasSelf = true;
+    m_all.hasSelf = true;
+    for (const auto& node : alive) {
+        const auto seed = rendezvousSeed(node.vm);
+        m_zones[node.availabilityZone].others.push_back(seed);
+        m_all.others.push_back(seed);
+    }
+}
+
+bool zone_roster::isOnDuty(std::string_view duty, std::string_view zone, std::size_t count) const
+{
+    const auto found = m_zones.find(zone);
+    const auto& nodes = found == m_zones.end() ? m_all : found->second;
+    if (!nodes.hasSelf)
+        return false;
+    const auto own = rendezvousWeight(m_self, duty);
+    std::size_t heavier = 0;
+    for (const auto other : nodes.others) {
+        heavier += rendezvousWeight(other, duty) > own;
+        if (heavier >= count)
+            return false;
+    }
+    return true;
 }
 
 }
--- a/libs/serving/src/fleet_table.cpp
+++ b/libs/serving/src/fleet_table.cpp
@@ -59,16 +59,19 @@
     m_byInstance[record.instance] = row;
     instanceHash[row] = shortHash(record.instance);
     m_byHash[instanceHash[row]] = row;
+    if (service[row] != record.service)
+        unindex(row);
     service[row] = record.service;
     address[row] = record.address;
     zone[row] = record.availabilityZone;
     slots[row] = std::max(1, record.slots);
-    if (role[row] != record.role)
+    if (role[row] != record.role) {
         changingUntil[row] = {};
+        ++m_generation;
+    }
     role[row] = record.role;
     isDraining[row] = record.isDraining;
-    isListed[row] = 1;
-    rebuildIndex();
+    index(row);
     return id;
 }
 
@@ -77,17 +80,28 @@
     const target_id id = find(name);
     if (!id.isValid())
         return;
-    isListed[id.value] = 0;
-    rebuildIndex();
+    unindex(id.value);
 }
 
-void fleet_table::rebuildIndex()
+// Rows of a service stay in order, so that all nodes that were told the same look at them alike.
+void fleet_table::index(std::uint32_t row)
 {
-    m_byService.clear();
-    for (std::uint32_t row = 0; row < size(); ++row) {
-        if (isListed[row])
-            m_byService[service[row]].push_back(row);
-    }
+    if (isListed[row])
+        return;
+    isListed[row] = 1;
+    ++m_generation;
+    auto& rows = m_byService[service[row]];
+    rows.insert(std::lower_bound(rows.begin(), rows.end(), row), row);
+}
+
+void fleet_table::unindex(std::uint32_t row)
+{
+    if (!isListed[row])
+        return;
+    isListed[row] = 0;
+    ++m_generation;
+    auto& rows = m_byService[service[row]];
+    rows.erase(std::lower_bound(rows.begin(), rows.end(), row));
 }
 
 target_id fleet_table::find(std::string_view name) const
--- a/libs/serving/src/peer_load.cpp
+++ b/libs/serving/src/peer_load.cpp
@@ -8,9 +8,8 @@
 
 namespace {
 
-    /// With many peers a sum on each heartbeat would cost more than it tells; a fifth of the heartbeat interval is
-    /// fresh enough.
-    constexpr duration sumInterval = std::chrono::milliseconds(20);
+    /// Peers count as silent after half a second at the least.
+    constexpr duration lookPause = std::chrono::milliseconds(100);
 
 }
 
@@ -20,29 +19,41 @@
 {
 }
 
-void peer_load::heard(const std::string& peer, std::vector<load_entry> entries, instant now)
+void peer_load::takeOff(const told_load_of_peer& told)
 {
-    m_byPeer[peer] = { now, std::move(entries) };
-    m_isChanged = true;
+    for (const auto& item : told.added) {
+        const auto row = item.row.value;
+        if (m_fleet.instanceHash[row] == item.entry.target)
+            m_fleet.peersRunning[row] = std::max(0, m_fleet.peersRunning[row] - item.entry.running);
+    }
+}
+
+void peer_load::heard(const std::string& peer, const std::vector<load_entry>& entries, instant now)
+{
+    auto& told = m_byPeer[peer];
+    takeOff(told);
+    told.at = now;
+    told.added.clear();
+    for (const auto& entry : entries) {
+        const target_id id = m_fleet.findHash(entry.target);
+        if (!id.isValid())
+            continue;
+        m_fleet.peersRunning[id.value] += entry.running;
+        told.added.push_back({ id, entry });
+    }
 }
 
 void peer_load::refresh(instant now)
 {
-    if (now < m_nextSum)
-        return;
-    m_nextSum = now + sumInterval;
-    const auto forgotten = std::erase_if(m_byPeer, [&](const auto& item) { return now >= item.second.at + m_life; });
-    if (!m_isChanged && forgotten == 0)
+    if (now < m_nextLook)
         return;
-    m_isChanged = false;
-    std::fill(m_fleet.peersRunning.begin(), m_fleet.peersRunning.end(), 0);
-    for (const auto& [peer, told] : m_byPeer) {
-        for (const auto& entry : told.entries) {
-            const target_id id = m_fleet.findHash(entry.target);
-            if (id.isValid())
-                m_fleet.peersRunning[id.value] += entry.running;
-        }
-    }
+    m_nextLook = now + lookPause;
+    std::erase_if(m_byPeer, [&](const auto& item) {
+        const bool isSilent = now >= item.second.at + m_life;
+        if (isSilent)
+            takeOff(item.second);
+        return isSilent;
+    });
 }
 
 std::vector<load_entry> peer_load::own() const
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -87,6 +87,7 @@
 const std::vector<std::uint32_t>& placement::candidates(const placement_need& need, instant now)
 {
     m_candidates.clear();
+    m_profile = need.request.configuration->findService(need.request.service);
     bool hasAvoided = false;
     for (const auto row : m_inputs.fleet.rowsOf(need.request.service)) {
         if (!m_inputs.fleet.takesWork({ row }, now))
@@ -103,11 +104,10 @@
 
 // What goes wrong without the cap: a target resets each connection beyond its own bound, which all nodes share, and the
 // requests on them are lost. A node keeps to its part of it.
-bool placement::hasRoom(target_id id, const placement_need& need) const
+bool placement::hasRoom(target_id id) const
 {
     const auto& fleet = m_inputs.fleet;
-    const auto* profile = need.request.configuration->findService(need.request.service);
-    const int cap = profile ? profile->connectionCap : 0;
+    const int cap = m_profile ? m_profile->connectionCap : 0;
     if (cap > 0 && fleet.ownRunning[id.value] >= std::max(1, cap / m_knownNodes))
         return false;
     // Engines order what waits there by urgency, plain targets do not.
@@ -122,17 +122,17 @@
     if (rows.empty())
         return {};
     const bool isEngineService = isEngine(m_inputs.fleet.role[rows.front()]);
-    return isEngineService ? chooseEngine(need, now) : choosePlain(need, now);
+    return isEngineService ? chooseEngine(need, now) : choosePlain(now);
 }
 
-target_choice placement::choosePlain(const placement_need& need, instant now)
+target_choice placement::choosePlain(instant now)
 {
     const auto& fleet = m_inputs.fleet;
     target_choice best;
     double lowest = std::numeric_limits<double>::max();
     for (const auto row : m_candidates) {
         const target_id id { row };
-        if (!hasRoom(id, need))
+        if (!hasRoom(id))
             continue;
         double cost
             = fleet.running(id) + noiseSlots * m_random.unit() + failureSlots * m_inputs.health.failureShare(id, now);
@@ -163,11 +163,10 @@
 // pause does no harm.
 double placement::smoothTokens(target_id id, const placement_need& need) const
 {
-    const auto* profile = need.request.configuration->findService(need.request.service);
     const auto& route = *need.request.route;
-    if (!profile || !profile->engine || route.gapAim <= duration::zero())
+    if (!m_profile || !m_profile->engine || route.gapAim <= duration::zero())
         return std::numeric_limits<double>::max();
-    const int steps = profile->engine->tokensPerEvent;
+    const int steps = m_profile->engine->tokensPerEvent;
     const double pieceSeconds = pieceTokens * m_inputs.pace.secondsPerToken(id);
     const double spare = seconds(route.gapAim) - steps * stepSeconds;
     const double pieces = std::floor(spare / pieceSeconds);
@@ -261,7 +260,7 @@
     for (const auto row : m_candidates) {
         const target_id id { row };
         const bool isPrefill = fleet.role[row] == target_role::prefill;
-        if (!hasRoom(id, need) || (isPrefill && !(need.request.text && need.mayReadApart)))
+        if (!hasRoom(id) || (isPrefill && !(need.request.text && need.mayReadApart)))
             continue;
         const auto choice = reading(id, need, now);
         double cost = choice.seconds + sharedWorkWeight * m_inputs.queues.readSeconds(id, choice.work);
@@ -303,7 +302,7 @@
     double lowest = std::numeric_limits<double>::max();
     for (const auto row : m_candidates) {
         const target_id id { row };
-        if (fleet.role[row] == target_role::prefill || !hasRoom(id, need))
+        if (fleet.role[row] == target_role::prefill || !hasRoom(id))
             continue;
         // Where reading makes streams pause, all that is still to be read there counts, whenever that is.
         const bool isDisturbed = smoothTokens(id, need) < std::numeric_limits<double>::max();
--- a/libs/serving/src/read_queues.cpp
+++ b/libs/serving/src/read_queues.cpp
@@ -78,6 +78,8 @@
 
 void read_queues::told(std::uint32_t peer, const std::vector<told_job>& jobs, bool isAll, instant now)
 {
+    if (isAll)
+        dropAllBut(peer, jobs);
     for (const auto& job : jobs) {
         const target_id engine = m_fleet.findHash(job.target);
         if (!engine.isValid())
@@ -85,15 +87,22 @@
         const instant sentAt = now - std::chrono::milliseconds(job.ageMilliseconds);
         queueOf(engine).add(
             { keyOf(peer, job.number), job.rank, readSeconds(engine, static_cast<double>(job.work)), sentAt });
+        m_byPeer[peer].push_back({ engine, job.number });
     }
-    if (!isAll)
-        return;
-    const auto isNamed = [&](std::uint64_t key) {
-        return std::any_of(
-            jobs.begin(), jobs.end(), [&](const told_job& job) { return keyOf(peer, job.number) == key; });
+}
+
+// Those that are named are told anew by the caller.
+void read_queues::dropAllBut(std::uint32_t peer, const std::vector<told_job>& named)
+{
+    const auto isNamed = [&](std::uint32_t number) {
+        return std::any_of(named.begin(), named.end(), [&](const told_job& job) { return job.number == number; });
     };
-    for (auto& queue : m_queues)
-        queue.removeIf([&](std::uint64_t key) { return key >> 32 == peer && !isNamed(key); });
+    auto& known = m_byPeer[peer];
+    for (const auto& job : known) {
+        if (!isNamed(job.number))
+            queueOf(job.engine).removed(keyOf(peer, job.number));
+    }
+    known.clear();
 }
 
 told_job read_queues::describe(const own_job& job, instant now) const
--- a/libs/serving/tests/test_duty_roster.cpp
+++ b/libs/serving/tests/test_duty_roster.cpp
@@ -103,3 +103,25 @@
     pace.succeeded();
     CHECK(pace.afterFailure() == 150ms);
 }
+
+TEST_CASE("test_each_duty_has_its_nodes_in_its_zone")
+{
+    std::vector<node_state> nodes;
+    for (int i = 0; i < 30; ++i)
+        nodes.push_back(node(i, i % 3 == 0 ? "a" : "b", true));
+    for (const char* zone : { "a", "b", "c" }) {
+        for (int duty = 0; duty < 50; ++duty) {
+            int onDuty = 0;
+            for (const auto& self : nodes) {
+                std::vector<node_state> alive;
+                std::copy_if(nodes.begin(), nodes.end(), std::back_inserter(alive),
+                    [&](const node_state& other) { return other.vm != self.vm; });
+                const bool isOnDuty = zone_roster(self, alive).isOnDuty("e" + std::to_string(duty), zone, 2);
+                onDuty += isOnDuty;
+                const bool isElsewhere = self.availabilityZone != zone && std::string_view(zone) != "c";
+                CHECK_FALSE((isOnDuty && isElsewhere)); // nobody is in zone c, so any node will do
+            }
+            CHECK(onDuty == 2);
+        }
+    }
+}
