Roles: a dozen changes before there is load, and at work only where long prompts wait for readers

Change: at most 12 changes before any load is seen; then only while long prompts wait 20 ms and more at engines that read.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -70,6 +70,8 @@
     std::vector<told_job> ownJobs(instant now) const { return m_queues.own(now); }
     /// Prompts sent to engines since the last call, for the peers.
     std::vector<told_job> takeNewJobs(instant now) { return m_queues.takeNew(now); }
+    /// For which long prompts wait at engines that only read, lately, in seconds.
+    double readWait() const { return m_readWait; }
     std::size_t held() const { return m_book.held(); }
     std::size_t waiting() const { return m_waiting.size(); }
 
@@ -112,6 +114,7 @@
     retry_bound m_retryBound;
     std::map<std::string, retry_allowance> m_allowances; // by service
     std::vector<request_id> m_waiting; // in order of arrival
+    double m_readWait = 0;
     std::uint64_t m_nextAttempt = 1;
     int m_knownNodes = 1;
 };
--- a/libs/serving/include/serving/role_split.h
+++ b/libs/serving/include/serving/role_split.h
@@ -37,8 +37,9 @@
 public:
     role_split(const fleet_table& fleet, role_split_settings settings);
 
-    /// Changes that are due now; to be asked every some 100 ms. Found again until ordered() is told.
-    std::vector<role_change> due(instant now);
+    /// Changes that are due now; to be asked every some 100 ms. Found again until ordered() is told. `readWait`: for
+    /// which long prompts wait at engines that read, lately, in seconds.
+    std::vector<role_change> due(instant now, double readWait);
     /// An order may have reached the engine.
     void ordered(target_id engine, target_role role, instant now);
     /// The order has surely had no effect.
@@ -62,7 +63,10 @@
     };
 
     void noteEngines(instant now);
-    std::vector<role_change> dueOf(const std::string& service, const std::vector<std::uint32_t>& rows, instant now);
+    std::vector<role_change> dueOf(
+        const std::string& service, const std::vector<std::uint32_t>& rows, instant now, double readWait);
+    /// How many of the `missing` may change now.
+    int allowed(int missing, int engines, int underWay, bool isIdle) const;
     /// The role that it has, or will have when its order is carried out.
     target_role roleSoon(std::uint32_t row, instant now) const;
     bool isUnderWay(std::uint32_t row, instant now) const;
@@ -74,6 +78,8 @@
     role_split_settings m_settings;
     std::unordered_map<std::string, engine_note> m_notes; // by instance
     std::unordered_map<std::string, shortage> m_shortages; // by service
+    int m_idleChanges = 0; // ordered before there was any load
+    bool m_wasIdle = false; // when due() found changes last
     instant m_lostAt; // when an engine went without a word; the epoch: never
     split_view m_view;
 };
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -29,6 +29,7 @@
     constexpr duration noTargetReturn = 1s;
     /// Engines take up the lowest first. An answer whose prompt was read elsewhere goes before all; then prompts by
     /// their rank.
+    constexpr double readWaitWeight = 0.2; ///< about the last five prompts count
     constexpr int decodeUrgency = 0;
     constexpr int firstUrgency = 1;
 
@@ -209,6 +210,8 @@
         patience = fromSeconds(plainStallShareOfAim * seconds(request.route->aim));
     current.stallsAt = now + patience;
     m_fleet.began(choice.target);
+    if (choice.stage == attempt_stage::prefill && choice.rank >= read_rank::medium)
+        m_readWait += readWaitWeight * (choice.waitSeconds - m_readWait);
     if (request.text && choice.rank != read_rank::late)
         m_caches.sent(choice.target, *request.text);
     start_attempt command;
--- a/libs/serving/src/role_split.cpp
+++ b/libs/serving/src/role_split.cpp
@@ -24,6 +24,12 @@
     constexpr duration orderPause = 20s;
     /// Of the engines, under way at a time while they are at work; each is missing for some 3 s.
     constexpr double busyShare = 0.1;
+    /// Before there is any load nobody knows whether the readers will be short. What a dozen changes cost is less than
+    /// a hundredth of what the users' fleets of 9 to 60 engines are worth in half a minute; 3,000 engines before a
+    /// light load would be given 168.
+    constexpr int mostIdleChanges = 12;
+    /// Seconds. At work readers are added only where long prompts wait for them; a full step of reading takes as long.
+    constexpr double leastReadWait = 0.02;
     /// Of the engines; a smaller shortage is not worth a change while they are at work.
     constexpr double busyTolerance = 0.05;
     /// Of the engines, readers above what is wanted before one is changed back. In a fleet of 8 one is a quarter of
@@ -68,7 +74,7 @@
     });
 }
 
-std::vector<role_change> role_split::due(instant now)
+std::vector<role_change> role_split::due(instant now, double readWait)
 {
     noteEngines(now);
     std::set<std::string> services;
@@ -78,7 +84,7 @@
     }
     std::vector<role_change> out;
     for (const auto& service : services) {
-        auto more = dueOf(service, m_fleet.rowsOf(service), now);
+        auto more = dueOf(service, m_fleet.rowsOf(service), now, readWait);
         out.insert(out.end(), more.begin(), more.end());
     }
     return out;
@@ -106,7 +112,7 @@
 }
 
 std::vector<role_change> role_split::dueOf(
-    const std::string& service, const std::vector<std::uint32_t>& listed, instant now)
+    const std::string& service, const std::vector<std::uint32_t>& listed, instant now, double readWait)
 {
     std::vector<std::uint32_t> rows;
     bool isIdle = true;
@@ -134,12 +140,21 @@
     const bool mayComeBack = !isIdle && m_lostAt != instant() && now < m_lostAt + lossSettleTime;
     if (size == 0 || mayComeBack || now < held.since + settleTime)
         return {};
-    const int most = isIdle ? std::abs(size) : std::max(1, share(busyShare, rows.size())) - underWay;
+    const bool areReadersFree = size > 0 && !isIdle && readWait < leastReadWait;
+    const int most = areReadersFree ? 0 : allowed(std::abs(size), engines, underWay, isIdle);
     if (most <= 0)
         return {};
+    m_wasIdle = isIdle;
     m_view = { service, engines, readers, wanted, isIdle };
     const auto role = size > 0 ? target_role::prefill : target_role::decode;
-    return choose(rows, role, static_cast<std::size_t>(std::min(most, std::abs(size))), now);
+    return choose(rows, role, static_cast<std::size_t>(most), now);
+}
+
+int role_split::allowed(int missing, int engines, int underWay, bool isIdle) const
+{
+    if (isIdle)
+        return std::min(missing, mostIdleChanges - m_idleChanges);
+    return std::min(missing, std::max(1, static_cast<int>(busyShare * engines)) - underWay);
 }
 
 // Zones are kept alike, as caches that move between zones are slow and dear; within a zone the engine goes first that
@@ -182,6 +197,7 @@
     auto& note = m_notes[m_fleet.instance[engine.value]];
     note.orderedAt = now;
     note.orderedRole = role;
+    m_idleChanges += m_wasIdle;
 }
 
 void role_split::refused(target_id engine, instant now)
--- a/libs/serving/tests/test_role_split.cpp
+++ b/libs/serving/tests/test_role_split.cpp
@@ -24,10 +24,10 @@
     }
 
     /// What is due once nothing has changed for a while.
-    std::vector<role_change> settled(duration since)
+    std::vector<role_change> settled(duration since, double readWait = 0.2)
     {
-        split.due(at(since));
-        return split.due(at(since + 2s));
+        split.due(at(since), readWait);
+        return split.due(at(since + 2s), readWait);
     }
 
     void makeBusy()
@@ -50,7 +50,7 @@
 {
     split_world world;
     world.add(18, 5);
-    CHECK(world.split.due(at(0s)).empty()); // the list may still be coming in
+    CHECK(world.split.due(at(0s), 0.2).empty()); // the list may still be coming in
     const auto changes = world.settled(0s);
     REQUIRE(changes.size() == 4); // half of 18
     std::set<std::uint32_t> engines;
@@ -174,3 +174,22 @@
         CHECK(engines - changes >= std::min(engines, 2));
     }
 }
+
+TEST_CASE("test_few_engines_change_before_there_is_any_load")
+{
+    // Symptom: engines are away at the start of a day, and nobody needed them in their new role.
+    // Sequence: a fleet of hundreds of engines starts before a light load.
+    // Cause: the split was made right at once, whatever it brings.
+    split_world world;
+    world.add(300, 100);
+    const auto changes = world.settled(0s);
+    REQUIRE(changes.size() == 12);
+    for (const auto& change : changes) {
+        world.split.ordered(change.engine, change.role, at(2s));
+        world.carryOut(change);
+    }
+    CHECK(world.settled(10s).empty());
+    world.makeBusy();
+    CHECK(world.settled(30s, 0.0).empty()); // nothing waits for readers
+    CHECK(world.settled(40s, 0.2).size() == 30);
+}
