What peers ask for is packed, bounded and no more than they lack

Change: one question at a time; states are compressed; versions have a page of their own; a node has 40 long answers under way at the most and refuses more. Open: serving again after all 300 were killed takes 30 s and more.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -161,7 +161,9 @@
               return ports.callers.refusal(kind, detail, answerFor(kind).retryAfter);
           })
     , pages({ ports.callers, nodes, counters, [this] { return self(); },
-          [this] { return encodeState(view.offered(self())); }, [this] { return encodeCaches(caches.known()); } })
+          [this] { return encodeState(view.offered(self())); },
+          [this] { return encodeState(view.offeredConfiguration()); },
+          [this] { return encodeCaches(caches.known()); } })
     , flows(services, [this] { peers.jobsSent(); })
 {
     QObject::connect(&decisionTimer, &QTimer::timeout, [this] { tick(); });
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -158,24 +158,37 @@
     archive(m.configuration, m.targets, m.nodes);
 }
 
+namespace {
+
+    std::string packed(std::string_view value)
+    {
+        return qCompress(
+            reinterpret_cast<const uchar*>(value.data()), static_cast<qsizetype>(value.size()), fastestCompression)
+            .toStdString();
+    }
+
+    std::optional<std::string> unpacked(std::string_view bytes)
+    {
+        // The bytes begin with the size that they unpack to, for which memory is taken.
+        if (bytes.size() < sizeBytes || qFromBigEndian<std::uint32_t>(bytes.data()) > mostUnpackedBytes)
+            return std::nullopt;
+        const auto value = qUncompress(QByteArray::fromRawData(bytes.data(), static_cast<qsizetype>(bytes.size())));
+        return value.isEmpty() ? std::nullopt : std::optional(value.toStdString());
+    }
+
+}
+
 packed_record pack(const keyed_record& record)
 {
-    const auto& value = record.value ? *record.value : std::string();
-    const auto bytes = qCompress(
-        reinterpret_cast<const uchar*>(value.data()), static_cast<qsizetype>(value.size()), fastestCompression);
-    return { record.offset, record.key, bytes.toStdString() };
+    return { record.offset, record.key, packed(record.value ? *record.value : std::string()) };
 }
 
 std::optional<keyed_record> unpack(const packed_record& record)
 {
-    // The bytes begin with the size that they unpack to, for which memory is taken.
-    if (record.bytes.size() < sizeBytes || qFromBigEndian<std::uint32_t>(record.bytes.data()) > mostUnpackedBytes)
+    auto value = unpacked(record.bytes);
+    if (!value)
         return std::nullopt;
-    const auto value
-        = qUncompress(QByteArray::fromRawData(record.bytes.data(), static_cast<qsizetype>(record.bytes.size())));
-    if (value.isEmpty())
-        return std::nullopt;
-    return keyed_record { record.offset, record.key, value.toStdString() };
+    return keyed_record { record.offset, record.key, std::move(*value) };
 }
 
 std::string encodeDatagram(peer_datagram message)
@@ -212,9 +225,13 @@
 
 std::optional<peer_datagram> decodeDatagram(const std::string& bytes) { return decode<peer_datagram>(bytes); }
 
-std::string encodeState(const shared_state& state) { return encode(state); }
+std::string encodeState(const shared_state& state) { return packed(encode(state)); }
 
-std::optional<shared_state> decodeState(const std::string& bytes) { return decode<shared_state>(bytes); }
+std::optional<shared_state> decodeState(const std::string& bytes)
+{
+    const auto message = unpacked(bytes);
+    return message ? decode<shared_state>(*message) : std::nullopt;
+}
 
 std::string encodeCaches(const std::vector<cache_news>& caches) { return encode(caches); }
 
--- a/libs/gateway/src/service_pages.cpp
+++ b/libs/gateway/src/service_pages.cpp
@@ -14,7 +14,10 @@
     constexpr duration usualEntryLifetime = 1s;
     constexpr std::size_t mostEntries = 64;
     constexpr std::string_view statePath = "/state";
+    constexpr std::string_view configurationPath = "/configuration";
     constexpr std::string_view cachesPath = "/caches";
+    /// Of some 100 KB each at the most, to peers.
+    constexpr std::size_t mostLongAnswers = 40;
     constexpr std::string_view metricsPath = "/metrics";
 
     http_response plainText(int status, std::string body = {})
@@ -83,12 +86,39 @@
 void service_pages::answerPeer(const http_request& request, const std::shared_ptr<response_writer>& asker)
 {
     if (request.path() == statePath)
-        return asker->sendWhole({ 200, {}, m_from.state() });
+        return answerLong(asker, m_from.state);
+    if (request.path() == configurationPath)
+        return answerLong(asker, m_from.configuration);
     if (request.path() == cachesPath)
-        return asker->sendWhole({ 200, {}, m_from.caches() });
+        return answerLong(asker, m_from.caches);
     answerMetrics(request, asker);
 }
 
+// What goes wrong without it: after the loss of 300 nodes before 3,000 targets all ask the few with wide links at once,
+// the answers of half a megabyte wait for narrow links, and a node that answers takes 481 MB. Who is refused asks
+// again.
+void service_pages::answerLong(const std::shared_ptr<response_writer>& asker, const std::function<std::string()>& body)
+{
+    std::erase_if(m_longAnswers, [](const auto& item) {
+        const auto answer = item.lock();
+        return !answer || !answer->isOpen();
+    });
+    if (m_longAnswers.size() >= mostLongAnswers)
+        return asker->sendWhole(plainText(503));
+    m_longAnswers.push_back(asker);
+    const auto text = body();
+    asker->startSized({ 200, {} }, text.size());
+    // It counts until its last byte has left.
+    asker->onDrained = [weak = std::weak_ptr(asker)] {
+        const auto answer = weak.lock();
+        if (answer && answer->isOpen() && answer->bytesQueued() == 0)
+            answer->finish();
+    };
+    asker->write(text);
+    if (asker->bytesQueued() == 0)
+        asker->finish();
+}
+
 void service_pages::answerMetrics(const http_request& request, const std::shared_ptr<response_writer>& asker)
 {
     asker->sendWhole(request.path() == metricsPath ? plainText(200, m_from.counters.text()) : plainText(404));
--- a/libs/gateway/src/service_pages.h
+++ b/libs/gateway/src/service_pages.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace tamarack {
 
@@ -22,6 +23,7 @@
         const metrics& counters;
         std::function<serving::node_state()> self;
         std::function<std::string()> state; ///< encoded, for a peer that lacks something
+        std::function<std::string()> configuration; ///< the same, only that
         std::function<std::string()> caches; ///< encoded, for a peer that has just started
     };
 
@@ -37,6 +39,8 @@
     void answerReady(const http_request& request, const std::shared_ptr<response_writer>& asker);
     void answerEntries(const http_request& request, const std::shared_ptr<response_writer>& asker);
     void answerPeer(const http_request& request, const std::shared_ptr<response_writer>& asker);
+    /// An answer that can be long; refused while too many such are on their way.
+    void answerLong(const std::shared_ptr<response_writer>& asker, const std::function<std::string()>& body);
     void answerMetrics(const http_request& request, const std::shared_ptr<response_writer>& asker);
 
     sources m_from;
@@ -45,6 +49,7 @@
     http_server m_peers;
     http_server m_metrics;
     duration m_longestEntryLifetime = duration::zero();
+    std::vector<std::weak_ptr<response_writer>> m_longAnswers; // that may still be on their way
     std::size_t m_entryTurn = 0; // so that callers do not all begin with the same node
 };
 
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -252,12 +252,18 @@
         m_parts.nodes.registered(node, boot_clock::now());
 }
 
-shared_state shared_view::offered(const serving::node_state& self)
+shared_state shared_view::offeredConfiguration()
 {
     if (m_configurationRecord && !m_packedConfiguration)
         m_packedConfiguration = pack(*m_configurationRecord);
     shared_state out;
     out.configuration = m_packedConfiguration;
+    return out;
+}
+
+shared_state shared_view::offered(const serving::node_state& self)
+{
+    auto out = offeredConfiguration();
     out.targets = m_targets.known();
     out.nodes = m_parts.nodes.alive(boot_clock::now());
     out.nodes.push_back(self);
--- a/libs/gateway/src/shared_view.h
+++ b/libs/gateway/src/shared_view.h
@@ -58,6 +58,8 @@
     /// What a peer knows; taken where it is newer.
     void take(const shared_state& state);
     shared_state offered(const serving::node_state& self);
+    /// The same without targets and nodes.
+    shared_state offeredConfiguration();
     /// Whether the first reads of the store can still be under way.
     bool isStarting(instant now) const;
     void tick(instant now);
--- a/libs/gateway/src/state_pull.cpp
+++ b/libs/gateway/src/state_pull.cpp
@@ -15,6 +15,7 @@
     /// A peer answers from memory; after this another one is asked.
     constexpr duration answerTimeout = 800ms;
     constexpr std::string_view statePath = "/state";
+    constexpr std::string_view configurationPath = "/configuration";
 
 }
 
@@ -30,19 +31,11 @@
 
 // What it gains: a node that starts during an outage of the store serves after some 20 ms instead of 520 ms, of which
 // 500 ms were the wait for the next look.
-void state_pull::storeLost()
-{
-    if (!m_isAsking)
-        pull();
-}
+void state_pull::storeLost() { pull(); }
 
 // What it gains: a version reaches nodes with narrow links compressed, from a node with a wide one, instead of by a
 // call of each to the store. With 1,400 routes and 82 nodes it took 1.3 s at the median by the store.
-void state_pull::versionBehind()
-{
-    if (!m_isAsking)
-        pull();
-}
+void state_pull::versionBehind() { pull(); }
 
 std::uint64_t state_pull::knownVersion() const
 {
@@ -73,7 +66,7 @@
 void state_pull::pull()
 {
     const auto now = boot_clock::now();
-    if (lacksNothing(now))
+    if (m_isAsking || lacksNothing(now))
         return;
     if (const auto peer = bestPeer(now); peer.port != 0)
         return pullFrom(peer);
@@ -94,7 +87,8 @@
     options.silenceTimeout = answerTimeout;
     options.keepConnection = false;
     m_isAsking = true;
-    m_parts.client.fetch(peer, { "GET", std::string(statePath), {}, {} }, options,
+    m_parts.client.fetch(peer,
+        { "GET", std::string(m_parts.view.hasTargets() ? configurationPath : statePath), {}, {} }, options,
         [this, peer](const http_response* response, const exchange_failure& failure) {
             m_isAsking = false;
             pulled(peer, response, failure);
--- /dev/null
+++ b/libs/gateway/tests/test_service_pages.cpp
@@ -0,0 +1,60 @@
+// What peers may ask for, and how much of it at a time.
+#include "fake_ports.h"
+#include "service_pages.h"
+
+#include <QTcpServer>
+
+using namespace tamarack;
+using namespace tamarack::tests;
+
+TEST_CASE("test_long_answers_to_peers_are_bounded")
+{
+    // Symptom: a node takes half a gigabyte and is ended for it.
+    // Sequence: all other nodes start at once and ask it what it knows; their links are narrow.
+    // Cause: as many answers wait in memory as there are nodes.
+    const fake_callers callers;
+    serving::node_directory nodes { "n1", {} };
+    metrics counters;
+    const std::string longAnswer(4'000'000, 's');
+    service_pages pages({ callers, nodes, counters, [] { return serving::node_state {}; }, [&] { return longAnswer; },
+        [] { return std::string("short"); }, [&] { return longAnswer; } });
+    gateway_settings settings;
+    settings.ready = settings.entries = settings.metrics = endpoint { "127.0.0.1", 0 };
+    QTcpServer free;
+    REQUIRE(free.listen(QHostAddress::LocalHost, 0));
+    settings.admin = { "127.0.0.1", free.serverPort() };
+    free.close();
+    REQUIRE(pages.listen(settings).empty());
+
+    http_client client;
+    int begun = 0;
+    int refused = 0;
+    std::vector<std::shared_ptr<http_exchange>> exchanges(60);
+    for (auto& exchange : exchanges) {
+        exchange_handlers handlers;
+        handlers.onHead = [&](const http_response_head& head) {
+            ++(head.status == 200 ? begun : refused);
+            if (head.status == 200)
+                exchange->setReading(false);
+        };
+        handlers.onBody = [](std::string_view) {};
+        handlers.onEnd = [] {};
+        handlers.onFailure = [](const exchange_failure&) {};
+        exchange = client.start(settings.admin, { "GET", "/state", {}, {} }, {}, std::move(handlers));
+    }
+    REQUIRE(spinUntil([&] { return begun + refused == 60; }));
+    CHECK(begun == 40);
+    // Whoever reads on makes room for others.
+    for (auto& exchange : exchanges)
+        exchange->cancel();
+    std::string body;
+    REQUIRE(spinUntil([&] {
+        bool isDone = false;
+        client.fetch(settings.admin, { "GET", "/configuration", {}, {} }, {},
+            [&](const http_response* response, const exchange_failure&) {
+                isDone = true;
+                body = response && response->status == 200 ? response->body : "";
+            });
+        return spinUntil([&] { return isDone; }) && body == "short";
+    }));
+}
