A page of the store that fails is asked for again by itself, and waited for twice as long

Cause: nodes that start together before a long target list all read it at once. The store's link carries 80 MB a second, so 300 nodes before 3,000 targets need 4.3 s; a node waited 0.7 s for a page, gave up, and began with the first page again, so the store was busy with answers that nobody waited for. Ruled out: a longer wait for every call, since a call that is lost at a store that fails part of its answers would then hold up each node's start. Change: keyed_log::newest takes the time to wait; record_feed keeps the pages that it has, and doubles the wait after a failure, up to 6 s. A node whose store still answers pages does not ask its seeds meanwhile.

--- a/libs/gateway/include/gateway/keyed_log.h
+++ b/libs/gateway/include/gateway/keyed_log.h
@@ -60,8 +60,10 @@
 class keyed_log {
 public:
     virtual ~keyed_log() = default;
-    /// The newest record of each key, in pages; `after` is the last key of the page before.
-    virtual void newest(store_topic topic, const std::string& after, store_handler<newest_page> done) = 0;
+    /// The newest record of each key, in pages; `after` is the last key of the page before. Fails when nothing of the
+    /// answer comes for `patience`.
+    virtual void newest(store_topic topic, const std::string& after, duration patience, store_handler<newest_page> done)
+        = 0;
     /// Records from an offset on; if there are none yet, answers after `wait` at the latest.
     virtual void read(store_topic topic, std::int64_t from, duration wait, store_handler<record_page> done) = 0;
     /// The offset of the new record. After `unreachable` the record may still be appended.
--- a/libs/gateway/src/record_feed.cpp
+++ b/libs/gateway/src/record_feed.cpp
@@ -1,10 +1,22 @@
 // One call after the other.
 #include "record_feed.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace tamarack {
 
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// For the next bytes of a page. The store answers within 4 ms, and within a quarter of a second when it is slow.
+    constexpr duration usualPatience = 700ms;
+    /// 300 nodes that read 3,000 targets at once have the store's 80 MB a second busy for 4.3 s.
+    constexpr duration longestPatience = 6s;
+
+}
+
 std::string_view toString(store_error error)
 {
     switch (error) {
@@ -23,6 +35,7 @@
     , m_options(options)
     , m_on(std::move(on))
     , m_retries(options.retryPause, options.longestRetryPause)
+    , m_patience(usualPatience)
 {
     m_timer.setSingleShot(true);
     QObject::connect(&m_timer, &QTimer::timeout, [this] { readOn(m_options.wait); });
@@ -54,7 +67,7 @@
 void record_feed::readOn(duration wait)
 {
     if (m_next < 0)
-        return readNewest({});
+        return readNewest();
     const auto call = ++m_call;
     m_askedAt = boot_clock::now();
     m_isAnswerDue = wait == duration::zero();
@@ -64,28 +77,36 @@
     });
 }
 
-void record_feed::readNewest(const std::string& after)
+void record_feed::startOver()
+{
+    m_next = -1;
+    m_snapshot.clear();
+    m_snapshotTo.clear();
+    m_snapshotEnd = -1;
+    m_patience = usualPatience;
+}
+
+void record_feed::readNewest()
 {
-    if (after.empty()) {
-        m_snapshot.clear();
-        m_snapshotEnd = -1;
-    }
     const auto call = ++m_call;
     m_askedAt = boot_clock::now();
     m_isAnswerDue = true;
-    m_store.newest(m_options.topic, after, [this, call](store_result<newest_page> result) {
+    m_store.newest(m_options.topic, m_snapshotTo, m_patience, [this, call](store_result<newest_page> result) {
         if (call == m_call)
             onNewest(result);
     });
 }
 
-void record_feed::pause() { again(std::exchange(m_isHurried, false) ? duration::zero() : m_options.pause); }
-
+// What goes wrong otherwise: 300 nodes that start at once before 3,000 targets wait for a page for longer than for one
+// that never comes; each gives up and begins with the first page again, and the store is busy with answers that
+// nobody waits for. So a page that failed is asked for again by itself, and waited for twice as long.
 void record_feed::onNewest(const store_result<newest_page>& result)
 {
     m_isAnswerDue = false;
-    if (const auto* error = std::get_if<store_error>(&result))
+    if (const auto* error = std::get_if<store_error>(&result)) {
+        m_patience = std::min(2 * m_patience, longestPatience);
         return failed(*error);
+    }
     const auto& page = std::get<newest_page>(result);
     reached();
     // Pages are no snapshot: reading goes on from the end that the first one told, and what was in a later page comes
@@ -93,22 +114,27 @@
     if (m_snapshotEnd < 0)
         m_snapshotEnd = page.end;
     m_snapshot.insert(m_snapshot.end(), page.records.begin(), page.records.end());
-    if (page.hasMore && !page.records.empty())
-        return readNewest(page.records.back().key);
-    m_next = m_snapshotEnd;
-    m_freshAt = m_askedAt;
+    if (page.hasMore && !page.records.empty()) {
+        m_snapshotTo = page.records.back().key;
+        return readNewest();
+    }
     const auto snapshot = std::move(m_snapshot);
-    m_snapshot.clear();
+    const auto end = m_snapshotEnd;
+    startOver();
+    m_next = end;
+    m_freshAt = m_askedAt;
     m_on.onSnapshot(snapshot);
     pause();
 }
 
+void record_feed::pause() { again(std::exchange(m_isHurried, false) ? duration::zero() : m_options.pause); }
+
 void record_feed::onPage(const store_result<record_page>& result)
 {
     m_isAnswerDue = false;
     if (const auto* error = std::get_if<store_error>(&result)) {
         if (*error == store_error::expired)
-            m_next = -1; // the records between are lost; the newest of each key say all that still matters
+            startOver(); // the records between are lost; the newest of each key say all that still matters
         return failed(*error);
     }
     const auto& page = std::get<record_page>(result);
@@ -135,6 +161,7 @@
 
 void record_feed::reached()
 {
+    m_reachedAt = boot_clock::now();
     m_retries.succeeded();
     if (m_reach == reach::reached)
         return;
--- a/libs/gateway/src/record_feed.h
+++ b/libs/gateway/src/record_feed.h
@@ -30,7 +30,7 @@
 
     record_feed(keyed_log& store, feed_options options, handlers on);
 
-    void start() { readNewest({}); }
+    void start() { readNewest(); }
     void setPause(duration pause) { m_options.pause = pause; }
     void setWait(duration wait) { m_options.wait = wait; }
     void setLongestRetryPause(duration longest) { m_retries.setLongest(longest); }
@@ -44,12 +44,16 @@
     bool isLost() const { return m_reach == reach::lost; }
     /// When the view was last known to be complete.
     instant freshAt() const { return m_freshAt; }
+    /// When the store answered last.
+    instant reachedAt() const { return m_reachedAt; }
     std::int64_t next() const { return m_next; }
 
 private:
     enum class reach { unknown, reached, lost };
 
-    void readNewest(const std::string& after);
+    void startOver();
+    /// The next page of the newest records.
+    void readNewest();
     void readOn(duration wait);
     void onNewest(const store_result<newest_page>& result);
     void onPage(const store_result<record_page>& result);
@@ -64,11 +68,14 @@
     QTimer m_timer;
     serving::retry_pace m_retries;
     std::vector<keyed_record> m_snapshot; // of the pages so far
+    std::string m_snapshotTo; // the last key of them
     std::int64_t m_snapshotEnd = -1; // end of the topic when the first page was read; -1: no page yet
+    duration m_patience; // for the next page
     std::int64_t m_next = -1; // offset to read from; -1: the newest records are not known yet
     std::uint64_t m_call = 0; // the outstanding call; answers of earlier ones have no effect
     instant m_freshAt;
     instant m_askedAt;
+    instant m_reachedAt;
     reach m_reach = reach::unknown;
     bool m_isAnswerDue = false; // the outstanding call does not wait for the next record
     bool m_isHurried = false; // there is more to read than what the outstanding call was asked for
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -240,7 +240,11 @@
     m_on.onVersionBehind();
 }
 
-bool shared_view::isStarting(instant now) const { return now < m_startedAt + firstReadTime; }
+bool shared_view::isStarting(instant now) const
+{
+    const auto last = std::max({ m_startedAt, m_configurationFeed.reachedAt(), m_targetFeed.reachedAt() });
+    return now < last + firstReadTime;
+}
 
 void shared_view::take(const shared_state& state)
 {
--- a/libs/gateway/tests/fake_ports.h
+++ b/libs/gateway/tests/fake_ports.h
@@ -50,9 +50,10 @@
         store_handler<placed_append> onAppendAt;
     };
 
-    void newest(store_topic topic, const std::string& after, store_handler<newest_page> done) override
+    void newest(
+        store_topic topic, const std::string& after, duration patience, store_handler<newest_page> done) override
     {
-        calls.push_back({ "newest", topic, 0, {}, after, std::move(done), nullptr, nullptr, nullptr });
+        calls.push_back({ "newest", topic, 0, patience, after, std::move(done), nullptr, nullptr, nullptr });
     }
     void read(store_topic topic, std::int64_t from, duration wait, store_handler<record_page> done) override
     {
--- a/libs/gateway/tests/test_record_feed.cpp
+++ b/libs/gateway/tests/test_record_feed.cpp
@@ -53,6 +53,23 @@
     CHECK(topic.last(4).from == 8);
 }
 
+TEST_CASE("test_page_that_failed_is_asked_for_again_and_waited_for_longer")
+{
+    // Symptom: after a start of all nodes of a large fleet none serves for half a minute.
+    // Sequence: all read a long list at once; the store needs longer for a page than it is waited for.
+    // Cause: a page without an answer in time made the reading begin anew, and the store answers what nobody waits for.
+    followed_topic topic;
+    topic.last(1).onNewest(newest_page { { record(4, "a") }, 7, true });
+    const auto usual = topic.last(2).wait;
+    topic.last(2).onNewest(store_error::unreachable);
+    CHECK(topic.last(3).key == "a"); // not the first page
+    CHECK(topic.last(3).wait == 2 * usual);
+    topic.last(3).onNewest(newest_page { { record(6, "b") }, 9, false });
+    REQUIRE(topic.snapshots.size() == 1);
+    CHECK(topic.snapshots[0].size() == 2);
+    CHECK(topic.last(4).from == 7);
+}
+
 TEST_CASE("test_feed_starts_over_when_records_have_expired")
 {
     // Symptom: a node goes on with an old configuration for ever.
