--- a/libs/serving/tests/model/engine_model.cpp
+++ b/libs/serving/tests/model/engine_model.cpp
@@ -77,8 +77,25 @@
     std::erase_if(m_settling, [key](const auto& item) { return item.key == key; });
 }
 
+std::vector<std::uint64_t> engine_model::beginChange()
+{
+    m_isChanging = true;
+    std::vector<std::uint64_t> sentAway;
+    for (const auto& item : m_waiting)
+        sentAway.push_back(item.job.key);
+    m_waiting.clear();
+    return sentAway;
+}
+
+void engine_model::endChange(bool alsoWrites)
+{
+    m_isChanging = false;
+    m_alsoWrites = alsoWrites;
+}
+
 void engine_model::crash()
 {
+    m_isChanging = false;
     m_waiting.clear();
     m_running.clear();
     m_settling.clear();
@@ -110,8 +127,11 @@
         consider(m_settling.front().at);
     if (m_stepEnd)
         return next;
-    for (const auto& item : m_waiting)
-        consider(item.readableAt);
+    const bool hasSlot = m_running.size() < static_cast<std::size_t>(m_sheet.slots);
+    for (const auto& item : m_waiting) {
+        if (hasSlot)
+            consider(item.readableAt);
+    }
     for (const auto& item : m_running) {
         if (item.writesFrom)
             consider(*item.writesFrom);
@@ -168,7 +188,7 @@
     if (!isImported && shared.tokens >= fewestPartTokens && !m_parts.contains(shared.id))
         m_events.onReading(shared);
     if (isImported) {
-        item.writesFrom = now;
+        item.writesFrom = now + fromSeconds(m_sheet.importMilliseconds * millisecond);
         keep(item.job.text);
     }
     m_running.push_back(std::move(item));
@@ -204,7 +224,7 @@
     double length = m_sheet.stepMilliseconds + m_sheet.contextMilliseconds * context / tokensPerContextUnit;
     length += m_sheet.slotMilliseconds * writers + m_stepTokens / pace
         + m_sheet.pairsMilliseconds * m_stepPairs / pairsPerUnit;
-    m_stepEnd = now + fromSeconds(length * millisecond);
+    m_stepEnd = now + fromSeconds(length * m_sheet.slowness * millisecond);
 }
 
 void engine_model::endStep(instant now)
@@ -218,8 +238,8 @@
         if (item.writesFrom) {
             if (*item.writesFrom < begunAt)
                 writeOne(item);
-            if (item.written > 0 && item.written % m_sheet.tokensPerEvent == 0)
-                events.push_back(item.job.key);
+            if (*item.writesFrom < begunAt && item.written % m_sheet.tokensPerEvent == 1 % m_sheet.tokensPerEvent)
+                events.push_back(item.job.key); // the first token makes an event by itself
             if (item.written >= item.job.outputTokens)
                 ended.push_back(item.job.key);
         } else if (item.toRead == 0) {
@@ -255,7 +275,7 @@
         m_settling.push_back({ item.job.key, now + settle });
         return;
     }
-    const auto firstEvent = fromSeconds(m_sheet.tokensPerEvent * m_sheet.stepMilliseconds * millisecond);
+    const auto firstEvent = fromSeconds(m_sheet.stepMilliseconds * millisecond);
     item.writesFrom = now + std::max(settle - firstEvent, duration::zero());
 }
 
--- a/libs/serving/tests/model/engine_model.h
+++ b/libs/serving/tests/model/engine_model.h
@@ -22,12 +22,14 @@
     double tokensPerMillisecond = 93; ///< read by an engine that only reads; one that also writes reads half of it
     double pairsMilliseconds = 0.442; ///< for a million pairs of a token read and one before it
     double settleMilliseconds = 80; ///< from the end of reading to the first event or the exported cache
+    double importMilliseconds = 0; ///< from the end of a cache's transfer to the first event
     int tokensPerEvent = 13;
     int pieceTokens = 2048; ///< read in one step; a quarter of it where answers are written too
     std::int64_t memoryTokens = 412'364;
     double bytesPerToken = 131'072;
     double linkGigabits = 900;
     double transferSetupMilliseconds = 4;
+    double slowness = 1; ///< every step takes so many times as long
 };
 
 /// What is asked of an engine.
@@ -65,6 +67,12 @@
     void cancel(std::uint64_t key);
     /// All work and memory is lost.
     void crash();
+    /// Steps that begin from now on take so many times as long.
+    void setSlowness(double slowness) { m_sheet.slowness = slowness; }
+    /// It takes another role: what waits is sent away, what runs comes to its end. Returns what was sent away.
+    std::vector<std::uint64_t> beginChange();
+    bool isChanging() const { return m_isChanging; }
+    void endChange(bool alsoWrites);
     /// When something happens next; nothing while it is idle.
     std::optional<instant> nextAt() const;
     void step(instant now);
@@ -108,6 +116,7 @@
 
     engine_sheet m_sheet;
     bool m_alsoWrites;
+    bool m_isChanging = false;
     engine_events m_events;
     std::vector<held_job> m_waiting;
     std::vector<held_job> m_running; // in order of admission
--- a/libs/serving/tests/model/fleet_model.cpp
+++ b/libs/serving/tests/model/fleet_model.cpp
@@ -24,9 +24,13 @@
     constexpr int heartbeatsPerSecond = 160; ///< the gateway's, of one node
     constexpr duration shortestHeartbeat = 100ms;
     constexpr int waitingPlaces = 3; ///< of an engine, for each slot
-    constexpr double sizeShare = 0.7; ///< of a request's worth goes by its size
-    constexpr double longestSize = 4; ///< in means, that is worth more
-    constexpr double outputWeight = 10; ///< a token written counts as so many read
+    /// Callers leave a stream that is silent for the longest of these.
+    constexpr duration shortestPatience = 2s;
+    constexpr int patienceInAims = 4;
+    constexpr int patienceInPauses = 8;
+    constexpr int mostTries = 2; ///< of a caller; the second one when it was told to come back
+    constexpr int longestReturnShare = 3; ///< of the time left, that a caller waits before it does
+    constexpr duration roleLook = 250ms; ///< the gateway's
 
     std::string nodeName(std::size_t index) { return "node-" + std::to_string(index); }
     std::string zoneName(int index) { return "zone-" + std::to_string(index); }
@@ -35,25 +39,19 @@
 
 fleet_model::fleet_model(fleet_sheet sheet, std::uint64_t seed)
     : m_sheet(std::move(sheet))
-    , m_random(seed * 7919 + 1)
+    , m_arrivals(seed * 7919 + 1)
+    , m_random(seed * 104729 + 3)
     , m_configuration(makeConfiguration())
     , m_now(instant(1h))
+    , m_maker(m_sheet.kinds, m_sheet.engine.tokensPerEvent, m_arrivals)
 {
-    for (const auto& kind : m_sheet.kinds) {
-        std::vector<std::int64_t> sizes;
-        std::vector<double> popularity;
-        double sum = 0;
-        for (int i = 0; i < kind.beginnings; ++i) {
-            sizes.push_back(static_cast<std::int64_t>(size(kind.shared)));
-            sum += std::pow(i + 1, -kind.skew);
-            popularity.push_back(sum);
-        }
-        m_beginnings.push_back(std::move(sizes));
-        m_popularity.push_back(std::move(popularity));
-        m_result.kinds.emplace_back();
-    }
+    m_result.kinds.resize(m_sheet.kinds.size());
     addEngines();
     addNodes();
+    if (m_sheet.changesRoles) {
+        m_split = std::make_unique<role_split>(m_nodes.front().decisions->fleet(), role_split_settings {});
+        later(roleLook, [this] { lookAtRoles(); });
+    }
 }
 
 std::shared_ptr<const serving_configuration> fleet_model::makeConfiguration() const
@@ -97,13 +95,22 @@
         events.onReading = [this](const prompt_part& part) { reading(part); };
         events.onKept = [this, i](const prompt_part& part) { kept(i, part); };
         // Spread over zones, as the roles are.
-        m_engines.emplace_back(m_sheet.engine, i >= readers, std::move(events));
+        auto sheet = m_sheet.engine;
+        sheet.slowness = usualSlowness(i);
+        m_engines.emplace_back(sheet, i >= readers, std::move(events));
         m_instances.push_back("engine-" + std::to_string(i));
         m_engineOf[m_instances.back()] = i;
         m_isLost.push_back(0);
+        m_sequences.push_back(1);
+        m_lossShare.push_back(0);
     }
 }
 
+double fleet_model::usualSlowness(int engine) const
+{
+    return m_sheet.slowness[static_cast<std::size_t>(engine) % m_sheet.slowness.size()];
+}
+
 target_record fleet_model::recordOf(int engine) const
 {
     const auto index = static_cast<std::size_t>(engine);
@@ -114,7 +121,7 @@
     record.availabilityZone = zoneName(engine % m_sheet.zones);
     record.slots = m_sheet.engine.slots;
     record.role = m_engines[index].alsoWrites() ? target_role::decode : target_role::prefill;
-    record.sequence = 1;
+    record.sequence = m_sequences[index];
     return record;
 }
 
@@ -188,15 +195,6 @@
 
 void fleet_model::later(duration wait, action what) { m_events.emplace(m_now + wait, std::move(what)); }
 
-// Box and Muller's way to a normal deviate.
-double fleet_model::size(const size_spread& spread)
-{
-    const double mu = std::log(spread.mean) - spread.spread * spread.spread / 2;
-    const double radius = std::sqrt(-2 * std::log(1 - m_random.unit()));
-    const double normal = radius * std::cos(2 * std::numbers::pi * m_random.unit());
-    return std::clamp(std::exp(mu + spread.spread * normal), 1.0, spread.max);
-}
-
 fleet_result fleet_model::run(duration length)
 {
     for (std::size_t kind = 0; kind < m_sheet.kinds.size(); ++kind)
@@ -205,6 +203,10 @@
         later(what.at, [this, what] { restart(what); });
     for (const auto& loss : m_sheet.losses)
         later(loss.from, [this, loss] { lose(loss); });
+    for (const auto& slowdown : m_sheet.slowdowns)
+        later(slowdown.from, [this, slowdown] { slowDown(slowdown); });
+    for (const auto& failing : m_sheet.failings)
+        later(failing.from, [this, failing] { beginFailing(failing); });
     const instant end = m_now + length;
     while (!m_events.empty() && m_events.begin()->first <= end) {
         m_now = m_events.begin()->first;
@@ -223,66 +225,91 @@
 {
     const auto since = m_now - instant(1h);
     const double rate = std::max(0.01, m_sheet.kinds[kind].perSecond * m_sheet.rate(kind, since));
-    later(fromSeconds(-std::log(1 - m_random.unit()) / rate), [this, kind] {
+    later(fromSeconds(-std::log(1 - m_arrivals.unit()) / rate), [this, kind] {
         arrive(kind);
         scheduleArrival(kind);
     });
 }
 
-prompt fleet_model::makePrompt(std::size_t kind)
-{
-    const auto& sheet = m_sheet.kinds[kind];
-    const auto& popularity = m_popularity[kind];
-    const auto place = std::lower_bound(popularity.begin(), popularity.end(), m_random.unit() * popularity.back());
-    const auto index = static_cast<std::size_t>(place - popularity.begin());
-    prompt text;
-    text.parts = { { (kind << 20) + index + 1, m_beginnings[kind][index] },
-        { m_nextPart++, static_cast<std::int64_t>(size(sheet.own)) } };
-    text.inputTokens = text.parts[0].tokens + text.parts[1].tokens;
-    return text;
-}
-
 void fleet_model::arrive(std::size_t kind)
 {
-    const auto& sheet = m_sheet.kinds[kind];
-    const std::size_t node = m_inService[m_random.below(m_inService.size())];
     asked_request asked;
-    asked.kind = kind;
-    asked.text = makePrompt(kind);
-    asked.outputTokens = static_cast<std::int64_t>(std::ceil(size(sheet.events)))
-        * static_cast<std::int64_t>(m_sheet.engine.tokensPerEvent);
-    asked.text.outputTokens = asked.outputTokens;
-    const auto sizeOf = [](double in, double out) { return in + outputWeight * out; };
-    const double mean = sizeOf(sheet.shared.mean + sheet.own.mean, sheet.events.mean * m_sheet.engine.tokensPerEvent);
-    const double own
-        = sizeOf(static_cast<double>(asked.text.inputTokens), static_cast<double>(asked.outputTokens)) / mean;
-    const double weight = std::min(longestSize, 1 - sizeShare + sizeShare * own);
-    asked.owed = sheet.worth * weight;
-    asked.owedLate = sheet.lateWorth * weight;
+    asked.made = m_maker.make(kind);
     asked.at = m_now;
     auto& counted = m_result.kinds[kind];
     ++counted.asked;
-    counted.owed += asked.owed;
-    m_result.owed += asked.owed;
-
-    if (soonest(asked.text) > sheet.aim) {
+    counted.owed += asked.made.owed;
+    m_result.owed += asked.made.owed;
+    if (soonest(asked.made.text) > m_sheet.kinds[kind].aim) {
         ++counted.unreachable;
-        counted.owedUnreachable += asked.owed - asked.owedLate;
+        counted.owedUnreachable += asked.made.owed - asked.made.owedLate;
     }
+    submit(std::move(asked), m_inService[m_arrivals.below(m_inService.size())]);
+}
 
+void fleet_model::submit(asked_request asked, std::size_t node)
+{
+    const auto kind = asked.made.kind;
     serving_request request;
-    request.id = "request-" + std::to_string(m_result.kinds[kind].asked);
+    request.id = "request-" + std::to_string(m_nextRequest++);
     request.configuration = m_configuration;
     request.route = &m_configuration->routes()[kind];
     request.service = "engines";
-    request.patience = sheet.patience;
-    request.text = asked.text;
+    request.patience = m_sheet.kinds[kind].patience - (m_now - asked.at);
+    request.text = asked.made.text;
     command_list out;
     const auto id = m_nodes[node].decisions->arrive(std::move(request), m_now, out);
     m_asked[{ node, id }] = std::move(asked);
+    watchSilence({ node, id }, m_now);
     carryOut(node, out);
 }
 
+duration fleet_model::longestSilence(std::size_t kind) const
+{
+    const auto& sheet = m_sheet.kinds[kind];
+    return std::max({ shortestPatience, patienceInAims * sheet.aim, patienceInPauses * sheet.gapAim });
+}
+
+void fleet_model::watchSilence(request_key key, instant since)
+{
+    const auto longest = longestSilence(m_asked.at(key).made.kind);
+    later(since + longest - m_now, [this, key, since] {
+        const auto found = m_asked.find(key);
+        if (found == m_asked.end())
+            return;
+        if (found->second.events > 0 && found->second.lastEventAt > since)
+            return watchSilence(key, found->second.lastEventAt);
+        ++m_result.kinds[found->second.made.kind].left;
+        command_list out;
+        m_nodes[key.first].decisions->abandoned(key.second, m_now, out);
+        carryOut(key.first, out);
+        m_asked.erase(key);
+    });
+}
+
+// A caller comes back once, if it was told when.
+void fleet_model::refused(request_key key, duration retryAfter)
+{
+    const auto found = m_asked.find(key);
+    auto asked = std::move(found->second);
+    m_asked.erase(found);
+    const bool isTold = retryAfter > duration::zero();
+    if (!isTold || asked.tries == mostTries) {
+        auto& counted = m_result.kinds[asked.made.kind];
+        ++(isTold ? counted.refused : counted.failed);
+        return;
+    }
+    ++asked.tries;
+    asked.currentKey = 0;
+    const auto left = m_sheet.kinds[asked.made.kind].patience - (m_now - asked.at);
+    const auto node = m_inService[m_random.below(m_inService.size())];
+    later(std::min(retryAfter, left / longestReturnShare), [this, asked = std::move(asked), node] {
+        // The node may have been started anew meanwhile.
+        const bool isThere = std::find(m_inService.begin(), m_inService.end(), node) != m_inService.end();
+        submit(asked, isThere ? node : m_inService.front());
+    });
+}
+
 // Alone at an engine that only reads, with its beginning fetched if any engine has ever read it.
 duration fleet_model::soonest(const prompt& text) const
 {
@@ -350,10 +377,7 @@
                 m_sent.erase(sent);
             }
         } else if (const auto* refusal = std::get_if<refuse_request>(&command)) {
-            const auto found = m_asked.find({ node, refusal->request });
-            auto& counted = m_result.kinds[found->second.kind];
-            ++(refusal->retryAfter > duration::zero() ? counted.refused : counted.failed);
-            m_asked.erase(found);
+            refused({ node, refusal->request }, refusal->retryAfter);
         }
     }
     tellNew(node);
@@ -378,12 +402,12 @@
     engine_job job;
     job.key = key;
     job.stage = start.stage;
-    job.text = asked.text;
-    job.outputTokens = asked.outputTokens;
+    job.text = asked.made.text;
+    job.outputTokens = asked.made.outputTokens;
     job.urgency = start.urgency;
     job.fetchFrom = engineOf(start.fetchFrom);
     job.cacheSource = start.stage == attempt_stage::decode ? engineOf(start.cache.source) : -1;
-    const auto way = start.stage == attempt_stage::decode ? importTime : m_sheet.kinds[asked.kind].sendTime;
+    const auto way = start.stage == attempt_stage::decode ? importTime : m_sheet.kinds[asked.made.kind].sendTime;
     later(way, [this, key, job = std::move(job)] { reached(key, job); });
 }
 
@@ -396,7 +420,9 @@
     auto& engine = m_engines[index];
     if (m_isLost[index])
         return endAttempt(key, attempt_result::unreached, {});
-    if (engine.held() >= static_cast<std::size_t>(m_sheet.engine.slots * (1 + waitingPlaces)))
+    const bool isFull = engine.held() >= static_cast<std::size_t>(m_sheet.engine.slots * (1 + waitingPlaces));
+    const bool isWrongRole = engine.alsoWrites() == (job.stage == attempt_stage::prefill);
+    if (isFull || isWrongRole || engine.isChanging())
         return endAttempt(key, attempt_result::rejected, {});
     engine.ask(job, m_engines, m_now);
     touch(sent->second.engine);
@@ -443,22 +469,24 @@
     const auto found = m_sent.find(key);
     if (found == m_sent.end())
         return;
+    if (losesAnswer(found->second.engine))
+        return endAttempt(key, attempt_result::cut, {});
     finish(requestOf(found->second));
     endAttempt(key, attempt_result::answered, {});
 }
 
 void fleet_model::finish(asked_request& asked)
 {
-    const auto& sheet = m_sheet.kinds[asked.kind];
-    auto& counted = m_result.kinds[asked.kind];
-    double earned = asked.owedLate;
+    const auto& sheet = m_sheet.kinds[asked.made.kind];
+    auto& counted = m_result.kinds[asked.made.kind];
+    double earned = asked.made.owedLate;
     if (asked.first > sheet.aim) {
         ++counted.lateFirst;
     } else if (asked.longestPause > sheet.gapAim) {
         ++counted.lateForPause;
     } else {
         ++counted.onTime;
-        earned = asked.owed;
+        earned = asked.made.owed;
     }
     counted.earned += earned;
     m_result.earned += earned;
@@ -466,7 +494,7 @@
 
 void fleet_model::reading(const prompt_part& part)
 {
-    if (part.id < firstOwnPart && !m_everRead.insert(part.id).second)
+    if (part.id < request_maker::firstOwnPart && !m_everRead.insert(part.id).second)
         m_result.beginningsReadAgain += static_cast<double>(part.tokens);
 }
 
@@ -498,50 +526,4 @@
     carryOut(sent.node, out);
 }
 
-void fleet_model::lose(const engine_loss& loss)
-{
-    std::vector<int> lost;
-    const auto count = static_cast<std::size_t>(std::lround(loss.share * m_sheet.engines));
-    while (lost.size() < count) {
-        const auto index = m_random.below(m_engines.size());
-        if (m_isLost[index])
-            continue;
-        m_isLost[index] = 1;
-        m_engines[index].crash();
-        lost.push_back(static_cast<int>(index));
-    }
-    std::vector<std::uint64_t> broken;
-    for (const auto& [key, sent] : m_sent) {
-        if (std::find(lost.begin(), lost.end(), sent.engine) != lost.end())
-            broken.push_back(key);
-    }
-    std::sort(broken.begin(), broken.end());
-    for (const auto key : broken) {
-        const auto& sent = m_sent.at(key);
-        const bool hasStarted = requestOf(sent).events > 0 && sent.stage != attempt_stage::prefill;
-        later(answerTime, [this, key, hasStarted] {
-            endAttempt(key, hasStarted ? attempt_result::cut : attempt_result::broken, {});
-        });
-    }
-    later(loss.until - loss.from, [this, lost] { comeBack(lost); });
-}
-
-void fleet_model::comeBack(const std::vector<int>& engines)
-{
-    for (const int engine : engines) {
-        const auto index = static_cast<std::size_t>(engine);
-        m_isLost[index] = 0;
-        const auto former = m_instances[index];
-        m_instances[index] += "'";
-        m_engineOf.erase(former);
-        m_engineOf[m_instances[index]] = engine;
-        later(relistTime, [this, engine, former] {
-            for (auto& node : m_nodes) {
-                node.decisions->targetGone(former, m_now);
-                node.decisions->targetListed(recordOf(engine));
-            }
-        });
-    }
-}
-
 }
--- /dev/null
+++ b/libs/serving/tests/model/request_maker.cpp
@@ -0,0 +1,78 @@
+// Sizes, beginnings and worth.
+#include "request_maker.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+
+namespace tamarack::serving::tests {
+
+namespace {
+
+    constexpr double sizeShare = 0.7; ///< of a request's worth goes by its size
+    constexpr double longestSize = 4; ///< in means, that is worth more
+    constexpr double outputWeight = 10; ///< a token written counts as so many read
+
+    double sizeOf(double in, double out) { return in + outputWeight * out; }
+
+}
+
+request_maker::request_maker(const std::vector<request_sheet>& kinds, int tokensPerEvent, random_source& random)
+    : m_kinds(kinds)
+    , m_tokensPerEvent(tokensPerEvent)
+    , m_random(random)
+{
+    for (const auto& kind : m_kinds) {
+        std::vector<std::int64_t> sizes;
+        std::vector<double> popularity;
+        double sum = 0;
+        for (int i = 0; i < kind.beginnings; ++i) {
+            sizes.push_back(static_cast<std::int64_t>(size(kind.shared)));
+            sum += std::pow(i + 1, -kind.skew);
+            popularity.push_back(sum);
+        }
+        m_beginnings.push_back(std::move(sizes));
+        m_popularity.push_back(std::move(popularity));
+    }
+}
+
+// Box and Muller's way to a normal deviate.
+double request_maker::size(const size_spread& spread)
+{
+    const double mu = std::log(spread.mean) - spread.spread * spread.spread / 2;
+    const double radius = std::sqrt(-2 * std::log(1 - m_random.unit()));
+    const double normal = radius * std::cos(2 * std::numbers::pi * m_random.unit());
+    return std::clamp(std::exp(mu + spread.spread * normal), 1.0, spread.max);
+}
+
+prompt request_maker::makePrompt(std::size_t kind)
+{
+    const auto& popularity = m_popularity[kind];
+    const auto place = std::lower_bound(popularity.begin(), popularity.end(), m_random.unit() * popularity.back());
+    const auto index = static_cast<std::size_t>(place - popularity.begin());
+    prompt text;
+    text.parts = { { (kind << 20) + index + 1, m_beginnings[kind][index] },
+        { m_nextPart++, static_cast<std::int64_t>(size(m_kinds[kind].own)) } };
+    text.inputTokens = text.parts[0].tokens + text.parts[1].tokens;
+    return text;
+}
+
+made_request request_maker::make(std::size_t kind)
+{
+    const auto& sheet = m_kinds[kind];
+    made_request out;
+    out.kind = kind;
+    out.text = makePrompt(kind);
+    // The first event has one token.
+    const auto events = static_cast<std::int64_t>(std::ceil(size(sheet.events)));
+    out.outputTokens = (events - 1) * m_tokensPerEvent + 1;
+    out.text.outputTokens = out.outputTokens;
+    const double mean = sizeOf(sheet.shared.mean + sheet.own.mean, sheet.events.mean * m_tokensPerEvent);
+    const double own = sizeOf(static_cast<double>(out.text.inputTokens), static_cast<double>(out.outputTokens)) / mean;
+    const double weight = std::min(longestSize, 1 - sizeShare + sizeShare * own);
+    out.owed = sheet.worth * weight;
+    out.owedLate = sheet.lateWorth * weight;
+    return out;
+}
+
+}
--- /dev/null
+++ b/libs/serving/tests/model/request_maker.h
@@ -0,0 +1,39 @@
+// Draws requests by the sheet of their kind.
+#pragma once
+
+#include "fleet_sheet.h"
+
+#include "base/random_source.h"
+
+namespace tamarack::serving::tests {
+
+struct made_request {
+    std::size_t kind = 0;
+    prompt text;
+    std::int64_t outputTokens = 0;
+    double owed = 0; ///< what it is worth in time
+    double owedLate = 0;
+};
+
+class request_maker {
+public:
+    /// Parts that requests share have lower ids.
+    static constexpr std::uint64_t firstOwnPart = 1ULL << 40;
+
+    request_maker(const std::vector<request_sheet>& kinds, int tokensPerEvent, random_source& random);
+
+    made_request make(std::size_t kind);
+
+private:
+    double size(const size_spread& spread);
+    prompt makePrompt(std::size_t kind);
+
+    const std::vector<request_sheet>& m_kinds;
+    int m_tokensPerEvent;
+    random_source& m_random;
+    std::vector<std::vector<std::int64_t>> m_beginnings; // sizes, by kind
+    std::vector<std::vector<double>> m_popularity; // cumulative, by kind
+    std::uint64_t m_nextPart = firstOwnPart;
+};
+
+}
--- a/libs/serving/tests/model/users_fleets.cpp
+++ b/libs/serving/tests/model/users_fleets.cpp
@@ -155,4 +155,111 @@
     return out;
 }
 
+namespace {
+
+    fleet_sheet larrain()
+    {
+        fleet_sheet out;
+        out.engine.stepMilliseconds = 3.37;
+        out.engine.slotMilliseconds = 0.0109;
+        out.engine.contextMilliseconds = 0.0034;
+        out.engine.tokensPerMillisecond = 61.2;
+        out.engine.pairsMilliseconds = 0.324;
+        out.engine.settleMilliseconds = 6;
+        out.engine.bytesPerToken = 163'840;
+        out.engine.transferSetupMilliseconds = 1.7;
+        out.slowness = { 1, 1, 1.3 };
+        out.zones = 3;
+        out.rate = [](std::size_t kind, duration since) {
+            constexpr double shortPeriod = 2.8;
+            constexpr std::size_t digests = 0;
+            const bool isNoteTurn = static_cast<int>(seconds(since) / shortPeriod) % 2 == 0;
+            if (kind == digests)
+                return 1.0;
+            return isNoteTurn == (kind == 1) ? 1.7 : 0.6;
+        };
+        request_sheet digest;
+        digest.name = "digest";
+        digest.shared = { 5'382, 0.7, 15'000 };
+        digest.own = { 6'610, 1.4, 54'600 };
+        digest.aim = 800ms;
+        digest.patience = 8s;
+        digest.priority = 2;
+        request_sheet note;
+        note.name = "note";
+        note.shared = { 198, 0.6, 530 };
+        note.own = { 628, 1.0, 3'310 };
+        note.beginnings = 402;
+        note.aim = 250ms;
+        note.patience = 8s;
+        note.isRepeatable = true;
+        request_sheet tag;
+        tag.name = "tag";
+        tag.shared = { 568, 0.6, 1'530 };
+        tag.own = { 1'800, 1.3, 6'870 };
+        tag.events = { 2.05, 1.4, 8.2 };
+        tag.beginnings = 340;
+        tag.aim = 300ms;
+        tag.patience = 2500ms;
+        tag.priority = 1;
+        out.kinds = { digest, note, tag };
+        for (auto& kind : out.kinds)
+            kind.gapAim = 150ms;
+        return out;
+    }
+
+}
+
+fleet_sheet larrainFleet()
+{
+    auto out = larrain();
+    out.engines = 18;
+    out.nodes = 7;
+    out.readingShare = 0.35;
+    out.engine.slots = 64;
+    out.engine.tokensPerEvent = 11;
+    out.engine.memoryTokens = 537'779;
+    out.engine.linkGigabits = 1'400;
+    out.kinds[0].perSecond = 36.7;
+    out.kinds[0].beginnings = 110;
+    out.kinds[0].events = { 34.7, 0.44, 102 };
+    out.kinds[0].worth = 3.4;
+    out.kinds[0].lateWorth = 1.7;
+    out.kinds[1].perSecond = 59.2;
+    out.kinds[1].events = { 26.5, 0.69, 86.7 };
+    out.kinds[1].worth = 1.8;
+    out.kinds[1].lateWorth = 0.91;
+    out.kinds[2].perSecond = 50;
+    out.kinds[2].worth = 1.4;
+    out.kinds[2].lateWorth = 0.7;
+    return out;
+}
+
+fleet_sheet larrainGrownFleet()
+{
+    auto out = larrain();
+    out.engines = 140;
+    out.nodes = 77;
+    out.readingShare = 0.32;
+    out.engine.slots = 16;
+    out.engine.tokensPerEvent = 14;
+    out.engine.memoryTokens = 415'029;
+    out.engine.linkGigabits = 1'100;
+    out.kinds[0].perSecond = 211;
+    out.kinds[0].beginnings = 637;
+    out.kinds[0].events = { 27, 0.44, 80 };
+    out.kinds[0].worth = 2.5;
+    out.kinds[0].lateWorth = 1.3;
+    out.kinds[1].perSecond = 174;
+    out.kinds[1].events = { 21, 0.69, 68 };
+    out.kinds[1].worth = 1.6;
+    out.kinds[1].lateWorth = 0.8;
+    out.kinds[2].perSecond = 330;
+    out.kinds[2].worth = 1.4;
+    out.kinds[2].lateWorth = 0.7;
+    for (auto& kind : out.kinds)
+        kind.sendTime = 10ms;
+    return out;
+}
+
 }
--- a/libs/serving/tests/model/users_fleets.h
+++ b/libs/serving/tests/model/users_fleets.h
@@ -9,5 +9,7 @@
 fleet_sheet vodosletGrownFleet();
 fleet_sheet ahnenhausFleet();
 fleet_sheet ahnenhausGrownFleet();
+fleet_sheet larrainFleet();
+fleet_sheet larrainGrownFleet();
 
 }
--- a/libs/serving/tests/test_load.cpp
+++ b/libs/serving/tests/test_load.cpp
@@ -1,4 +1,5 @@
 // Plays the users' loads on the decisions of all nodes, and checks what callers get.
+#include "random_fleets.h"
 #include "users_fleets.h"
 
 #include <catch2/catch.hpp>
@@ -72,3 +73,15 @@
     CHECK(played.readAgain <= 6);
     CHECK(played.longEarned >= 0.85);
 }
+
+TEST_CASE("test_random_fleets_are_played_alike_for_the_same_seed")
+{
+    constexpr auto length = std::chrono::seconds(5);
+    for (const std::uint64_t seed : { 6, 15, 26 }) {
+        const auto once = fleet_model(randomFleet(seed, length), seed).run(length);
+        const auto again = fleet_model(randomFleet(seed, length), seed).run(length);
+        CHECK(once.owed > 0);
+        CHECK(once.owed == again.owed);
+        CHECK(once.earned == again.earned);
+    }
+}
--- a/tools/bench/serving_bench.cpp
+++ b/tools/bench/serving_bench.cpp
@@ -1,11 +1,16 @@
-// Plays the users' loads on the decisions of all nodes and prints what callers get. It asserts nothing.
+// Plays loads on the decisions of all nodes, in virtual time, and prints what callers get: the users' fleets, or fleets
+// drawn at random. It asserts nothing.
+#include "random_fleets.h"
 #include "users_fleets.h"
 
+#include <algorithm>
+#include <atomic>
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <functional>
-#include <map>
+#include <numeric>
 #include <string>
+#include <thread>
 
 using namespace tamarack;
 using namespace tamarack::serving::tests;
@@ -20,32 +25,54 @@
 constexpr named_fleet fleets[] {
     { "vodoslet", vodosletFleet },
     { "ahnenhaus", ahnenhausFleet },
+    { "larrain", larrainFleet },
     { "vodoslet-grown", vodosletGrownFleet },
     { "ahnenhaus-grown", ahnenhausGrownFleet },
+    { "larrain-grown", larrainGrownFleet },
 };
 
-void addTo(fleet_result& sum, const fleet_result& one)
+struct bench_options {
+    int seeds = 2;
+    int firstSeed = 1;
+    int jobs = 4;
+    int randomFleets = 0;
+    double length = 34;
+    double loss = 0.1;
+    double readingShare = 0;
+    double restarts = 0;
+    double load = 1;
+    bool isUntold = false;
+    bool keepsRoles = false;
+    bool isPlain = false; ///< a line a fleet, for comparisons
+    std::string only;
+};
+
+void add(kind_result& to, const kind_result& from)
+{
+    to.asked += from.asked;
+    to.onTime += from.onTime;
+    to.lateFirst += from.lateFirst;
+    to.lateForPause += from.lateForPause;
+    to.refused += from.refused;
+    to.failed += from.failed;
+    to.left += from.left;
+    to.owed += from.owed;
+    to.earned += from.earned;
+    to.unreachable += from.unreachable;
+    to.owedUnreachable += from.owedUnreachable;
+}
+
+void add(fleet_result& sum, const fleet_result& one)
 {
     sum.kinds.resize(one.kinds.size());
-    for (std::size_t i = 0; i < one.kinds.size(); ++i) {
-        auto& to = sum.kinds[i];
-        const auto& from = one.kinds[i];
-        to.asked += from.asked;
-        to.onTime += from.onTime;
-        to.lateFirst += from.lateFirst;
-        to.lateForPause += from.lateForPause;
-        to.refused += from.refused;
-        to.failed += from.failed;
-        to.owed += from.owed;
-        to.earned += from.earned;
-        to.unreachable += from.unreachable;
-        to.owedUnreachable += from.owedUnreachable;
-    }
+    for (std::size_t i = 0; i < one.kinds.size(); ++i)
+        add(sum.kinds[i], one.kinds[i]);
     sum.owed += one.owed;
     sum.earned += one.earned;
     sum.tokensRead += one.tokensRead;
     sum.beginningsReadAgain += one.beginningsReadAgain;
     sum.transferredGigabytes += one.transferredGigabytes;
+    sum.roleChanges += one.roleChanges;
 }
 
 double share(std::int64_t part, std::int64_t whole)
@@ -53,61 +80,138 @@
     return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
 }
 
-void print(const char* name, const fleet_result& result)
+void print(const std::string& name, const fleet_result& result)
 {
-    std::printf("%-16s earned %.4f  read %.1f M, again %.2f M, moved %.0f GB\n", name, result.earned / result.owed,
-        result.tokensRead / 1e6, result.beginningsReadAgain / 1e6, result.transferredGigabytes);
+    std::printf("%-16s earned %.4f  read %.1f M, again %.2f M, moved %.0f GB, %d changes of role\n", name.c_str(),
+        result.earned / result.owed, result.tokensRead / 1e6, result.beginningsReadAgain / 1e6,
+        result.transferredGigabytes, result.roleChanges);
     for (const auto& kind : result.kinds) {
-        std::printf(
-            "    asked %7lld earned %.4f  late for the first event %.4f, for a pause %.4f, refused %.4f, failed "
-            "%.4f; bound %.4f\n",
+        std::printf("    asked %7lld earned %.4f  late for the first event %.4f, for a pause %.4f, refused %.4f, "
+                    "failed %.4f, left %.4f; bound %.4f\n",
             static_cast<long long>(kind.asked), kind.earned / kind.owed, share(kind.lateFirst, kind.asked),
             share(kind.lateForPause, kind.asked), share(kind.refused, kind.asked), share(kind.failed, kind.asked),
-            1 - kind.owedUnreachable / kind.owed);
+            share(kind.left, kind.asked), 1 - kind.owedUnreachable / kind.owed);
     }
 }
 
+/// Runs `count` tasks, some at a time.
+void inParallel(int count, int jobs, const std::function<void(int)>& task)
+{
+    std::atomic<int> next = 0;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < std::max(1, jobs); ++i) {
+        threads.emplace_back([&] {
+            for (int at = next++; at < count; at = next++)
+                task(at);
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
 }
 
-int main(int argc, char** argv)
+fleet_sheet changed(fleet_sheet sheet, const bench_options& given)
+{
+    if (given.readingShare > 0)
+        sheet.readingShare = given.readingShare;
+    if (given.keepsRoles)
+        sheet.changesRoles = false;
+    for (auto& kind : sheet.kinds)
+        kind.perSecond *= given.load;
+    return sheet;
+}
+
+fleet_result playUsers(const named_fleet& fleet, int seed, const bench_options& given)
+{
+    auto sheet = changed(fleet.make(), given);
+    const auto middle = fromSeconds(given.length / 2);
+    if (given.restarts > 0)
+        sheet.restarts = { { middle, given.restarts, !given.isUntold } };
+    if (given.loss > 0)
+        sheet.losses = { { middle, middle + std::chrono::seconds(2), given.loss } };
+    return fleet_model(std::move(sheet), static_cast<std::uint64_t>(seed)).run(fromSeconds(given.length));
+}
+
+void benchUsers(const bench_options& given)
 {
-    namespace options = boost::program_options;
-    int seeds = 2;
-    int firstSeed = 1;
-    double length = 34;
-    double loss = 0.1;
-    double readingShare = 0;
-    double restarts = 0;
-    bool isUntold = false;
-    std::string only;
-    options::options_description described("serving_bench");
-    described.add_options()("seeds", options::value(&seeds), "seeds of each fleet");
-    described.add_options()("first-seed", options::value(&firstSeed), "the others follow it");
-    described.add_options()("seconds", options::value(&length), "length of each day");
-    described.add_options()("loss", options::value(&loss), "share of the engines lost for 2 s in the middle");
-    described.add_options()(
-        "reading-share", options::value(&readingShare), "of the engines read; 0: as the fleet starts");
-    described.add_options()("restarts", options::value(&restarts), "share of the nodes started anew in the middle");
-    described.add_options()("untold", options::bool_switch(&isUntold), "nobody tells them what the engines keep");
-    described.add_options()("only", options::value(&only), "one fleet by name");
-    options::variables_map given;
-    options::store(options::parse_command_line(argc, argv, described), given);
-    options::notify(given);
     for (const auto& fleet : fleets) {
-        if (!only.empty() && only != fleet.name)
+        if (!given.only.empty() && given.only != fleet.name)
             continue;
+        std::vector<fleet_result> results(static_cast<std::size_t>(given.seeds));
+        inParallel(given.seeds, given.jobs,
+            [&](int at) { results[static_cast<std::size_t>(at)] = playUsers(fleet, given.firstSeed + at, given); });
         fleet_result sum;
-        for (int seed = firstSeed; seed < firstSeed + seeds; ++seed) {
-            auto sheet = fleet.make();
-            if (readingShare > 0)
-                sheet.readingShare = readingShare;
-            if (restarts > 0)
-                sheet.restarts = { { fromSeconds(length / 2), restarts, !isUntold } };
-            if (loss > 0)
-                sheet.losses = { { fromSeconds(length / 2), fromSeconds(length / 2 + 2), loss } };
-            addTo(sum, fleet_model(std::move(sheet), static_cast<std::uint64_t>(seed)).run(fromSeconds(length)));
-        }
-        print(fleet.name, sum);
+        for (const auto& result : results)
+            add(sum, result);
+        if (given.isPlain)
+            std::printf("%s %.4f\n", fleet.name, sum.earned / sum.owed);
+        else
+            print(fleet.name, sum);
     }
+}
+
+/// The mean, and the mean of the lowest tenth.
+void printShares(std::vector<double> shares)
+{
+    std::sort(shares.begin(), shares.end());
+    const auto worst = std::max<std::size_t>(1, shares.size() / 10);
+    const auto mean = [&](std::size_t count) {
+        return std::accumulate(shares.begin(), shares.begin() + static_cast<std::ptrdiff_t>(count), 0.0)
+            / static_cast<double>(count);
+    };
+    std::printf("%zu random fleets: mean share of worth %.4f, worst tenth %.4f, lowest %.4f\n", shares.size(),
+        mean(shares.size()), mean(worst), shares.front());
+}
+
+void benchRandom(const bench_options& given)
+{
+    const auto count = static_cast<std::size_t>(given.randomFleets);
+    std::vector<fleet_result> results(count);
+    const auto length = fromSeconds(given.length);
+    inParallel(given.randomFleets, given.jobs, [&](int at) {
+        const auto seed = static_cast<std::uint64_t>(given.firstSeed + at);
+        results[static_cast<std::size_t>(at)]
+            = fleet_model(changed(randomFleet(seed, length), given), seed).run(length);
+    });
+    std::vector<double> shares;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto seed = static_cast<std::uint64_t>(given.firstSeed) + i;
+        shares.push_back(results[i].earned / results[i].owed);
+        if (given.isPlain)
+            std::printf("%llu %.4f\n", static_cast<unsigned long long>(seed), shares.back());
+        else
+            print("random " + std::to_string(seed), results[i]);
+    }
+    printShares(std::move(shares));
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    namespace options = boost::program_options;
+    bench_options given;
+    options::options_description described("serving_bench");
+    described.add_options()("seeds", options::value(&given.seeds), "seeds of each of the users' fleets");
+    described.add_options()("random", options::value(&given.randomFleets), "so many fleets drawn at random instead");
+    described.add_options()("first-seed", options::value(&given.firstSeed), "the others follow it");
+    described.add_options()("jobs", options::value(&given.jobs), "played at a time");
+    described.add_options()("seconds", options::value(&given.length), "length of each day");
+    described.add_options()("load", options::value(&given.load), "times the usual one");
+    described.add_options()("loss", options::value(&given.loss), "share of the engines lost for 2 s in the middle");
+    described.add_options()("reading-share", options::value(&given.readingShare),
+        "of the engines read at the start; 0: as the fleet's sheet says");
+    described.add_options()("keep-roles", options::bool_switch(&given.keepsRoles), "no engine changes its role");
+    described.add_options()(
+        "restarts", options::value(&given.restarts), "share of the nodes started anew in the middle");
+    described.add_options()("untold", options::bool_switch(&given.isUntold), "nobody tells them what the engines keep");
+    described.add_options()("only", options::value(&given.only), "one fleet by name");
+    described.add_options()("plain", options::bool_switch(&given.isPlain), "a line a fleet");
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, described), values);
+    options::notify(values);
+    if (given.randomFleets > 0)
+        benchRandom(given);
+    else
+        benchUsers(given);
     return 0;
 }
