--- a/libs/serving/tests/model/fleet_model.cpp
+++ b/libs/serving/tests/model/fleet_model.cpp
@@ -373,7 +373,8 @@
         } else if (const auto* stop = std::get_if<stop_attempt>(&command)) {
             auto& asked = m_asked.at({ node, stop->request });
             if (const auto sent = m_sent.find(asked.currentKey); sent != m_sent.end()) {
-                m_engines[static_cast<std::size_t>(sent->second.engine)].cancel(asked.currentKey);
+                if (sent->second.engine >= 0)
+                    m_engines[static_cast<std::size_t>(sent->second.engine)].cancel(asked.currentKey);
                 m_sent.erase(sent);
             }
         } else if (const auto* refusal = std::get_if<refuse_request>(&command)) {
