--- a/libs/serving/include/serving/engine_pace.h
+++ b/libs/serving/include/serving/engine_pace.h
@@ -31,6 +31,10 @@
     void learned(target_id id, double work, double waitSeconds, duration elapsed);
     /// The engine ended a prompt `seconds` later than was thought; below 0 if it was earlier.
     void lagged(target_id id, double seconds);
+    /// Seconds for a step in which an engine of this kind writes a token of each stream and reads nothing.
+    double stepSeconds(target_id id) const;
+    /// A stream's next event, of so many tokens, came after `interval`.
+    void wrote(target_id id, int tokens, duration interval);
     void forget(target_id id);
 
 private:
@@ -44,6 +48,7 @@
         target_role role = target_role::prefill;
         pace learned;
         double overheadSeconds = 0;
+        double stepSeconds = 0;
     };
 
     static void follow(pace& item, double work, double own);
--- a/libs/serving/include/serving/engine_queue.h
+++ b/libs/serving/include/serving/engine_queue.h
@@ -51,6 +51,8 @@
 
     /// Seconds until a prompt of this rank that comes now is begun.
     double waitSeconds(read_rank rank, instant now) const;
+    /// Seconds of reading that was done since then or is still to be done, as far as it is known.
+    double readingSince(instant since) const;
     /// The longest that a late prompt, once begun, can hold up others here.
     double longestLate() const;
     std::size_t size() const { return m_waiting.size() + (m_current ? 1 : 0); }
@@ -63,9 +65,12 @@
     };
     struct done_job {
         std::uint64_t key = 0;
+        double seconds = 0;
         instant endedAt; // in the model
     };
 
+    /// Of a job that is not done in the model; 0 if there is none.
+    double secondsOf(std::uint64_t key) const;
     bool isKnown(std::uint64_t key) const;
     /// Seconds until the end of a job that is not done in the model.
     double secondsLeft(std::uint64_t key, instant at) const;
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -6,6 +6,7 @@
 #include "serving/fleet_table.h"
 #include "serving/prompt_cache_map.h"
 #include "serving/read_queues.h"
+#include "serving/stream_pauses.h"
 #include "serving/target_health.h"
 
 #include <vector>
@@ -72,8 +73,8 @@
     double crowdingSeconds(target_id id) const;
     /// Share of the target's slots that would be taken with one more request.
     double takenShare(target_id id) const;
-    /// Tokens of prompt work that the engine can read without making its streams pause for too long.
-    double smoothTokens(target_id id, const placement_need& need) const;
+    /// Whether reading so many tokens at an engine that writes makes its streams pause for too long.
+    bool wouldPause(target_id id, double work, instant now);
     /// Fills m_keepers with the engines that have some of the prompt's beginning.
     void findKeepers(const placement_need& need);
     /// The one from which `id` had best fetch the beginning; no tokens if there is none.
@@ -87,6 +88,7 @@
     double missingShare(target_id id, const serving_request& request) const;
 
     placement_inputs m_inputs;
+    stream_pauses m_pauses;
     random_source m_random;
     int m_knownNodes = 1;
     const service_profile* m_profile = nullptr; // of the service that is chosen for; may be null
--- a/libs/serving/include/serving/read_queues.h
+++ b/libs/serving/include/serving/read_queues.h
@@ -40,6 +40,8 @@
     std::vector<told_job> takeNew(instant now);
 
     double waitSeconds(target_id engine, read_rank rank, instant now);
+    /// Seconds of reading that the engine has done since then, or is still to do.
+    double readingSince(target_id engine, instant since, instant now);
     double longestLate(target_id engine) const;
     /// Seconds that the engine needs for the work itself.
     double readSeconds(target_id engine, double work) const;
--- a/libs/serving/include/serving/request_book.h
+++ b/libs/serving/include/serving/request_book.h
@@ -40,6 +40,7 @@
     instant stallsAt; ///< without a sign of the target until then, it is left
     bool hasBegun = false; ///< its answer has begun
     instant lastEventAt; ///< of its stream
+    int tokensPerEvent = 0; ///< of it; 0: it is no engine's
 };
 
 /// An id holds its row and a count of the row's uses, so a late event for an ended request finds nothing.
--- a/libs/serving/include/serving/serving_configuration.h
+++ b/libs/serving/include/serving/serving_configuration.h
@@ -48,6 +48,8 @@
     int connectionCap = 0; ///< of one target, from all nodes together; 0: none known
     std::string healthPath;
     std::optional<engine_profile> engine; ///< empty for a plain service
+    /// The longest pause that counts as smooth for every stream of the service; zero: none is too long.
+    duration tightestGapAim = duration::zero();
 };
 
 struct caller_limits {
@@ -72,6 +74,8 @@
     const service_profile* findService(std::string_view name) const;
 
 private:
+    void findTightestGapAims();
+
     std::uint64_t m_version;
     std::vector<route_rule> m_routes;
     std::vector<service_profile> m_services;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -199,6 +199,8 @@
     current.work = choice.work;
     current.waitSeconds = choice.waitSeconds;
     current.sentAt = now;
+    if (const auto* service = request.configuration->findService(request.service); service && service->engine)
+        current.tokensPerEvent = service->engine->tokensPerEvent;
     if (choice.work > 0) {
         current.isReading = true;
         const bool isKept = request.text && choice.rank != read_rank::late;
@@ -270,6 +272,8 @@
         return;
     const auto row = static_cast<std::size_t>(m_book.row(request));
     auto& current = m_book.current[row];
+    if (current.lastEventAt != instant() && current.tokensPerEvent > 0)
+        m_pace.wrote(current.target, current.tokensPerEvent, now - current.lastEventAt);
     current.lastEventAt = now;
     // Callers leave a stream that pauses for too long; one that can go on elsewhere is moved before that.
     current.stallsAt = now + std::max(longestPause, pauseFactor * m_book.request[row].route->gapAim);
--- a/libs/serving/src/engine_pace.cpp
+++ b/libs/serving/src/engine_pace.cpp
@@ -38,6 +38,10 @@
     /// Further off, the model has missed something else.
     constexpr double farthestLag = 0.2;
 
+    /// Seconds, as measured at the users' engines with some 20 streams: 4.0 to 5.5. Then what streams show is followed:
+    /// reading between the tokens can only make an event take longer.
+    constexpr double firstStep = 0.005;
+
     double followed(double known, double sample)
     {
         return known + (sample < known ? weightDown : weightUp) * (sample - known);
@@ -84,7 +88,7 @@
     if (found != m_kinds.end())
         return *found;
     const double firstPace = role == target_role::decode ? firstDecodePace : firstPrefillPace;
-    return m_kinds.emplace_back(engine_kind { service, role, { firstPace, firstBase }, firstOverhead });
+    return m_kinds.emplace_back(engine_kind { service, role, { firstPace, firstBase }, firstOverhead, firstStep });
 }
 
 engine_pace::pace engine_pace::known(target_id id) const
@@ -103,6 +107,18 @@
     return kind ? kind->overheadSeconds : firstOverhead;
 }
 
+double engine_pace::stepSeconds(target_id id) const
+{
+    const auto* kind = findKind(id);
+    return kind ? kind->stepSeconds : firstStep;
+}
+
+void engine_pace::wrote(target_id id, int tokens, duration interval)
+{
+    auto& step = kindOf(id).stepSeconds;
+    step = followed(step, seconds(interval) / std::max(1, tokens));
+}
+
 void engine_pace::learned(target_id id, double work, double waitSeconds, duration elapsed)
 {
     if (waitSeconds > mostWait)
--- a/libs/serving/src/engine_queue.cpp
+++ b/libs/serving/src/engine_queue.cpp
@@ -50,7 +50,7 @@
             return;
         }
         from = endOf(job, beganAt);
-        m_done.push_back({ job.key, from });
+        m_done.push_back({ job.key, job.seconds, from });
         m_freeAt = from;
     }
 }
@@ -61,7 +61,7 @@
         const instant end = endOf(m_current->job, m_current->beganAt);
         if (end > now)
             return;
-        m_done.push_back({ m_current->job.key, end });
+        m_done.push_back({ m_current->job.key, m_current->job.seconds, end });
         m_current.reset();
         m_freeAt = end;
     }
@@ -69,6 +69,15 @@
     std::erase_if(m_done, [&](const done_job& item) { return now >= item.endedAt + doneMemory; });
 }
 
+double engine_queue::secondsOf(std::uint64_t key) const
+{
+    if (m_current && m_current->job.key == key)
+        return m_current->job.seconds;
+    const auto job
+        = std::find_if(m_waiting.begin(), m_waiting.end(), [key](const read_job& item) { return item.key == key; });
+    return job == m_waiting.end() ? 0 : job->seconds;
+}
+
 double engine_queue::secondsLeft(std::uint64_t key, instant at) const
 {
     const double current = m_current ? std::max(0.0, seconds(endOf(m_current->job, m_current->beganAt) - at)) : 0;
@@ -89,6 +98,7 @@
 double engine_queue::finished(std::uint64_t key, instant at)
 {
     const double left = secondsLeft(key, at);
+    const double own = secondsOf(key);
     removed(key);
     const auto done
         = std::find_if(m_done.begin(), m_done.end(), [key](const done_job& item) { return item.key == key; });
@@ -96,7 +106,7 @@
         // The engine is ahead of the model.
         if (!m_current)
             m_freeAt = std::max(m_freeAt, at);
-        m_done.push_back({ key, at });
+        m_done.push_back({ key, own, at });
         return -left;
     }
     // The engine is behind: what the model has begun since cannot have begun before this end.
@@ -125,6 +135,16 @@
     return wait;
 }
 
+double engine_queue::readingSince(instant since) const
+{
+    double sum = m_current ? m_current->job.seconds : 0;
+    for (const auto& job : m_waiting)
+        sum += job.seconds;
+    for (const auto& job : m_done)
+        sum += std::clamp(tamarack::seconds(job.endedAt - since), 0.0, job.seconds);
+    return sum;
+}
+
 double engine_queue::longestLate() const
 {
     double longest = 0;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -44,11 +44,6 @@
     constexpr double lateAtWriterSeconds = 0.8;
     /// Seconds of waiting that are as bad as a second for which an engine is held up for others.
     constexpr double blockingWeight = 1;
-    /// Tokens of prompts that an engine reads in one step if it also writes: a quarter of the 2,048 that the users'
-    /// sheet names.
-    constexpr double pieceTokens = 512;
-    /// A step that reads nothing, at usual load; measured between 4 and 7 ms.
-    constexpr double stepSeconds = 0.005;
     /// Seconds of waiting that are as bad as making the streams of an engine pause; an engine that is thought to write
     /// none may read anything. Measured over 12 days of Ahnenhaus: mean worth 0.626 without, 0.640 with, most of it
     /// from streams that are on time.
@@ -80,6 +75,7 @@
 
 placement::placement(placement_inputs inputs, std::uint64_t seed)
     : m_inputs(inputs)
+    , m_pauses(inputs.pace, inputs.queues)
     , m_random(seed)
 {
 }
@@ -165,21 +161,11 @@
     return static_cast<double>(m_inputs.fleet.running(id) + 1) / m_inputs.fleet.slots[id.value];
 }
 
-// What goes wrong without it: while an engine reads a long prompt, each of its steps is longer, and the streams that it
-// writes pause between two events for longer than their callers count as smooth. A prompt that is read within one such
-// pause does no harm.
-double placement::smoothTokens(target_id id, const placement_need& need) const
+// What goes wrong without it: while an engine reads, each of its steps is longer, and the streams that it writes pause
+// between two events for longer than their callers count as smooth.
+bool placement::wouldPause(target_id id, double work, instant now)
 {
-    const auto& route = *need.request.route;
-    if (!m_profile || !m_profile->engine || route.gapAim <= duration::zero())
-        return std::numeric_limits<double>::max();
-    const int steps = m_profile->engine->tokensPerEvent;
-    const double pieceSeconds = pieceTokens * m_inputs.pace.secondsPerToken(id);
-    const double spare = seconds(route.gapAim) - steps * stepSeconds;
-    const double pieces = std::floor(spare / pieceSeconds);
-    if (pieces >= steps)
-        return std::numeric_limits<double>::max(); // every step may read a piece
-    return std::max(0.0, pieces) * pieceTokens;
+    return m_profile && m_inputs.fleet.running(id) > 0 && m_pauses.excess(id, work, *m_profile, now) > 0;
 }
 
 void placement::findKeepers(const placement_need& need)
@@ -274,7 +260,7 @@
         cost += noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id, now);
         if (choice.rank == read_rank::late)
             cost += lateSeconds + blockingWeight * newBlocking(choice) + lateTakesSlot(id);
-        if (!isPrefill && fleet.running(id) > 0 && choice.work > smoothTokens(id, need))
+        if (!isPrefill && wouldPause(id, choice.work, now))
             cost += disturbanceSeconds;
         if (!isPrefill)
             cost += slowdownWeight * takenShare(id) * m_inputs.queues.readSeconds(id, choice.work);
@@ -312,7 +298,8 @@
         if (fleet.role[row] == target_role::prefill || !hasRoom(id))
             continue;
         // Where reading makes streams pause, all that is still to be read there counts, whenever that is.
-        const bool isDisturbed = smoothTokens(id, need) < std::numeric_limits<double>::max();
+        const bool isDisturbed
+            = m_profile && m_pauses.bearable(id, *m_profile) < std::numeric_limits<double>::infinity();
         const auto rank = isDisturbed ? read_rank::late : read_rank::tiny;
         const double wait = m_inputs.queues.waitSeconds(id, rank, now) + fleet.running(id) * stepSecondsPerRunning;
         double cost = wait + noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id, now);
--- a/libs/serving/src/read_queues.cpp
+++ b/libs/serving/src/read_queues.cpp
@@ -147,6 +147,13 @@
     return queue.waitSeconds(rank, now);
 }
 
+double read_queues::readingSince(target_id engine, instant since, instant now)
+{
+    auto& queue = queueOf(engine);
+    queue.advance(now);
+    return queue.readingSince(since);
+}
+
 double read_queues::longestLate(target_id engine) const
 {
     return engine.value < m_queues.size() ? m_queues[engine.value].longestLate() : 0;
--- a/libs/serving/src/serving_configuration.cpp
+++ b/libs/serving/src/serving_configuration.cpp
@@ -36,6 +36,22 @@
     }
     for (std::uint32_t i = 0; i < m_services.size(); ++i)
         m_serviceByName[m_services[i].name] = i;
+    findTightestGapAims();
+}
+
+void serving_configuration::findTightestGapAims()
+{
+    for (const auto& route : m_routes) {
+        if (!route.isStream || route.gapAim <= duration::zero())
+            continue;
+        for (const auto& share : route.shares) {
+            const auto found = m_serviceByName.find(share.service);
+            if (found == m_serviceByName.end())
+                continue;
+            auto& tightest = m_services[found->second].tightestGapAim;
+            tightest = tightest == duration::zero() ? route.gapAim : std::min(tightest, route.gapAim);
+        }
+    }
 }
 
 const route_rule* serving_configuration::findRoute(std::string_view host, std::string_view path) const
--- a/libs/serving/tests/test_load.cpp
+++ b/libs/serving/tests/test_load.cpp
@@ -74,6 +74,30 @@
     CHECK(played.longEarned >= 0.85);
 }
 
+TEST_CASE("test_streams_stay_smooth_while_many_small_prompts_are_read")
+{
+    // Symptom: half of all streams pause for too long although no engine is short of time.
+    // Sequence: small prompts, each of which makes no pause by itself, are read at the engines that write; several fall
+    // into the time of one event.
+    // Cause: each prompt was asked alone whether it makes a pause, and never what the engine reads for others.
+    // Streams that paused for too long: 0.46 of all, of the small prompts 0.55; with the sum counted 0.35 at most.
+    fleet_result sum;
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+        auto sheet = larrainFleet();
+        const auto result = fleet_model(std::move(sheet), seed).run(std::chrono::seconds(20));
+        sum.kinds.resize(result.kinds.size());
+        for (std::size_t kind = 0; kind < result.kinds.size(); ++kind) {
+            sum.kinds[kind].asked += result.kinds[kind].asked;
+            sum.kinds[kind].lateForPause += result.kinds[kind].lateForPause;
+        }
+    }
+    for (const auto& kind : sum.kinds) {
+        const double paused = static_cast<double>(kind.lateForPause) / static_cast<double>(kind.asked);
+        std::printf("streams that paused for too long: %.3f\n", paused);
+        CHECK(paused <= 0.4);
+    }
+}
+
 TEST_CASE("test_random_fleets_are_played_alike_for_the_same_seed")
 {
     constexpr auto length = std::chrono::seconds(5);
