--- a/libs/serving/include/serving/engine_queue.h
+++ b/libs/serving/include/serving/engine_queue.h
@@ -27,6 +27,7 @@
     read_rank rank = read_rank::tiny;
     double seconds = 0; ///< that the engine needs for it
     instant arrivedAt;
+    bool isOwn = false; ///< this node's, so that it will hear of its end
 };
 
 /// A model of the engine: one prompt after the other; of those that wait the one with the lowest rank, then the one
@@ -45,12 +46,16 @@
         std::erase_if(m_waiting, [&](const read_job& job) { return test(job.key); });
         if (m_current && test(m_current->job.key))
             m_current.reset();
+        for (auto& job : m_done)
+            job.isAwaited &= !test(job.key);
     }
     /// Lets the model run up to `now`.
     void advance(instant now);
 
     /// Seconds until a prompt of this rank that comes now is begun.
     double waitSeconds(read_rank rank, instant now) const;
+    /// Seconds for which an end that should have been reported by `now` is overdue.
+    double overdue(instant now) const;
     /// Seconds of reading that was done since then or is still to be done, as far as it is known.
     double readingSince(instant since) const;
     /// The longest that a late prompt, once begun, can hold up others here.
@@ -67,6 +72,7 @@
         std::uint64_t key = 0;
         double seconds = 0;
         instant endedAt; // in the model
+        bool isAwaited = false; // its end was not reported, though it will be
     };
 
     /// Of a job that is not done in the model; 0 if there is none.
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -27,6 +27,7 @@
     read_rank rank = read_rank::tiny; ///< of its prompt in the engine's queue
     double work = 0; ///< tokens of prompt work that this puts on the target
     double waitSeconds = 0; ///< for what the engine reads before it
+    double transferSeconds = 0; ///< for what the target fetches from another one before
     double seconds = 0; ///< predicted, until the stage's answer begins
     /// Where the target gets the prompt's beginning if it does not keep it; invalid: nowhere.
     target_id fetchFrom;
@@ -81,8 +82,11 @@
     kept_beginning bestKeeperFor(target_id id) const;
     /// What it takes to read the prompt at an engine, its beginning fetched where that is better.
     target_choice reading(target_id id, const placement_need& need, instant now) const;
+    double transferTime(std::int64_t tokens, target_id from, target_id to) const;
+    /// Seconds from the end of reading at `reader` to the first event at another engine.
+    double takeOver(target_id reader, const placement_need& need) const;
     /// Seconds for which a late request can hold up others, beyond those for which late ones do so there already.
-    double newBlocking(const target_choice& choice) const;
+    double newBlocking(const target_choice& choice, instant now) const;
     double lateTakesSlot(target_id id) const;
     /// Of the prompt, that the engine does not keep.
     double missingShare(target_id id, const serving_request& request) const;
--- a/libs/serving/include/serving/read_queues.h
+++ b/libs/serving/include/serving/read_queues.h
@@ -24,7 +24,7 @@
 class read_queues {
 public:
     /// `owner` tells this node's jobs from those of its peers.
-    read_queues(const fleet_table& fleet, engine_pace& pace, std::uint32_t owner);
+    read_queues(const fleet_table& fleet, const engine_pace& pace, std::uint32_t owner);
 
     void setKnownNodes(int nodes) { m_nodes = nodes; }
     /// This node sends a prompt; the key is for the calls below.
@@ -44,7 +44,7 @@
     double readingSince(target_id engine, instant since, instant now);
     double longestLate(target_id engine) const;
     /// Seconds that the engine needs for the work itself.
-    double readSeconds(target_id engine, double work) const;
+    double readSeconds(target_id engine, double work, instant now) const;
     void forget(target_id engine);
 
 private:
@@ -72,7 +72,7 @@
     void eraseOwn(std::uint64_t key);
 
     const fleet_table& m_fleet;
-    engine_pace& m_pace;
+    const engine_pace& m_pace;
     std::uint32_t m_owner;
     std::uint32_t m_nextNumber = 1;
     int m_nodes = 1; // known, this one included
--- a/libs/serving/include/serving/request_book.h
+++ b/libs/serving/include/serving/request_book.h
@@ -35,7 +35,7 @@
     bool isReading = false; ///< its prompt is in the engine's queue
     std::uint64_t readKey = 0; ///< of it there
     double work = 0; ///< of reading its prompt, in tokens
-    double waitSeconds = 0; ///< predicted, for what the engine reads before it
+    double otherSeconds = 0; ///< predicted, for what the engine reads before it and for transfers
     instant sentAt;
     instant stallsAt; ///< without a sign of the target until then, it is left
     bool hasBegun = false; ///< its answer has begun
--- a/libs/serving/include/serving/stream_pauses.h
+++ b/libs/serving/include/serving/stream_pauses.h
@@ -14,7 +14,7 @@
     stream_pauses(const engine_pace& pace, read_queues& queues);
 
     /// Seconds of reading that may fall into one event's time at the engine; infinite where every step may read.
-    double bearable(target_id engine, const service_profile& service) const;
+    double bearable(target_id engine, const service_profile& service, instant now) const;
     /// Seconds of reading that fall into the event's time that is now, beyond what is bearable, if the engine reads
     /// `work` tokens more; not above 0: no stream pauses for too long.
     double excess(target_id engine, double work, const service_profile& service, instant now);
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -27,9 +27,9 @@
     constexpr duration shortestReturn = 200ms;
     constexpr duration returnSpread = 300ms;
     constexpr duration noTargetReturn = 1s;
+    constexpr double readWaitWeight = 0.2; ///< about the last five prompts count
     /// Engines take up the lowest first. An answer whose prompt was read elsewhere goes before all; then prompts by
     /// their rank.
-    constexpr double readWaitWeight = 0.2; ///< about the last five prompts count
     constexpr int decodeUrgency = 0;
     constexpr int firstUrgency = 1;
 
@@ -197,7 +197,7 @@
     current.target = choice.target;
     current.stage = choice.stage;
     current.work = choice.work;
-    current.waitSeconds = choice.waitSeconds;
+    current.otherSeconds = choice.waitSeconds + choice.transferSeconds;
     current.sentAt = now;
     if (const auto* service = request.configuration->findService(request.service); service && service->engine)
         current.tokensPerEvent = service->engine->tokensPerEvent;
@@ -250,6 +250,8 @@
     if (current.hasBegun || current.stage == attempt_stage::prefill)
         return;
     current.hasBegun = true;
+    if (current.stage == attempt_stage::decode)
+        m_pace.imported(current.target, current.otherSeconds, now - current.sentAt);
     endReading(row, now, true);
 }
 
@@ -261,7 +263,7 @@
     if (!wasRead)
         return m_queues.removed(current.target, current.readKey);
     m_queues.finished(current.target, current.readKey, now);
-    m_pace.learned(current.target, current.work, current.waitSeconds, now - current.sentAt);
+    m_pace.read(current.target, current.work, current.otherSeconds, now - current.sentAt, now);
     if (const auto& text = m_book.request[row].text)
         m_caches.wasRead(current.target, *text);
 }
--- a/libs/serving/src/engine_pace.cpp
+++ b/libs/serving/src/engine_pace.cpp
@@ -2,51 +2,63 @@
 #include "serving/engine_pace.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace tamarack::serving {
 
 namespace {
 
-    /// Looking at a million earlier tokens costs about as much as reading 32; both users' engines are near it.
+    /// Looking at a million earlier tokens costs about as much as reading 32; at the users' engines it is 20 to 41.
     constexpr double workPerPair = 32e-6;
-    /// Until the first answers: as measured at the slower of the users' engines, steps included. Engines that also
-    /// write answers read half as fast.
+    constexpr double bitsPerByte = 8;
+    constexpr double bitsPerMegabit = 1e6;
+    /// Transfers between zones take twice as long, say the users' pages.
+    constexpr double otherZoneFactor = 2;
+
+    /// Until the first answers: near the slower of the users' engines, steps included. Engines that also write read
+    /// half as fast.
     constexpr double firstPrefillPace = 1.0 / 55'000;
     constexpr double firstDecodePace = 1.0 / 27'000;
-    /// As measured at the users' engines, 80 and 90 ms.
-    constexpr double firstBase = 0.09;
-    /// Below the first, samples tell of what passes for each request; above the second, of the pace.
-    constexpr double mostBaseTokens = 1'000;
-    constexpr double fewestPaceTokens = 4'000;
-    /// What else an engine does can only make a prompt take longer, so the engine's own times are at the lower end of
-    /// the samples: they are followed down quickly and up slowly.
-    constexpr double weightDown = 0.2;
-    constexpr double weightUp = 0.02;
-    /// Seconds; above it the sample tells of the queue.
-    constexpr double mostWait = 0.03;
-    constexpr double fewestSeconds = 1e-6; // a token
-    constexpr double longestBase = 0.3;
-
-    /// Each prompt ends in a step that is not full, and where answers are written too, the step serves them all. That
-    /// differs with the engines' load, so it is followed: each end moves it by a part of how far the model was off.
-    /// Measured at full load it is about 16 ms at one user's engines that also write, and 4 ms at the other's.
-    /// Played on the users' four fleets with a weight of 0.01 and 0.03: grown Ahnenhaus 0.889 and 0.895, grown Vodoslet
-    /// 0.936 and 0.942, the others within 0.003.
-    constexpr double firstOverhead = 0.01;
-    constexpr double longestOverhead = 0.04;
-    constexpr double overheadWeight = 0.03;
-    /// Further off, the model has missed something else.
-    constexpr double farthestLag = 0.2;
-
-    /// Seconds, as measured at the users' engines with some 20 streams: 4.0 to 5.5. Then what streams show is followed:
-    /// reading between the tokens can only make an event take longer.
+    /// Between what is measured at the users' engines: 15 to 90 ms, and 10 to 25 ms.
+    constexpr double firstReadBase = 0.04;
+    constexpr double firstImportBase = 0.02;
+    /// As measured at the users' engines with some 20 streams: 4.0 to 5.5 ms.
     constexpr double firstStep = 0.005;
 
-    double followed(double known, double sample)
+    /// What an engine does for others can only make something take longer, so its own times are at the lower end of
+    /// what is seen. Share of the samples that is to be below. At a quarter the pace of loaded engines came out up to a
+    /// third too long (fleet model, nine readers at 0.8 of their time).
+    constexpr double lowerShare = 0.15;
+    /// Tokens of a prompt that tells as much of the pace as of what passes for each request.
+    constexpr double usualWork = 3'000;
+    /// Sizes of the steps with the first samples and after very many: seconds, and shares of the pace.
+    constexpr double firstBaseStep = 0.02;
+    constexpr double lastBaseStep = 0.0005;
+    constexpr double firstPaceStep = 0.4;
+    constexpr double lastPaceStep = 0.005;
+    constexpr double fewestSeconds = 1e-6; // a token
+    constexpr double longestBase = 0.3;
+    constexpr double stepDown = 0.2;
+    constexpr double stepUp = 0.02;
+
+    /// An engine that has nothing to do with a request for longer than usual is slow, or reads what this node does not
+    /// know of; both fade. Seconds that do not count, as answers differ by them anyway.
+    constexpr double slownessSlack = 0.05;
+    constexpr double slownessWeight = 0.3;
+    constexpr double usualLatenessWeight = 0.05; ///< about the last twenty prompts count
+    constexpr double fullWeightSeconds = 0.1; ///< of a prompt that tells as much as any
+    constexpr double mostSlowness = 8;
+    constexpr double leastSlowness = 0.7;
+    constexpr double slownessHalfSeconds = 6;
+
+    double stepSize(double first, double last, double samples)
     {
-        return known + (sample < known ? weightDown : weightUp) * (sample - known);
+        return std::max(last, first / std::sqrt(1.0 + samples));
     }
 
+    /// The way to move a quantile of what was predicted, given a sample above or below it.
+    double direction(double error) { return error > 0 ? lowerShare : lowerShare - 1; }
+
 }
 
 double promptWork(std::int64_t kept, std::int64_t total)
@@ -57,29 +69,43 @@
     return read + workPerPair * pairs;
 }
 
-void engine_pace::follow(pace& item, double work, double own)
+double transferSeconds(const service_profile& service, std::int64_t tokens, bool isSameZone)
 {
-    if (work < mostBaseTokens)
-        item.baseSeconds = followed(item.baseSeconds, std::clamp(own - work * item.secondsPerToken, 0.0, longestBase));
-    if (work > fewestPaceTokens)
-        item.secondsPerToken = followed(item.secondsPerToken, std::max((own - item.baseSeconds) / work, fewestSeconds));
+    if (!service.engine || service.engine->linkMegabits <= 0)
+        return 0;
+    const double bits = bitsPerByte * static_cast<double>(tokens) * static_cast<double>(service.engine->bytesPerToken);
+    return bits / (service.engine->linkMegabits * bitsPerMegabit) * (isSameZone ? 1 : otherZoneFactor);
 }
 
 engine_pace::engine_pace(const fleet_table& fleet)
     : m_fleet(fleet)
 {
+    for (const auto role : { target_role::plain, target_role::prefill, target_role::decode, target_role::mixed })
+        m_unknown.push_back(unknownKind(role));
+}
+
+engine_pace::engine_kind engine_pace::unknownKind(target_role role)
+{
+    engine_kind kind;
+    kind.role = role;
+    kind.secondsPerToken = role == target_role::decode ? firstDecodePace : firstPrefillPace;
+    kind.readBase = firstReadBase;
+    kind.importBase = firstImportBase;
+    kind.stepSeconds = firstStep;
+    return kind;
 }
 
-const engine_pace::engine_kind* engine_pace::findKind(target_id id) const
+const engine_pace::engine_kind& engine_pace::kindOf(target_id id) const
 {
+    const auto role = m_fleet.role[id.value];
     for (const auto& kind : m_kinds) {
-        if (kind.role == m_fleet.role[id.value] && kind.service == m_fleet.service[id.value])
-            return &kind;
+        if (kind.role == role && kind.service == m_fleet.service[id.value])
+            return kind;
     }
-    return nullptr;
+    return m_unknown[static_cast<std::size_t>(role)];
 }
 
-engine_pace::engine_kind& engine_pace::kindOf(target_id id)
+engine_pace::engine_kind& engine_pace::learningKind(target_id id)
 {
     const auto role = m_fleet.role[id.value];
     const auto& service = m_fleet.service[id.value];
@@ -87,58 +113,82 @@
         [&](const engine_kind& kind) { return kind.role == role && kind.service == service; });
     if (found != m_kinds.end())
         return *found;
-    const double firstPace = role == target_role::decode ? firstDecodePace : firstPrefillPace;
-    return m_kinds.emplace_back(engine_kind { service, role, { firstPace, firstBase }, firstOverhead, firstStep });
+    auto kind = unknownKind(role);
+    kind.service = service;
+    return m_kinds.emplace_back(std::move(kind));
 }
 
-engine_pace::pace engine_pace::known(target_id id) const
+double engine_pace::usualSecondsPerToken(target_id id) const { return kindOf(id).secondsPerToken; }
+
+double engine_pace::readBase(target_id id) const { return kindOf(id).readBase; }
+
+double engine_pace::importBase(target_id id) const { return kindOf(id).importBase; }
+
+double engine_pace::stepSeconds(target_id id) const { return kindOf(id).stepSeconds; }
+
+double engine_pace::slowness(target_id id, instant now) const
 {
-    if (id.value < m_engines.size() && m_engines[id.value].secondsPerToken > 0)
-        return m_engines[id.value];
-    if (const auto* kind = findKind(id))
-        return kind->learned;
-    const bool alsoWrites = m_fleet.role[id.value] == target_role::decode;
-    return { alsoWrites ? firstDecodePace : firstPrefillPace, firstBase };
+    if (id.value >= m_engines.size())
+        return 1;
+    const auto& engine = m_engines[id.value];
+    return 1 + (engine.slowness - 1) * std::exp2(-seconds(now - engine.at) / slownessHalfSeconds);
 }
 
-double engine_pace::overheadSeconds(target_id id) const
+void engine_pace::followRead(engine_kind& kind, double work, double own)
 {
-    const auto* kind = findKind(id);
-    return kind ? kind->overheadSeconds : firstOverhead;
+    const double ofBase = 1 / (1 + work / usualWork);
+    const double way = direction(own - (kind.readBase + work * kind.secondsPerToken));
+    const double baseStep = stepSize(firstBaseStep, lastBaseStep, kind.baseReads);
+    const double paceStep = stepSize(firstPaceStep, lastPaceStep, kind.paceReads) * kind.secondsPerToken;
+    kind.readBase = std::clamp(kind.readBase + way * ofBase * baseStep, 0.0, longestBase);
+    kind.secondsPerToken = std::max(kind.secondsPerToken + way * (1 - ofBase) * paceStep, fewestSeconds);
+    kind.baseReads += ofBase;
+    kind.paceReads += 1 - ofBase;
 }
 
-double engine_pace::stepSeconds(target_id id) const
+// What goes wrong without it: an engine that has turned slow gets as much as before until its callers have given up.
+// What all of its kind are late by is no slowness of one: it is the load, and waits that no node knows of.
+void engine_pace::followSlowness(target_id id, double work, double other, double own, instant now)
 {
-    const auto* kind = findKind(id);
-    return kind ? kind->stepSeconds : firstStep;
+    if (id.value >= m_engines.size())
+        m_engines.resize(id.value + 1);
+    auto& engine = m_engines[id.value];
+    auto& kind = learningKind(id);
+    const double before = slowness(id, now);
+    const double expected = other + work * kind.secondsPerToken * before;
+    const double lateness = std::log((std::max(0.0, own) + slownessSlack) / (expected + slownessSlack));
+    const double weight = std::min(1.0, std::max(expected, own) / fullWeightSeconds);
+    const double excess = lateness - kind.usualLateness;
+    kind.usualLateness += usualLatenessWeight * weight * excess;
+    engine.slowness = std::clamp(before * std::exp(slownessWeight * weight * excess), leastSlowness, mostSlowness);
+    engine.at = now;
 }
 
-void engine_pace::wrote(target_id id, int tokens, duration interval)
+void engine_pace::read(target_id id, double work, double other, duration elapsed, instant now)
 {
-    auto& step = kindOf(id).stepSeconds;
-    step = followed(step, seconds(interval) / std::max(1, tokens));
+    auto& kind = learningKind(id);
+    followSlowness(id, work, other, seconds(elapsed) - kind.readBase, now);
+    // What the prompt waited for is known badly, so what is left without it may be too little: then it teaches only if
+    // it was read sooner than it could be by itself.
+    const double alone = kind.readBase + work * kind.secondsPerToken;
+    const double least = std::min(seconds(elapsed), alone);
+    followRead(kind, work, std::max(seconds(elapsed) - other, least));
 }
 
-void engine_pace::learned(target_id id, double work, double waitSeconds, duration elapsed)
+void engine_pace::imported(target_id id, double transfer, duration elapsed)
 {
-    if (waitSeconds > mostWait)
-        return;
-    if (id.value >= m_engines.size())
-        m_engines.resize(id.value + 1);
-    auto& kind = kindOf(id);
-    auto& engine = m_engines[id.value];
-    if (engine.secondsPerToken == 0)
-        engine = kind.learned;
-    const double own = seconds(elapsed) - waitSeconds;
-    follow(engine, work, own);
-    follow(kind.learned, work, own);
+    auto& kind = learningKind(id);
+    const double own = seconds(elapsed) - transfer;
+    const double size = stepSize(firstBaseStep, lastBaseStep, kind.imports);
+    kind.importBase = std::clamp(kind.importBase + direction(own - kind.importBase) * size, 0.0, longestBase);
+    ++kind.imports;
 }
 
-void engine_pace::lagged(target_id id, double seconds)
+void engine_pace::wrote(target_id id, int tokens, duration interval)
 {
-    auto& overhead = kindOf(id).overheadSeconds;
-    overhead += overheadWeight * std::clamp(seconds, -farthestLag, farthestLag);
-    overhead = std::clamp(overhead, 0.0, longestOverhead);
+    auto& step = learningKind(id).stepSeconds;
+    const double sample = seconds(interval) / std::max(1, tokens);
+    step += (sample < step ? stepDown : stepUp) * (sample - step);
 }
 
 void engine_pace::forget(target_id id)
--- a/libs/serving/src/engine_queue.cpp
+++ b/libs/serving/src/engine_queue.cpp
@@ -9,6 +9,9 @@
 
     /// An engine that is later than the model by more than this is not told from one that has lost the job.
     constexpr duration doneMemory = std::chrono::seconds(5);
+    /// An end that is later than the model by less than this, and half of the prompt's own time, is nothing unusual.
+    constexpr double overdueSlack = 0.03;
+    constexpr double overdueShare = 0.5;
 
     instant endOf(const read_job& job, instant beganAt) { return beganAt + fromSeconds(job.seconds); }
 
@@ -50,7 +53,7 @@
             return;
         }
         from = endOf(job, beganAt);
-        m_done.push_back({ job.key, job.seconds, from });
+        m_done.push_back({ job.key, job.seconds, from, job.isOwn });
         m_freeAt = from;
     }
 }
@@ -61,7 +64,7 @@
         const instant end = endOf(m_current->job, m_current->beganAt);
         if (end > now)
             return;
-        m_done.push_back({ m_current->job.key, m_current->job.seconds, end });
+        m_done.push_back({ m_current->job.key, m_current->job.seconds, end, m_current->job.isOwn });
         m_current.reset();
         m_freeAt = end;
     }
@@ -106,7 +109,7 @@
         // The engine is ahead of the model.
         if (!m_current)
             m_freeAt = std::max(m_freeAt, at);
-        m_done.push_back({ key, own, at });
+        m_done.push_back({ key, own, at, false });
         return -left;
     }
     // The engine is behind: what the model has begun since cannot have begun before this end.
@@ -135,6 +138,19 @@
     return wait;
 }
 
+// What goes wrong without it: an engine that hangs, or has crashed, looks idle as soon as what was sent there should
+// have been read, and gets more than any other.
+double engine_queue::overdue(instant now) const
+{
+    double longest = 0;
+    for (const auto& job : m_done) {
+        if (job.isAwaited)
+            longest
+                = std::max(longest, tamarack::seconds(now - job.endedAt) - overdueSlack - overdueShare * job.seconds);
+    }
+    return longest;
+}
+
 double engine_queue::readingSince(instant since) const
 {
     double sum = m_current ? m_current->job.seconds : 0;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-    /// To export, move and import a KV cache within a zone until the first token, as measured: half of them take less
-    /// than 48 ms.
-    constexpr double moveSeconds = 0.05;
     /// What the move costs beyond its time, as seconds of waiting that are worth as much: links are shared.
     constexpr double movePenaltySeconds = 0.01;
     /// Reading at an engine that writes slows all streams there: seconds of waiting that are as bad as a second of
@@ -20,11 +17,8 @@
     /// prompts, without it and a move at 0.03, and with both: grown Ahnenhaus 0.850 and 0.871, the others within 0.007;
     /// at the usual load grown Ahnenhaus 0.903 and 0.912, the others within 0.004.
     constexpr double slowdownWeight = 1.5;
-    /// Two zones: the transfer takes twice as long, and bytes between zones are dear.
-    constexpr double otherZoneMoveSeconds = 0.06;
+    /// Bytes between zones are dear.
     constexpr double otherZoneSeconds = 0.01;
-    /// To fetch a beginning of some 13,000 tokens from another engine.
-    constexpr double fetchSeconds = 0.05;
     /// What a fetch costs beyond its time, as seconds of waiting that are worth as much: the copy takes the place of
     /// something else, and what leaves every engine's memory is read again. With 0.02 an engine's memory turned over in
     /// some 14 s, two thirds of it for copies. Measured over 12 days each, mean worth at 0.02, 0.15 and 0.4: Vodoslet
@@ -53,8 +47,6 @@
     constexpr int enginePlaces = 2;
     /// A fast answer anywhere is better than a late one.
     constexpr double lateSeconds = 10;
-    /// A decode step grows by this for each request it serves.
-    constexpr double stepSecondsPerRunning = 0.0002;
     /// Reading a beginning again takes the engine from others as well as from this request.
     constexpr double sharedWorkWeight = 1.0;
     /// How much of a request that may fail is lost.
@@ -210,14 +202,14 @@
             choice.fetchFrom = keeper.engine;
         choice.isFetching = keeper.tokens > kept;
         if (choice.isFetching)
-            choice.seconds += fetchSeconds;
+            choice.transferSeconds = transferTime(keeper.tokens - kept, keeper.engine, id);
         choice.work = promptWork(std::max(kept, keeper.tokens), text.inputTokens);
     }
-    choice.seconds += m_inputs.pace.baseSeconds(id) + m_inputs.queues.readSeconds(id, choice.work);
-    choice.seconds += fleet.running(id) * stepSecondsPerRunning;
+    choice.seconds = choice.transferSeconds + m_inputs.pace.readBase(id);
+    choice.seconds += m_inputs.queues.readSeconds(id, choice.work, now);
     if (fleet.role[id.value] == target_role::prefill) {
         choice.stage = attempt_stage::prefill;
-        choice.seconds += moveSeconds;
+        choice.seconds += takeOver(id, need);
     }
     choice.rank = rankOf(choice.work);
     choice.waitSeconds = m_inputs.queues.waitSeconds(id, choice.rank, now);
@@ -229,11 +221,31 @@
     return choice;
 }
 
+double placement::transferTime(std::int64_t tokens, target_id from, target_id to) const
+{
+    const auto& zone = m_inputs.fleet.zone;
+    return m_profile ? serving::transferSeconds(*m_profile, tokens, zone[from.value] == zone[to.value]) : 0;
+}
+
+// The writer is chosen when the prompt was read, so any of them stands for it here.
+double placement::takeOver(target_id reader, const placement_need& need) const
+{
+    const auto tokens = need.request.text ? need.request.text->inputTokens : 0;
+    double base = 0;
+    for (const auto row : m_candidates) {
+        if (m_inputs.fleet.role[row] != target_role::prefill) {
+            base = m_inputs.pace.importBase({ row });
+            break;
+        }
+    }
+    return base + transferTime(tokens, reader, reader);
+}
+
 // What goes wrong without it: late requests lie at all engines, and at each of them one that was begun holds up the
 // fast ones for its whole length. Where one of that length lies already, a further one does no more harm.
-double placement::newBlocking(const target_choice& choice) const
+double placement::newBlocking(const target_choice& choice, instant now) const
 {
-    const double held = m_inputs.queues.readSeconds(choice.target, choice.work);
+    const double held = m_inputs.queues.readSeconds(choice.target, choice.work, now);
     return std::max(0.0, held - m_inputs.queues.longestLate(choice.target));
 }
 
@@ -256,14 +268,14 @@
         if (!hasRoom(id) || (isPrefill && !(need.request.text && need.mayReadApart)))
             continue;
         const auto choice = reading(id, need, now);
-        double cost = choice.seconds + sharedWorkWeight * m_inputs.queues.readSeconds(id, choice.work);
+        double cost = choice.seconds + sharedWorkWeight * m_inputs.queues.readSeconds(id, choice.work, now);
         cost += noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id, now);
         if (choice.rank == read_rank::late)
-            cost += lateSeconds + blockingWeight * newBlocking(choice) + lateTakesSlot(id);
+            cost += lateSeconds + blockingWeight * newBlocking(choice, now) + lateTakesSlot(id);
         if (!isPrefill && wouldPause(id, choice.work, now))
             cost += disturbanceSeconds;
         if (!isPrefill)
-            cost += slowdownWeight * takenShare(id) * m_inputs.queues.readSeconds(id, choice.work);
+            cost += slowdownWeight * takenShare(id) * m_inputs.queues.readSeconds(id, choice.work, now);
         if (choice.isFetching)
             cost += fetchPenaltySeconds;
         cost += crowdingSeconds(id);
@@ -299,20 +311,24 @@
             continue;
         // Where reading makes streams pause, all that is still to be read there counts, whenever that is.
         const bool isDisturbed
-            = m_profile && m_pauses.bearable(id, *m_profile) < std::numeric_limits<double>::infinity();
+            = m_profile && m_pauses.bearable(id, *m_profile, now) < std::numeric_limits<double>::infinity();
         const auto rank = isDisturbed ? read_rank::late : read_rank::tiny;
-        const double wait = m_inputs.queues.waitSeconds(id, rank, now) + fleet.running(id) * stepSecondsPerRunning;
-        double cost = wait + noiseSeconds * m_random.unit() + failureSeconds * m_inputs.health.failureShare(id, now);
+        const double wait = m_inputs.queues.waitSeconds(id, rank, now);
+        const auto tokens = need.request.text ? need.request.text->inputTokens : 0;
+        const double transfer = transferTime(tokens, source, id);
+        double cost = wait + transfer + noiseSeconds * m_random.unit();
+        cost += failureSeconds * m_inputs.health.failureShare(id, now);
         cost += crowdingSeconds(id);
         if (fleet.zone[row] != fleet.zone[source.value])
-            cost += otherZoneMoveSeconds;
+            cost += otherZoneSeconds;
         cost += importPenaltySeconds * missingShare(id, need.request);
         if (cost >= lowest)
             continue;
         lowest = cost;
         best.target = id;
         best.stage = attempt_stage::decode;
-        best.seconds = wait;
+        best.transferSeconds = transfer;
+        best.seconds = wait + transfer + m_inputs.pace.importBase(id);
     }
     return best;
 }
--- a/libs/serving/src/read_queues.cpp
+++ b/libs/serving/src/read_queues.cpp
@@ -29,7 +29,7 @@
     return static_cast<read_rank>(bound - rankBounds.begin());
 }
 
-read_queues::read_queues(const fleet_table& fleet, engine_pace& pace, std::uint32_t owner)
+read_queues::read_queues(const fleet_table& fleet, const engine_pace& pace, std::uint32_t owner)
     : m_fleet(fleet)
     , m_pace(pace)
     , m_owner(owner)
@@ -43,17 +43,15 @@
     return m_queues[engine.value];
 }
 
-double read_queues::readSeconds(target_id engine, double work) const
+double read_queues::readSeconds(target_id engine, double work, instant now) const
 {
-    if (work <= 0)
-        return 0;
-    return work * m_pace.secondsPerToken(engine) + m_pace.overheadSeconds(engine);
+    return work * m_pace.secondsPerToken(engine, now);
 }
 
 std::uint64_t read_queues::add(target_id engine, read_rank rank, double work, const prompt_part& newPart, instant now)
 {
     const auto key = keyOf(m_owner, m_nextNumber++);
-    queueOf(engine).add({ key, rank, readSeconds(engine, work), now });
+    queueOf(engine).add({ key, rank, readSeconds(engine, work, now), now, true });
     m_own.push_back({ key, engine, rank, work, newPart, now, false });
     return key;
 }
@@ -66,8 +64,7 @@
 void read_queues::finished(target_id engine, std::uint64_t key, instant answeredAt)
 {
     eraseOwn(key);
-    const double lag = queueOf(engine).finished(key, answeredAt - fromSeconds(m_pace.baseSeconds(engine)));
-    m_pace.lagged(engine, lag);
+    queueOf(engine).finished(key, answeredAt - fromSeconds(m_pace.readBase(engine)));
 }
 
 void read_queues::removed(target_id engine, std::uint64_t key)
@@ -85,8 +82,8 @@
         if (!engine.isValid())
             continue;
         const instant sentAt = now - std::chrono::milliseconds(job.ageMilliseconds);
-        queueOf(engine).add(
-            { keyOf(peer, job.number), job.rank, readSeconds(engine, static_cast<double>(job.work)), sentAt });
+        queueOf(engine).add({ keyOf(peer, job.number), job.rank,
+            readSeconds(engine, static_cast<double>(job.work), now), sentAt, false });
         m_byPeer[peer].push_back({ engine, job.number });
     }
 }
@@ -144,7 +141,7 @@
 {
     auto& queue = queueOf(engine);
     queue.advance(now);
-    return queue.waitSeconds(rank, now);
+    return queue.waitSeconds(rank, now) + queue.overdue(now - fromSeconds(m_pace.readBase(engine)));
 }
 
 double read_queues::readingSince(target_id engine, instant since, instant now)
--- a/libs/serving/src/stream_pauses.cpp
+++ b/libs/serving/src/stream_pauses.cpp
@@ -19,24 +19,24 @@
 {
 }
 
-double stream_pauses::bearable(target_id engine, const service_profile& service) const
+double stream_pauses::bearable(target_id engine, const service_profile& service, instant now) const
 {
     constexpr double any = std::numeric_limits<double>::infinity();
     if (!service.engine || service.tightestGapAim <= duration::zero())
         return any;
     const int steps = service.engine->tokensPerEvent;
     const double spare = seconds(service.tightestGapAim) - steps * m_pace.stepSeconds(engine);
-    const double piece = pieceTokens * m_pace.secondsPerToken(engine);
+    const double piece = pieceTokens * m_pace.secondsPerToken(engine, now);
     return steps * piece <= spare ? any : spare;
 }
 
 double stream_pauses::excess(target_id engine, double work, const service_profile& service, instant now)
 {
-    const double most = bearable(engine, service);
+    const double most = bearable(engine, service, now);
     if (most == std::numeric_limits<double>::infinity())
         return -most;
     const double known = m_queues.readingSince(engine, now - service.tightestGapAim, now);
-    return known + m_queues.readSeconds(engine, work) - most;
+    return known + m_queues.readSeconds(engine, work, now) - most;
 }
 
 }
--- a/libs/serving/tests/model/fleet_faults.cpp
+++ b/libs/serving/tests/model/fleet_faults.cpp
@@ -60,6 +60,7 @@
     for (const int engine : engines) {
         const auto index = static_cast<std::size_t>(engine);
         m_isLost[index] = 0;
+        m_engines[index].endChange(engine >= m_firstReaders); // as it began
         const auto former = m_instances[index];
         m_instances[index] += "'";
         m_engineOf.erase(former);
--- a/libs/serving/tests/model/fleet_model.cpp
+++ b/libs/serving/tests/model/fleet_model.cpp
@@ -31,6 +31,7 @@
     constexpr int mostTries = 2; ///< of a caller; the second one when it was told to come back
     constexpr int longestReturnShare = 3; ///< of the time left, that a caller waits before it does
     constexpr duration roleLook = 250ms; ///< the gateway's
+    constexpr duration leadTime = 6s;
 
     std::string nodeName(std::size_t index) { return "node-" + std::to_string(index); }
     std::string zoneName(int index) { return "zone-" + std::to_string(index); }
@@ -78,6 +79,7 @@
     engine_profile profile;
     profile.cacheTokens = m_sheet.engine.memoryTokens;
     profile.bytesPerToken = static_cast<std::int64_t>(m_sheet.engine.bytesPerToken);
+    profile.linkMegabits = m_sheet.engine.linkGigabits * 1e3;
     profile.tokensPerEvent = m_sheet.engine.tokensPerEvent;
     engines.engine = profile;
     return std::make_shared<const serving_configuration>(
@@ -86,7 +88,7 @@
 
 void fleet_model::addEngines()
 {
-    const int readers = static_cast<int>(std::ceil(m_sheet.readingShare * m_sheet.engines));
+    m_firstReaders = static_cast<int>(std::ceil(m_sheet.readingShare * m_sheet.engines));
     for (int i = 0; i < m_sheet.engines; ++i) {
         engine_events events;
         events.onPrefilled = [this](std::uint64_t key) { later(answerTime, [this, key] { prefilled(key); }); };
@@ -97,7 +99,7 @@
         // Spread over zones, as the roles are.
         auto sheet = m_sheet.engine;
         sheet.slowness = usualSlowness(i);
-        m_engines.emplace_back(sheet, i >= readers, std::move(events));
+        m_engines.emplace_back(sheet, i >= m_firstReaders, std::move(events));
         m_instances.push_back("engine-" + std::to_string(i));
         m_engineOf[m_instances.back()] = i;
         m_isLost.push_back(0);
@@ -197,17 +199,19 @@
 
 fleet_result fleet_model::run(duration length)
 {
+    // Traffic starts some seconds after the nodes do.
+    m_trafficFrom = m_now + leadTime;
     for (std::size_t kind = 0; kind < m_sheet.kinds.size(); ++kind)
-        scheduleArrival(kind);
+        later(leadTime, [this, kind] { scheduleArrival(kind); });
     for (const auto& what : m_sheet.restarts)
-        later(what.at, [this, what] { restart(what); });
+        later(leadTime + what.at, [this, what] { restart(what); });
     for (const auto& loss : m_sheet.losses)
-        later(loss.from, [this, loss] { lose(loss); });
+        later(leadTime + loss.from, [this, loss] { lose(loss); });
     for (const auto& slowdown : m_sheet.slowdowns)
-        later(slowdown.from, [this, slowdown] { slowDown(slowdown); });
+        later(leadTime + slowdown.from, [this, slowdown] { slowDown(slowdown); });
     for (const auto& failing : m_sheet.failings)
-        later(failing.from, [this, failing] { beginFailing(failing); });
-    const instant end = m_now + length;
+        later(leadTime + failing.from, [this, failing] { beginFailing(failing); });
+    const instant end = m_trafficFrom + length;
     while (!m_events.empty() && m_events.begin()->first <= end) {
         m_now = m_events.begin()->first;
         const auto what = std::move(m_events.begin()->second);
@@ -223,7 +227,7 @@
 
 void fleet_model::scheduleArrival(std::size_t kind)
 {
-    const auto since = m_now - instant(1h);
+    const auto since = m_now - m_trafficFrom;
     const double rate = std::max(0.01, m_sheet.kinds[kind].perSecond * m_sheet.rate(kind, since));
     later(fromSeconds(-std::log(1 - m_arrivals.unit()) / rate), [this, kind] {
         arrive(kind);
--- a/libs/serving/tests/model/fleet_model.h
+++ b/libs/serving/tests/model/fleet_model.h
@@ -101,7 +101,9 @@
     random_source m_random;
     std::shared_ptr<const serving_configuration> m_configuration;
     instant m_now;
+    instant m_trafficFrom;
     std::multimap<instant, action> m_events;
+    int m_firstReaders = 0; // engines that read at the start
     std::vector<engine_model> m_engines;
     std::vector<std::string> m_instances; // by engine; a new one after a loss
     std::unordered_map<std::string, int> m_engineOf; // by instance
--- a/libs/serving/tests/model/random_fleets.cpp
+++ b/libs/serving/tests/model/random_fleets.cpp
@@ -13,6 +13,9 @@
 
     using namespace std::chrono_literals;
 
+    /// Gigabits a second that move 1,000 tokens of one byte in a millisecond.
+    constexpr double bitsPerToken = 8e-3;
+
     class fleet_draw {
     public:
         fleet_draw(std::uint64_t seed, duration length)
@@ -58,7 +61,8 @@
             engine.pieceTokens = anyOf(std::array { 1024, 2048, 2048, 4096 });
             engine.memoryTokens = static_cast<std::int64_t>(logBetween(150'000, 600'000));
             engine.bytesPerToken = logBetween(30'000, 170'000);
-            engine.linkGigabits = logBetween(200, 1'500);
+            // At the users' deployments a thousand tokens move in 0.9 to 1.3 ms.
+            engine.linkGigabits = engine.bytesPerToken * bitsPerToken / logBetween(0.6, 2.5);
             m_sheet.slowness = isChance(0.5) ? std::vector { 1.0 } : std::vector { 1.0, 1.0, 1.3 };
         }
 
