--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -22,8 +22,6 @@
     /// Connecting takes a round trip and a millisecond; a target in another zone answers within 4 ms. Longer than this
     /// it is gone, or its queue of new connections is full.
     constexpr duration connectTimeout = 150ms;
-    /// Targets drop idle connections without notice; the shorter one was idle, the rarer that is met.
-    constexpr duration longestIdle = 2s;
     constexpr int firstFailureStatus = 500;
 
     constexpr std::array<std::string_view, static_cast<std::size_t>(attempt_result::count)> resultNames { "answered",
@@ -118,8 +116,7 @@
     exchange_options options;
     options.connectTimeout = connectTimeout;
     options.silenceTimeout = command.timeLeft + connectTimeout; // the decisions leave a silent target earlier
-    options.freshConnection = command.onFreshConnection;
-    options.longestIdle = longestIdle;
+    options.longestIdle = command.longestIdle;
     exchange_handlers handlers;
     const auto weak = weak_from_this();
     handlers.accepts = [weak](const http_response_head& head) {
--- a/libs/serving/include/serving/serving_request.h
+++ b/libs/serving/include/serving/serving_request.h
@@ -58,7 +58,8 @@
     target_id fetchFrom; ///< an engine that keeps more of the prompt's beginning; invalid if none does
     duration timeLeft = duration::zero(); ///< after which the answer is of no use
     int urgency = 0; ///< 0 goes first at the target
-    bool onFreshConnection = false;
+    /// A kept connection that has been idle for longer is not used; zero: only a new one is.
+    duration longestIdle = duration::zero();
     // What decided it, for the log.
     double predictedSeconds = 0; ///< until the stage's answer begins
     double work = 0; ///< tokens of prompt work it adds to the target
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -27,6 +27,10 @@
     constexpr duration shortestReturn = 200ms;
     constexpr duration returnSpread = 300ms;
     constexpr duration noTargetReturn = 1s;
+    /// Targets drop connections that are idle, some without notice, and a request on such a one may have run. The
+    /// shorter it was idle, the rarer that is met: over 15 days requests that ended without an answer were 2,030 with
+    /// new connections for all that runs once, and 2,039 with kept ones.
+    constexpr duration longestIdle = 2s;
     constexpr double readWaitWeight = 0.2; ///< about the last five prompts count
     /// Engines take up the lowest first. An answer whose prompt was read elsewhere goes before all; then prompts by
     /// their rank.
@@ -227,8 +231,8 @@
     command.timeLeft = m_book.times[row].answerBy - now;
     command.isLate = choice.rank == read_rank::late;
     command.urgency = urgencyOf(choice);
-    const bool runsOnce = !request.route->isRepeatable && choice.stage != attempt_stage::prefill;
-    command.onFreshConnection = runsOnce || progress.hasFailed;
+    if (!progress.hasFailed)
+        command.longestIdle = longestIdle;
     command.predictedSeconds = choice.seconds;
     command.work = choice.work;
     command.waitSeconds = choice.waitSeconds;
