--- a/libs/serving/include/serving/role_split.h
+++ b/libs/serving/include/serving/role_split.h
@@ -56,10 +56,9 @@
         bool isSeen = false;
         bool isLeaving = false; // it said so
     };
-    /// How long a service has had the same number of engines that should change.
+    /// For how long a service has been short of engines in one role.
     struct shortage {
-        int size = 0;
-        int engines = 0;
+        int direction = 0; // readers are missing (1), or writers (-1), or none (0)
         instant since;
     };
 
--- a/libs/serving/src/role_split.cpp
+++ b/libs/serving/src/role_split.cpp
@@ -135,8 +135,9 @@
     const int size = missing >= least || isSurplus ? missing : 0;
 
     auto& held = m_shortages[service];
-    if (held.size != size || held.engines != engines || size == 0)
-        held = { size, engines, now };
+    const int direction = size > 0 ? 1 : (size < 0 ? -1 : 0);
+    if (held.direction != direction)
+        held = { direction, now };
     const bool mayComeBack = !isIdle && m_lostAt != instant() && now < m_lostAt + lossSettleTime;
     if (size == 0 || mayComeBack || now < held.since + settleTime)
         return {};
--- a/libs/serving/tests/test_role_split.cpp
+++ b/libs/serving/tests/test_role_split.cpp
@@ -145,6 +145,32 @@
     CHECK(world.settled(14s).size() == 1); // they do not come back
 }
 
+TEST_CASE("test_split_is_made_right_while_engines_are_replaced")
+{
+    // Symptom: for half a minute, while half of the engines are replaced one after the other, readers are short and
+    // nobody changes a role.
+    // Sequence: each second a reader that said so leaves and a new engine comes that writes.
+    // Cause: a shortage had to stay the same for a while, and it is another one with each engine.
+    split_world world;
+    world.add(18, 9);
+    world.makeBusy();
+    std::vector<role_change> changes;
+    for (int second = 0; second < 6 && changes.empty(); ++second) {
+        const auto leaving = "e" + std::to_string(second);
+        world.fleet.put([&] {
+            auto record = targetRecord(leaving, "engines", target_role::prefill, 16, "a");
+            record.isDraining = true;
+            return record;
+        }());
+        world.add(1, 0, "new" + std::to_string(second) + "-");
+        world.split.due(at(std::chrono::seconds(second)), 0.2);
+        world.fleet.remove(leaving);
+        changes = world.split.due(at(std::chrono::seconds(second) + 500ms), 0.2);
+    }
+    REQUIRE_FALSE(changes.empty());
+    CHECK(changes.front().role == target_role::prefill);
+}
+
 TEST_CASE("test_reader_writes_again_when_a_writer_leaves_for_good")
 {
     // Symptom: long answers take longer than their callers wait.
