tamarackctl late: why whole answers were late, the largest cause first

Change: late counts, of each route, answers that began later than their route aims at (held, a further attempt, a wait that was foretold, the prompt's size, reading or import longer than foretold, no place to write) and those with too long a pause (the engine read for others, or not). request_taken tells the route's aims for it. What log reports share stands in logged_line and cause_table now.

--- a/apps/tamarackctl/command_table.cpp
+++ b/apps/tamarackctl/command_table.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    constexpr std::array<command, 9> table { {
+    constexpr std::array<command, 10> table { {
         { "check", "FILE...", "check operators' texts, or with --node-settings nodes' settings", runCheck },
         { "diff", "FILE", "show what a text would change in the configuration in force", runDiff },
         { "publish", "FILE", "publish a text as the next version, unless somebody else did meanwhile", runPublish },
@@ -22,6 +22,8 @@
             runExplain },
         { "failures", "FILE...", "count why requests failed, the largest cause first, from the nodes' log files",
             runFailures },
+        { "late", "FILE...", "count why answers were late, the largest cause first, from the nodes' log files",
+            runLate },
         { "end-order", "TARGET ORDER", "declare that an open order's deliverer has ended for good", runEndOrder },
     } };
 
--- a/apps/tamarackctl/command_table.h
+++ b/apps/tamarackctl/command_table.h
@@ -33,6 +33,7 @@
 int runTrace(const arguments&);
 int runExplain(const arguments&);
 int runFailures(const arguments&);
+int runLate(const arguments&);
 int runEndOrder(const arguments&);
 
 /// The operand at `index` after the command's name, or an empty string.
--- a/apps/tamarackctl/log_command.cpp
+++ b/apps/tamarackctl/log_command.cpp
@@ -1,4 +1,4 @@
-// explain and failures: what the nodes' logs say of requests.
+// explain, failures and late: what the nodes' logs say of requests.
 #include "command_table.h"
 
 #include "observe/log_story.h"
@@ -41,20 +41,30 @@
     return exitOk;
 }
 
-int runFailures(const arguments& given)
-{
-    if (operand(given, 0).empty())
-        return complain(exitUsage, "failures needs the log files of the nodes");
-    std::vector<std::string> lines;
-    if (!readLines(given, 0, lines))
-        return exitUsage;
-    time_span span;
-    if (given.count("from"))
-        span.from = given["from"].as<std::int64_t>();
-    if (given.count("to"))
-        span.to = given["to"].as<std::int64_t>();
-    std::cout << formatFailureSummary(lines, span);
-    return exitOk;
+namespace {
+
+    /// Prints a report over the lines of the span given.
+    int report(const arguments& given, const char* name,
+        std::string (*format)(const std::vector<std::string>& lines, const time_span& span))
+    {
+        if (operand(given, 0).empty())
+            return complain(exitUsage, std::string(name) + " needs the log files of the nodes");
+        std::vector<std::string> lines;
+        if (!readLines(given, 0, lines))
+            return exitUsage;
+        time_span span;
+        if (given.count("from"))
+            span.from = given["from"].as<std::int64_t>();
+        if (given.count("to"))
+            span.to = given["to"].as<std::int64_t>();
+        std::cout << format(lines, span);
+        return exitOk;
+    }
+
 }
 
+int runFailures(const arguments& given) { return report(given, "failures", formatFailureSummary); }
+
+int runLate(const arguments& given) { return report(given, "late", formatLateSummary); }
+
 }
--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -63,12 +63,14 @@
         m_attempt->exchange->cancel();
 }
 
-void caller_flow::taken(std::string_view service, std::uint64_t version) const
+void caller_flow::taken(const serving::serving_request& request) const
 {
     m_services.log.write(log_event::request_taken,
-        { { "request", m_decoded.id }, { "route", m_routeName }, { "service", service }, { "version", version },
+        { { "request", m_decoded.id }, { "route", m_routeName }, { "service", request.service },
+            { "version", request.configuration->version() },
             { "left_ms", m_decoded.patience ? milliseconds(*m_decoded.patience) : -1 },
-            { "tokens", m_decoded.text ? m_decoded.text->inputTokens : 0 } });
+            { "tokens", m_decoded.text ? m_decoded.text->inputTokens : 0 },
+            { "aim_ms", milliseconds(request.route->aim) }, { "gap_aim_ms", milliseconds(request.route->gapAim) } });
 }
 
 void caller_flow::bind(request_id id, callbacks handlers)
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -45,7 +45,7 @@
     ~caller_flow();
 
     /// Logs that the request was taken.
-    void taken(std::string_view service, std::uint64_t version) const;
+    void taken(const serving::serving_request& request) const;
     void bind(request_id id, callbacks handlers);
     void start(const serving::start_attempt& command);
     void stop(attempt_id attempt);
--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -50,7 +50,7 @@
     auto request = servingRequest(wanted);
     auto flow = std::make_shared<caller_flow>(
         m_services, std::move(wanted.request), std::move(wanted.decoded), *wanted.route, std::move(wanted.caller));
-    flow->taken(request.service, wanted.configuration->version());
+    flow->taken(request);
     serving::command_list commands;
     const request_id id = m_services.decisions.arrive(std::move(request), boot_clock::now(), commands);
     m_flows[id] = flow;
--- a/libs/observe/include/observe/log_story.h
+++ b/libs/observe/include/observe/log_story.h
@@ -1,4 +1,4 @@
-// Reads the logs of several nodes: the story of one request, and why requests failed in a span of time.
+// Reads the logs of several nodes: the story of one request, and why requests failed or were late in a span of time.
 #pragma once
 
 #include <cstdint>
@@ -21,4 +21,8 @@
 /// A table of causes, the largest first: what callers were told, for which route, and what the attempts before it met.
 std::string formatFailureSummary(const std::vector<std::string>& lines, const time_span& span);
 
+/// The same for requests that got their whole answer later than their route aims at, or with a pause within it that is
+/// longer: of which route, and for what reason.
+std::string formatLateSummary(const std::vector<std::string>& lines, const time_span& span);
+
 }
--- a/libs/observe/src/log_story.cpp
+++ b/libs/observe/src/log_story.cpp
@@ -1,53 +1,24 @@
 // Log lines, selected, ordered and counted.
 #include "observe/log_story.h"
 
+#include "cause_table.h"
+#include "logged_line.h"
+
 #include <algorithm>
 #include <cstdio>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <set>
 
 namespace tamarack {
 
 namespace {
 
-    using nlohmann::json;
-    using nlohmann::ordered_json;
+    using detail::logged_line;
+    using detail::parseLog;
 
     /// What the nodes believed this long before a request began may have decided it.
     constexpr std::int64_t beliefMilliseconds = 3000;
 
-    struct logged_line {
-        std::int64_t at = 0;
-        ordered_json fields;
-
-        std::string text(const char* name) const
-        {
-            const auto found = fields.find(name);
-            if (found == fields.end())
-                return {};
-            return found->is_string() ? found->get<std::string>() : found->dump();
-        }
-        bool is(const char* event) const { return text("event") == event; }
-    };
-
-    std::vector<logged_line> parse(const std::vector<std::string>& lines)
-    {
-        std::vector<logged_line> out;
-        for (const auto& line : lines) {
-            const auto begin = line.find('{');
-            if (begin == std::string::npos)
-                continue;
-            auto fields = ordered_json::parse(line.substr(begin), nullptr, false);
-            const bool isLine = fields.is_object() && fields.contains("ts_ms") && fields["ts_ms"].is_number_integer()
-                && fields.contains("event") && fields["event"].is_string();
-            if (isLine)
-                out.push_back({ fields["ts_ms"].get<std::int64_t>(), std::move(fields) });
-        }
-        std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
-        return out;
-    }
-
     std::string describe(const logged_line& line, std::int64_t start)
     {
         char time[32];
@@ -81,16 +52,11 @@
         return cause;
     }
 
-    struct counted_cause {
-        int requests = 0;
-        std::string sample; // id of one of them
-    };
-
 }
 
 std::string formatRequestStory(const std::vector<std::string>& lines, const std::string& requestId)
 {
-    const auto all = parse(lines);
+    const auto all = parseLog(lines);
     std::set<std::string> targets;
     std::set<std::string> nodes;
     std::int64_t first = std::numeric_limits<std::int64_t>::max();
@@ -121,11 +87,11 @@
 std::string formatFailureSummary(const std::vector<std::string>& lines, const time_span& span)
 {
     attempt_causes attempts;
-    std::map<std::string, counted_cause> causes;
+    detail::cause_table causes;
     int taken = 0;
     int failed = 0;
     int leftOut = 0;
-    for (const auto& line : parse(lines)) {
+    for (const auto& line : parseLog(lines)) {
         if (line.at < span.from || line.at > span.to)
             continue;
         const auto id = line.text("request");
@@ -145,23 +111,13 @@
             cause += line.is("request_failed") ? line.text("outcome") : "no route in version " + line.text("version");
         if (const auto attempt = attempts.find(id); attempt != attempts.end())
             cause += ", after " + attempt->second;
-        auto& counted = causes[cause];
-        ++counted.requests;
-        counted.sample = id;
+        causes.count(cause, id);
     }
-    std::vector<std::pair<std::string, counted_cause>> ordered(causes.begin(), causes.end());
-    std::stable_sort(ordered.begin(), ordered.end(),
-        [](const auto& a, const auto& b) { return a.second.requests > b.second.requests; });
     std::string out
         = std::to_string(failed) + " of " + std::to_string(taken) + " requests did not get a target's answer\n";
     if (leftOut > 0)
         out += std::to_string(leftOut) + " lines were left out by the nodes\n";
-    for (const auto& [cause, counted] : ordered) {
-        char number[16];
-        std::snprintf(number, sizeof number, "%7d  ", counted.requests);
-        out += number + cause + "  (such as " + counted.sample + ")\n";
-    }
-    return out;
+    return out + causes.format();
 }
 
 }
--- a/libs/observe/tests/test_log_story.cpp
+++ b/libs/observe/tests/test_log_story.cpp
@@ -40,3 +40,45 @@
     CHECK(summary.find("2  summary  refused: overloaded") < summary.find("1  look-up  refused: attempt-timeout"));
     CHECK(summary.find("after whole broken (timed out)") != std::string::npos);
 }
+
+TEST_CASE("test_late_answers_are_counted_by_cause_the_largest_first")
+{
+    const auto taken = [](const char* id, int at) {
+        return R"({"ts_ms":)" + std::to_string(at) + R"(,"event":"request_taken","vm":"n1","request":")" + id
+            + R"(","route":"note","aim_ms":250,"gap_aim_ms":150})";
+    };
+    const auto started = [](const char* id, int at, const char* stage, int predicted, int work, bool isLate = false) {
+        return R"({"ts_ms":)" + std::to_string(at) + R"(,"event":"attempt_started","vm":"n1","request":")" + id
+            + R"(","target":"t1","stage":")" + stage + R"(","predicted_ms":)" + std::to_string(predicted)
+            + R"(,"wait_ms":10,"work":)" + std::to_string(work) + R"(,"late":)" + (isLate ? "true" : "false") + "}";
+    };
+    const auto attemptEnded = [](const char* id, int at, const char* stage, int first, int took) {
+        return R"({"ts_ms":)" + std::to_string(at) + R"(,"event":"attempt_ended","vm":"n1","request":")" + id
+            + R"(","target":"t1","stage":")" + stage + R"(","first_ms":)" + std::to_string(first) + R"(,"took_ms":)"
+            + std::to_string(took) + "}";
+    };
+    const auto ended = [](const char* id, int at, int first, int pause) {
+        return R"({"ts_ms":)" + std::to_string(at) + R"(,"event":"request_ended","vm":"n1","request":")" + id
+            + R"(","route":"note","first_ms":)" + std::to_string(first) + R"(,"longest_pause_ms":)"
+            + std::to_string(pause) + "}";
+    };
+    const auto summary = formatLateSummary(
+        { taken("held", 0), started("held", 300, "whole", 40, 0), attemptEnded("held", 900, "whole", 40, 600),
+            ended("held", 900, 340, 0), //
+            taken("queued", 0), started("queued", 1, "prefill", 100, 900),
+            attemptEnded("queued", 400, "prefill", -1, 399), started("queued", 401, "decode", 10, 0),
+            attemptEnded("queued", 900, "decode", 12, 499), ended("queued", 900, 412, 60), //
+            taken("paused", 2000), started("paused", 2000, "whole", 30, 300),
+            attemptEnded("paused", 3000, "whole", 30, 1000), ended("paused", 3000, 30, 240), //
+            taken("reader", 2500), started("reader", 2500, "whole", 60, 2'000),
+            attemptEnded("reader", 2900, "whole", 70, 400), ended("reader", 2900, 70, 57), //
+            taken("queued-2", 5000), started("queued-2", 5001, "prefill", 100, 900),
+            attemptEnded("queued-2", 5400, "prefill", -1, 399), started("queued-2", 5401, "decode", 10, 0),
+            attemptEnded("queued-2", 5900, "decode", 12, 499), ended("queued-2", 5900, 412, 60) },
+        {});
+    CHECK(summary.starts_with("4 of 5 whole answers were late"));
+    CHECK(summary.find("2  note  first event: prefill reading took longer than foretold") < summary.find("1  note"));
+    CHECK(summary.find("1  note  first event: held by the node before the first attempt  (such as held)")
+        != std::string::npos);
+    CHECK(summary.find("1  note  pause: its engine read for others  (such as paused)") != std::string::npos);
+}
