--- a/libs/serving/include/serving/request_book.h
+++ b/libs/serving/include/serving/request_book.h
@@ -32,6 +32,7 @@
     attempt_id id;
     target_id target;
     attempt_stage stage = attempt_stage::whole;
+    bool isFirstPrefill = false; ///< the one that does not count as a send
     bool isReading = false; ///< its prompt is in the engine's queue
     std::uint64_t readKey = 0; ///< of it there
     double work = 0; ///< of reading its prompt, in tokens
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -102,8 +102,12 @@
     switch (result) {
     case attempt_result::unreached:
         m_health.failed(attempt.target, now);
+        // It never arrived. A prompt that was to be read apart may still be: at an engine that writes, reading it would
+        // make some twenty streams pause.
         if (couldRun)
-            --progress.sends; // it never arrived
+            --progress.sends;
+        else if (attempt.isFirstPrefill)
+            progress.hasTriedPrefill = false;
         return retryOrEnd(row, false, error_kind::no_target, now, out);
     case attempt_result::rejected:
     case attempt_result::misdirected:
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -200,6 +200,7 @@
     current.id = { m_nextAttempt++ };
     current.target = choice.target;
     current.stage = choice.stage;
+    current.isFirstPrefill = isFreePrefill;
     current.work = choice.work;
     current.otherSeconds = choice.waitSeconds + choice.transferSeconds;
     current.sentAt = now;
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -365,6 +365,31 @@
     CHECK(again->stage == attempt_stage::whole);
 }
 
+TEST_CASE("test_prompt_that_reached_no_reader_is_read_apart_by_another")
+{
+    // Symptom: after a crash of engines that read, all streams of those that write pause for half a second.
+    // Sequence: a long prompt is sent to a reader that has just crashed; nothing listens there, and the prompt is read
+    // whole at an engine that writes. Cause: an attempt that never arrived was taken for the one free reading.
+    dispatch_world world;
+    world.addEngine("prefill-1", target_role::prefill);
+    world.addEngine("prefill-2", target_role::prefill);
+    world.addEngine("d1", target_role::decode);
+    const auto first = begin(world, world.makePrompt(tag, 7, 13'000, 4'000), at(0s));
+    REQUIRE(first.start.stage == attempt_stage::prefill);
+    command_list out;
+    world.decisions.ended(first.id, first.start.attempt, attempt_result::unreached, {}, at(4ms), out);
+    const auto* again = find<start_attempt>(out);
+    REQUIRE(again);
+    CHECK(again->stage == attempt_stage::prefill);
+    CHECK(again->target != first.start.target);
+    // It has arrived now: what comes after it counts as a send.
+    command_list retry;
+    world.decisions.ended(first.id, again->attempt, attempt_result::broken, {}, at(50ms), retry);
+    const auto* whole = find<start_attempt>(retry);
+    REQUIRE(whole);
+    CHECK(whole->stage == attempt_stage::whole);
+}
+
 TEST_CASE("test_retries_use_no_kept_connection")
 {
     // Symptom: a look-up fails although all targets work.
