--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -43,6 +43,8 @@
     /// times its load a fleet of 18 engines earned 0.746 instead of 0.711 (fleet model, four seeds).
     constexpr double pauseShare = 0.5;
     constexpr double ownPauseShare = 0.5;
+    /// Streams last about so long at the users' deployments, so the ones at an engine are others by then.
+    constexpr double streamSeconds = 2;
     /// Requests at an engine, in its slots. What waits there is taken up by urgency, so a place in the queue costs the
     /// urgent ones nothing.
     constexpr int enginePlaces = 2;
@@ -162,8 +164,12 @@
     const int streams = m_inputs.fleet.running(id);
     if (!m_profile || streams == 0 || m_pauses.excess(id, work, *m_profile, now) <= 0)
         return 0;
-    const bool isPausing = m_pauses.excess(id, 0, *m_profile, now) > 0;
-    return lateSeconds * (isPausing ? ownPauseShare : pauseShare * streams);
+    if (m_pauses.excess(id, 0, *m_profile, now) <= 0)
+        return lateSeconds * pauseShare * streams;
+    // Those that are there pause already; as many as come while this prompt is read are hit besides, and its own.
+    const double length = m_inputs.queues.readSeconds(id, work, now);
+    const double hit = pauseShare * streams * std::min(1.0, length / streamSeconds);
+    return lateSeconds * (ownPauseShare + hit);
 }
 
 void placement::findKeepers(const placement_need& need)
