--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -109,6 +109,7 @@
         out.availabilityZone = settings.availabilityZone;
         out.seed = stableHash(settings.vm);
         out.retries = { settings.retryRatio, settings.retrySlack, settings.retryWindow };
+        out.startedAt = boot_clock::now();
         return out;
     }
 
@@ -265,7 +266,7 @@
         log.write(log_event::peer_lost, { { "peer", lost.vm }, { "silent_ms", milliseconds(lost.silence) } });
     for (const auto& change : decisions.takeHealthChanges())
         logHealth(change);
-    decisions.setKnownNodes(nodes.knownCount());
+    decisions.setKnownNodes(view.knowsNodes() ? nodes.knownCount() : 0);
     if (now >= nextDuties)
         shareDuties(now);
     serving::command_list commands;
--- a/libs/gateway/src/node_messages.h
+++ b/libs/gateway/src/node_messages.h
@@ -54,7 +54,8 @@
 struct shared_state {
     std::optional<packed_record> configuration; ///< as operators wrote it
     std::vector<serving::target_news> targets;
-    std::vector<serving::node_state> nodes;
+    std::vector<serving::node_state> nodes; ///< whether they seem alive or not
+    bool knowsNodes = false; ///< the sender knows all that have registered
 };
 
 /// A target note is sent by a node that follows the target list closely.
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -267,6 +267,7 @@
     carryOut(m_targets.stateTaken(state.targets, boot_clock::now()));
     for (const auto& node : state.nodes)
         m_parts.nodes.registered(node, boot_clock::now());
+    m_knowsNodes |= state.knowsNodes;
 }
 
 shared_state shared_view::offeredConfiguration()
@@ -282,8 +283,9 @@
 {
     auto out = offeredConfiguration();
     out.targets = m_targets.known();
-    out.nodes = m_parts.nodes.alive(boot_clock::now());
+    out.nodes = m_parts.nodes.others();
     out.nodes.push_back(self);
+    out.knowsNodes = knowsNodes();
     return out;
 }
 
--- a/libs/gateway/src/shared_view.h
+++ b/libs/gateway/src/shared_view.h
@@ -66,6 +66,8 @@
 
     bool hasConfiguration() const { return m_configuration != nullptr; }
     bool hasTargets() const { return m_targets.hasList(); }
+    /// Whether all nodes that had registered at some time were read, or told by a peer that had read them.
+    bool knowsNodes() const { return m_knowsNodes || m_nodeFeed.isCurrent(); }
     const std::shared_ptr<const serving::serving_configuration>& configuration() const { return m_configuration; }
     bool isStoreReachable() const { return m_configurationFeed.isReachable() || m_targetFeed.isReachable(); }
     /// The last call of one of the topics that every node needs has failed.
@@ -106,6 +108,7 @@
     instant m_hurriedAt;
     instant m_targetsHurriedAt;
     bool m_readsClosely = false;
+    bool m_knowsNodes = false;
 };
 
 }
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -18,6 +18,7 @@
     std::string availabilityZone;
     std::uint64_t seed = 1;
     retry_bound retries;
+    instant startedAt; ///< of the process: a node has its part of the retries' slack some time after it
     duration peerLife = std::chrono::seconds(1); ///< a peer silent for so long no longer counts
 };
 
@@ -39,7 +40,7 @@
     void peerSaw(const std::vector<health_news>& news, instant now);
     /// What own attempts came to since the last call, for the peers.
     std::vector<health_news> takeHealthNews(instant now) { return m_health.takeNews(now); }
-    /// All nodes known, this one included, whether they seem alive or not.
+    /// All nodes known, this one included, whether they seem alive or not; 0: it is not known how many there are.
     void setKnownNodes(int nodes);
 
     /// A new request; `out` may already hold its start or its refusal.
@@ -87,6 +88,8 @@
     /// Whether one more attempt may be sent that counts against the route's bound.
     bool mayResend(std::size_t row, instant now);
     void countSend(std::size_t row, instant now);
+    /// An attempt may have reached its target: a further one counts against the bound of all nodes.
+    void countArrival(std::size_t row, instant now);
     void dispatch(instant now, command_list& out);
     void settle(std::size_t row, attempt_result result, const std::string& cacheName, instant now, command_list& out);
     void succeeded(std::size_t row, instant now);
@@ -112,11 +115,12 @@
     random_source m_random;
     request_book m_book;
     retry_bound m_retryBound;
+    instant m_startedAt;
     std::map<std::string, retry_allowance> m_allowances; // by service
     std::vector<request_id> m_waiting; // in order of arrival
     double m_readWait = 0;
     std::uint64_t m_nextAttempt = 1;
-    int m_knownNodes = 1;
+    int m_knownNodes = 0;
 };
 
 }
--- a/libs/serving/include/serving/node_directory.h
+++ b/libs/serving/include/serving/node_directory.h
@@ -84,6 +84,8 @@
 
     bool isAlive(const std::string& vm, instant now) const;
     std::vector<node_state> alive(instant now) const;
+    /// All known, without this node.
+    std::vector<node_state> others() const;
     /// Who gets a heartbeat now.
     std::vector<node_state> recipients(instant now);
     /// All known, this node included.
--- a/libs/serving/include/serving/request_book.h
+++ b/libs/serving/include/serving/request_book.h
@@ -18,6 +18,7 @@
 /// What has become of a request so far.
 struct request_progress {
     int sends = 0; ///< attempts that count against the route's bound on targets
+    int arrivals = 0; ///< attempts that may have reached a target, but for one prefill that was accepted
     bool hasTriedPrefill = false; ///< the first prefill does not count as a send; further ones do
     bool mayHaveRun = false;
     bool hasStarted = false; ///< some of the answer went to the caller
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -70,9 +70,9 @@
 {
     const auto& progress = m_book.progress[row];
     const auto& request = m_book.request[row];
-    if (progress.sends == 0)
-        return true;
-    return progress.sends < request.route->maxAttempts && allowanceOf(request.service).maySend(m_knownNodes, now);
+    if (progress.sends > 0 && progress.sends >= request.route->maxAttempts)
+        return false;
+    return progress.arrivals == 0 || allowanceOf(request.service).maySend(m_knownNodes, now);
 }
 
 void dispatcher::ended(request_id request, attempt_id attempt, attempt_result result, const std::string& cacheName,
@@ -104,10 +104,12 @@
         m_health.failed(attempt.target, now);
         // It never arrived. A prompt that was to be read apart may still be: at an engine that writes, reading it would
         // make some twenty streams pause.
-        if (couldRun)
+        if (couldRun) {
             --progress.sends;
-        else if (attempt.isFirstPrefill)
+            --progress.arrivals;
+        } else if (attempt.isFirstPrefill) {
             progress.hasTriedPrefill = false;
+        }
         return retryOrEnd(row, false, error_kind::no_target, now, out);
     case attempt_result::rejected:
     case attempt_result::misdirected:
@@ -130,6 +132,8 @@
     case attempt_result::broken:
         m_health.failed(attempt.target, now);
         progress.mayHaveRun |= couldRun;
+        if (attempt.isFirstPrefill)
+            countArrival(row, now); // nobody knows whether it was accepted, and only then it is free
         releaseCache(row, out);
         if (couldRun && !isRepeatable)
             return endWithFailure(row, error_kind::outcome_unknown, out);
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -55,6 +55,7 @@
     , m_placement({ m_fleet, m_pace, m_caches, m_health, m_queues }, settings.seed)
     , m_random(settings.seed + 1)
     , m_retryBound(settings.retries)
+    , m_startedAt(settings.startedAt)
 {
 }
 
@@ -96,14 +97,14 @@
 
 void dispatcher::setKnownNodes(int nodes)
 {
-    m_knownNodes = std::max(1, nodes);
-    m_placement.setKnownNodes(m_knownNodes);
-    m_queues.setKnownNodes(m_knownNodes);
+    m_knownNodes = nodes;
+    m_placement.setKnownNodes(std::max(1, nodes));
+    m_queues.setKnownNodes(std::max(1, nodes));
 }
 
 retry_allowance& dispatcher::allowanceOf(const std::string& service)
 {
-    return m_allowances.try_emplace(service, m_retryBound).first->second;
+    return m_allowances.try_emplace(service, m_retryBound, m_startedAt).first->second;
 }
 
 placement_need dispatcher::needOf(std::size_t row, instant now) const
@@ -153,6 +154,12 @@
 
 bool dispatcher::tryStart(std::size_t row, instant now, command_list& out)
 {
+    // What goes wrong without it: requests that wait to be sent again were each allowed it while none of the others had
+    // been sent, and when a place comes free all are sent together.
+    if (!mayResend(row, now)) {
+        endWithFailure(row, error_kind::overloaded, out);
+        return true;
+    }
     if (!m_book.progress[row].cache.name.empty())
         return startDecode(row, now, out);
     auto choice = m_placement.chooseFirst(needOf(row, now), now);
@@ -179,10 +186,14 @@
 
 void dispatcher::countSend(std::size_t row, instant now)
 {
-    auto& progress = m_book.progress[row];
-    if (progress.sends > 0)
+    countArrival(row, now);
+    ++m_book.progress[row].sends;
+}
+
+void dispatcher::countArrival(std::size_t row, instant now)
+{
+    if (m_book.progress[row].arrivals++ > 0)
         allowanceOf(m_book.request[row].service).sent(now);
-    ++progress.sends;
 }
 
 void dispatcher::start(std::size_t row, const target_choice& choice, instant now, command_list& out)
--- a/libs/serving/src/node_directory.cpp
+++ b/libs/serving/src/node_directory.cpp
@@ -120,6 +120,14 @@
     return out;
 }
 
+std::vector<node_state> node_directory::others() const
+{
+    std::vector<node_state> out;
+    for (const auto& [vm, known] : m_nodes)
+        out.push_back(known.state);
+    return out;
+}
+
 std::vector<node_state> node_directory::recipients(instant now)
 {
     std::vector<node_state> out;
--- a/libs/serving/tests/model/users_fleets.cpp
+++ b/libs/serving/tests/model/users_fleets.cpp
@@ -130,6 +130,28 @@
     return out;
 }
 
+fleet_sheet vodosletLargeFleet()
+{
+    auto out = vodoslet();
+    out.engines = 192;
+    out.nodes = 295;
+    out.zones = 5;
+    out.readingShare = 0.33;
+    out.engine.slots = 12;
+    out.engine.tokensPerEvent = 16;
+    out.engine.memoryTokens = 352'325;
+    out.engine.linkGigabits = 200;
+    out.rate = [](std::size_t, duration) { return 1.0; };
+    setKind(out.kinds[0], 214, 808, 300ms, 7.48, 29.9);
+    setKind(out.kinds[1], 795, 6'753, 300ms, 2.82, 11.3);
+    out.kinds[0].worth = 7.6;
+    out.kinds[0].lateWorth = 2.3;
+    out.kinds[0].sendTime = 10ms; // 17 KB over the narrow links of most nodes
+    out.kinds[1].aim = 400ms;
+    out.kinds[1].patience = 3s;
+    return out;
+}
+
 fleet_sheet ahnenhausFleet()
 {
     auto out = ahnenhaus();
--- a/libs/serving/tests/model/users_fleets.h
+++ b/libs/serving/tests/model/users_fleets.h
@@ -7,6 +7,7 @@
 
 fleet_sheet vodosletFleet();
 fleet_sheet vodosletGrownFleet();
+fleet_sheet vodosletLargeFleet();
 fleet_sheet ahnenhausFleet();
 fleet_sheet ahnenhausGrownFleet();
 fleet_sheet larrainFleet();
--- a/libs/serving/tests/serving_fixture.h
+++ b/libs/serving/tests/serving_fixture.h
@@ -100,6 +100,7 @@
     explicit dispatch_world(dispatcher_settings given = settings())
         : decisions(given)
     {
+        decisions.setKnownNodes(1);
     }
 
     void addPlain(const std::string& instance, const std::string& zone = "a", int slots = 6)
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -192,6 +192,57 @@
     CHECK(retried == 4);
 }
 
+TEST_CASE("test_requests_that_wait_to_be_sent_again_are_counted_when_they_are_sent")
+{
+    // Symptom: more further sends than the bound allows, a moment after all targets were gone.
+    // Sequence: requests lose their targets and wait for another one; it is listed, and all are sent there.
+    // Cause: each was allowed its further send while none of the others had been sent.
+    auto settings = dispatch_world::settings();
+    settings.retries = { 0, 5, 10s };
+    dispatch_world world(settings);
+    world.addPlain("p1", "a", 100);
+    std::vector<started_request> begun;
+    for (int i = 0; i < 20; ++i)
+        begun.push_back(begin(world, world.make(lookUp), at(0s)));
+    command_list out;
+    auto leaving = targetRecord("p1", "plain", target_role::plain, 100);
+    leaving.isDraining = true;
+    world.decisions.targetListed(leaving);
+    for (const auto& request : begun)
+        world.decisions.ended(request.id, request.start.attempt, attempt_result::broken, {}, at(5ms), out);
+    CHECK(count<start_attempt>(out) == 0);
+    world.addPlain("p2", "a", 100);
+    world.decisions.tick(at(10ms), out);
+    CHECK(count<start_attempt>(out) == 4);
+    CHECK(count<refuse_request>(out) == 16);
+}
+
+TEST_CASE("test_prompt_whose_reading_broke_off_counts_against_the_bound_when_it_is_sent_again")
+{
+    // Symptom: more further arrivals than the bound allows, after engines that read were lost.
+    // Sequence: prompts wait at a reader, which breaks off; each is sent to another engine.
+    // Cause: the reading was taken for free, although only one that an engine has accepted is.
+    auto settings = dispatch_world::settings();
+    settings.retries = { 0, 5, 10s };
+    dispatch_world world(settings);
+    for (int i = 0; i < 10; ++i)
+        world.addEngine("reader-" + std::to_string(i), target_role::prefill);
+    world.addEngine("writer", target_role::decode);
+    int sentAgain = 0;
+    std::vector<started_request> begun;
+    for (int i = 0; i < 10; ++i) {
+        begun.push_back(begin(world, world.makePrompt(summary, 7, 8'000, 8'000), at(i * 1ms)));
+        REQUIRE(begun.back().start.stage == attempt_stage::prefill);
+    }
+    for (const auto& request : begun) {
+        command_list out;
+        world.decisions.ended(request.id, request.start.attempt, attempt_result::broken, {}, at(20ms), out);
+        sentAgain += count<start_attempt>(out);
+    }
+    CHECK(sentAgain > 0);
+    CHECK(sentAgain <= 4);
+}
+
 TEST_CASE("test_answer_is_due_at_the_routes_timeout")
 {
     dispatch_world world;
--- a/libs/serving/tests/test_retry_allowance.cpp
+++ b/libs/serving/tests/test_retry_allowance.cpp
@@ -1,16 +1,99 @@
 // The bound on further sends that all nodes keep together.
 #include "serving_fixture.h"
 
+#include "base/random_source.h"
+
 using namespace tamarack;
 using namespace tamarack::serving;
 using namespace tamarack::serving::tests;
 
 namespace {
 
+constexpr retry_bound usersBound { 0.2, 194, 10s };
+
+/// What all nodes do to one service whose every answer fails, and the bound as the users judge it: in any window the
+/// further arrivals, against the requests of that window, the one before it or the one half a length before it,
+/// whichever has most.
+class failing_service {
+public:
+    void requested(instant now) { m_requests.push_back(now); }
+    void arrivedAgain(instant now) { m_furtherArrivals.push_back(now); }
+
+    /// Arrivals beyond what is allowed, in the worst window; not above 0: the bound was kept.
+    double worstExcess(const retry_bound& bound) const
+    {
+        double worst = -1e9;
+        for (const auto& begin : m_furtherArrivals) {
+            const auto arrivals = countIn(m_furtherArrivals, begin, begin + bound.window);
+            const auto requests = std::max(
+                { countIn(m_requests, begin, begin + bound.window), countIn(m_requests, begin - bound.window, begin),
+                    countIn(m_requests, begin - bound.window / 2, begin + bound.window / 2) });
+            worst = std::max(
+                worst, static_cast<double>(arrivals) - bound.ratio * static_cast<double>(requests) - bound.slack);
+        }
+        return worst;
+    }
+
+private:
+    static std::ptrdiff_t countIn(const std::vector<instant>& sorted, instant from, instant until)
+    {
+        return std::lower_bound(sorted.begin(), sorted.end(), until)
+            - std::lower_bound(sorted.begin(), sorted.end(), from);
+    }
+
+    std::vector<instant> m_requests;
+    std::vector<instant> m_furtherArrivals;
+};
+
+/// Nodes that are killed and started again, in series, at random or all at once, while more of them are added; requests
+/// come evenly, in crowds, or at some nodes only. Each is sent again as often as it may.
+double worstExcessOfLives(std::uint64_t seed)
+{
+    random_source random(seed);
+    constexpr auto step = 50ms;
+    constexpr int steps = 1'200;
+    const auto nodes = 3 + random.below(75);
+    const auto added = random.below(nodes / 5 + 1);
+    const int addedAt = static_cast<int>(random.below(steps));
+    const double turn = 1 + 10 * random.unit(); // steps between two starts in series
+    const int mode = static_cast<int>(random.below(4));
+    const double perStep = 2 * random.unit();
+    const int failsFrom = static_cast<int>(random.below(steps / 2));
+    std::vector<retry_allowance> lives(nodes, retry_allowance(usersBound, at(-20s)));
+    failing_service service;
+    for (int i = 0; i < steps; ++i) {
+        const instant now = at(i * step);
+        if (i == addedAt)
+            lives.resize(nodes + added, retry_allowance(usersBound, now));
+        const auto next = static_cast<std::size_t>(i / turn);
+        if (mode == 0 && next != static_cast<std::size_t>((i - 1) / turn))
+            lives[next % lives.size()] = retry_allowance(usersBound, now);
+        if (mode == 1 && random.unit() < 0.3)
+            lives[random.below(lives.size())] = retry_allowance(usersBound, now);
+        if (mode == 2 && random.unit() < 0.01)
+            std::fill(lives.begin(), lives.end(), retry_allowance(usersBound, now));
+        const bool isCrowd = (i / 200) % 2 == 0;
+        for (std::size_t node = 0; node < lives.size(); ++node) {
+            const bool isBusy = mode == 3 ? isCrowd : (node + static_cast<std::size_t>(i) / 150) % 2 == 0;
+            for (double left = isBusy ? perStep : perStep / 20; random.unit() < left; --left) {
+                lives[node].requested(now);
+                service.requested(now);
+            }
+            // Those that were there first have not heard of the others for a while.
+            const auto known = i < addedAt + 100 ? nodes : nodes + added;
+            while (i >= failsFrom && lives[node].maySend(static_cast<int>(known), now)) {
+                lives[node].sent(now);
+                service.arrivedAgain(now);
+            }
+        }
+    }
+    return service.worstExcess(usersBound);
+}
+
 /// Sends as often as it may in each tenth of a second; the most in any window.
 int mostInAWindow(int nodes, int knownNodes, int requestsPerTenth, retry_bound bound)
 {
-    std::vector<retry_allowance> allowances(static_cast<std::size_t>(nodes), retry_allowance(bound));
+    std::vector<retry_allowance> allowances(static_cast<std::size_t>(nodes), retry_allowance(bound, at(-1h)));
     std::vector<int> sentPerTenth;
     for (int tenth = 0; tenth < 400; ++tenth) {
         const instant now = at(tenth * 100ms);
@@ -54,7 +137,7 @@
     // Symptom: a service gets slightly more further sends than the bound allows, after all nodes were started anew.
     // Sequence: requests come steadily, and then many of them fail at once; the slack is used up.
     // Cause: requests were counted over a longer span than the sends that they allow.
-    retry_allowance allowance({ 0.2, 0, 10s });
+    retry_allowance allowance({ 0.2, 0, 10s }, at(-1h));
     for (int tenth = 0; tenth < 300; ++tenth) {
         for (int i = 0; i < 10; ++i)
             allowance.requested(at(tenth * 100ms));
@@ -75,7 +158,7 @@
 
 TEST_CASE("test_allowance_comes_back_as_the_window_moves_on")
 {
-    retry_allowance allowance({ 0, 10, 10s });
+    retry_allowance allowance({ 0, 10, 10s }, at(-1h));
     int sent = 0;
     while (allowance.maySend(1, at(0s))) {
         allowance.sent(at(0s));
@@ -85,3 +168,24 @@
     CHECK_FALSE(allowance.maySend(1, at(9s)));
     CHECK(allowance.maySend(1, at(11s)));
 }
+
+TEST_CASE("test_lives_of_nodes_together_keep_the_bound")
+{
+    // Symptom: 2,037 further arrivals in 10 s where 2,029 are allowed, on a day that starts many nodes anew in turn.
+    // Sequence: engines fail; each node sends again as often as it may; one node after the other is started anew, and
+    // has used its part of the slack in its former life.
+    // Cause: each life had the whole part at once; and sends that a crowd of requests had allowed fell into a window
+    // with few requests of its own.
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        INFO(seed);
+        CHECK(worstExcessOfLives(seed) <= 0);
+    }
+}
+
+TEST_CASE("test_node_that_does_not_know_the_others_takes_none_of_their_slack")
+{
+    retry_allowance allowance({ 0.2, 194, 10s }, at(0s));
+    CHECK_FALSE(allowance.maySend(0, at(30s)));
+    CHECK_FALSE(allowance.maySend(1, at(9s)));
+    CHECK(allowance.maySend(1, at(11s)));
+}
--- a/tools/bench/serving_bench.cpp
+++ b/tools/bench/serving_bench.cpp
@@ -29,6 +29,7 @@
     { "vodoslet-grown", vodosletGrownFleet },
     { "ahnenhaus-grown", ahnenhausGrownFleet },
     { "larrain-grown", larrainGrownFleet },
+    { "vodoslet-large", vodosletLargeFleet },
 };
 
 struct bench_options {
@@ -36,6 +37,7 @@
     int firstSeed = 1;
     int jobs = 4;
     int randomFleets = 0;
+    int nodes = 0; ///< 0: as the fleet's sheet says
     double length = 34;
     double loss = 0.1;
     double readingShare = 0;
@@ -113,6 +115,8 @@
 {
     if (given.readingShare > 0)
         sheet.readingShare = given.readingShare;
+    if (given.nodes > 0)
+        sheet.nodes = given.nodes;
     if (given.keepsRoles)
         sheet.changesRoles = false;
     for (auto& kind : sheet.kinds)
@@ -200,6 +204,7 @@
     described.add_options()("loss", options::value(&given.loss), "share of the engines lost for 2 s in the middle");
     described.add_options()("reading-share", options::value(&given.readingShare),
         "of the engines read at the start; 0: as the fleet's sheet says");
+    described.add_options()("nodes", options::value(&given.nodes), "that decide; 0: as the fleet's sheet says");
     described.add_options()("keep-roles", options::bool_switch(&given.keepsRoles), "no engine changes its role");
     described.add_options()(
         "restarts", options::value(&given.restarts), "share of the nodes started anew in the middle");
