What nodes tell goes through relays: a few nodes of each zone pass it on

Cause: everyone told everyone.

Change: message_relay and relay_plan (pure, in libs/serving) decide who passes on what to whom. Up to 20 nodes everyone is a relay, which is what was. A node that falls silent as a relay is left after 0.45 s; a node is a relay for whoever tells it something, so nobody has to agree. Nodes that do not hear each other greet each other directly, and relays answer.

A node that starts with the whole system has had no former life, and its part of the slack at once: the settings say it. Found by process tests: with the slack kept back, calls to a silent target were not sent again.

--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -21,6 +21,7 @@
     endpoint peers; ///< UDP and TCP between nodes
     std::vector<endpoint> seeds; ///< admin addresses of some nodes; they may be gone
     endpoint store;
+    bool isFirstStart = false; ///< the whole system starts for the first time: no process has had a former life
 
     // Bounds of the platform.
     duration drainBound = std::chrono::seconds(2); ///< a leaving target gets no new work after this
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -109,7 +109,7 @@
         out.availabilityZone = settings.availabilityZone;
         out.seed = stableHash(settings.vm);
         out.retries = { settings.retryRatio, settings.retrySlack, settings.retryWindow };
-        out.startedAt = boot_clock::now();
+        out.startedAt = settings.isFirstStart ? instant() : boot_clock::now();
         return out;
     }
 
@@ -180,7 +180,8 @@
     if (!peers.listen(settings.peers))
         return toString(settings.peers) + " cannot be listened on";
     log.write(log_event::node_started,
-        { { "availability_zone", settings.availabilityZone }, { "callers", toString(settings.callers) } });
+        { { "availability_zone", settings.availabilityZone }, { "callers", toString(settings.callers) },
+            { "first_start", settings.isFirstStart } });
     view.start();
     registered.start();
     decisionTimer.start(decisionInterval);
@@ -287,6 +288,7 @@
         return;
     const auto me = self();
     const auto alive = nodes.alive(now);
+    peers.planRelays(me, alive);
     view.setReadsClosely(serving::readsForZone(me, alive));
     caches.tick(me, alive, now);
     roles.tick(me, alive, now);
@@ -316,6 +318,9 @@
     counters.set("tamarack_target_list_age_seconds", seconds(now - view.targetsFreshAt()));
     counters.set("tamarack_log_lines_left_out", static_cast<double>(log.linesLeftOut()));
     counters.set("tamarack_peer_undecodable", static_cast<double>(peers.undecodable()));
+    counters.set("tamarack_peer_datagrams_sent", static_cast<double>(peers.counts().sent));
+    counters.set("tamarack_peer_bytes_sent", static_cast<double>(peers.counts().sentBytes));
+    counters.set("tamarack_peer_datagrams_heard", static_cast<double>(peers.counts().heard));
 }
 
 void gateway::state::logHealth(const serving::health_change& change)
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -16,7 +16,7 @@
 namespace {
 
     /// Another version is another format: what cannot be read is dropped, and the nodes of a version know each other.
-    constexpr char formatVersion = 10;
+    constexpr char formatVersion = 11;
     /// 1,472 bytes fit into a datagram that is not split; a load takes 6, a job 27, news of a cache 16, of a
     /// target's health 8, a change of role 4, the
     /// sender some 35, or 140 when it tells all of itself. Changes of role are seldom many, and then before
@@ -56,6 +56,24 @@
             archive(entry);
     }
 
+    /// A text of at most 65,535 bytes, in two bytes more.
+    struct short_text {
+        std::string& text;
+    };
+
+    template <class Archive> void save(Archive& archive, const short_text& item)
+    {
+        archive(static_cast<std::uint16_t>(item.text.size()), cereal::binary_data(item.text.data(), item.text.size()));
+    }
+
+    template <class Archive> void load(Archive& archive, short_text& item)
+    {
+        std::uint16_t size = 0;
+        archive(size);
+        item.text.resize(size);
+        archive(cereal::binary_data(item.text.data(), item.text.size()));
+    }
+
     template <class Message> std::string encode(const Message& message)
     {
         std::ostringstream stream(std::ios::binary);
@@ -151,6 +169,19 @@
     archiveShort(archive, m.jobs);
 }
 
+template <class Archive> void serialize(Archive& archive, node_greeting& m) { archive(m.sender, m.isSeeking); }
+
+template <class Archive> void serialize(Archive& archive, node_envelope& m)
+{
+    auto count = static_cast<std::uint8_t>(std::min<std::size_t>(m.messages.size(), 255));
+    archive(m.step, count);
+    m.messages.resize(count);
+    for (auto& message : m.messages) {
+        short_text text { message };
+        archive(text);
+    }
+}
+
 template <class Archive> void serialize(Archive& archive, packed_record& m) { archive(m.offset, m.key, m.bytes); }
 
 template <class Archive> void serialize(Archive& archive, shared_state& m)
@@ -225,6 +256,14 @@
 
 std::optional<peer_datagram> decodeDatagram(const std::string& bytes) { return decode<peer_datagram>(bytes); }
 
+std::string encodeEnvelope(const node_envelope& envelope) { return encode(envelope); }
+
+std::optional<node_envelope> decodeEnvelope(const std::string& bytes)
+{
+    auto envelope = decode<node_envelope>(bytes);
+    return envelope && envelope->step < serving::relay_step::count ? std::move(envelope) : std::nullopt;
+}
+
 std::string encodeState(const shared_state& state) { return packed(encode(state)); }
 
 std::optional<shared_state> decodeState(const std::string& bytes)
--- a/libs/gateway/src/node_messages.h
+++ b/libs/gateway/src/node_messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/keyed_log.h"
+#include "serving/message_relay.h"
 #include "serving/node_directory.h"
 #include "serving/peer_load.h"
 #include "serving/read_queues.h"
@@ -38,6 +39,12 @@
     std::vector<serving::told_job> jobs;
 };
 
+/// Sent to nodes that are known but not heard, and to those that seek this node.
+struct node_greeting {
+    serving::node_state sender;
+    bool isSeeking = false; ///< the sender does not hear the receiver, and wants to
+};
+
 /// A record of the store, compressed: a configuration of 2,800 routes takes 0.8 MB as operators write it, which is 0.7
 /// s of a link of 10 Mbit/s, and a tenth of that compressed.
 struct packed_record {
@@ -58,14 +65,22 @@
     bool knowsNodes = false; ///< the sender knows all that have registered
 };
 
+/// Messages of one datagram: encoded ones of any nodes, as they were told.
+struct node_envelope {
+    serving::relay_step step = serving::relay_step::passed;
+    std::vector<std::string> messages;
+};
+
 /// A target note is sent by a node that follows the target list closely.
-using peer_datagram = std::variant<node_heartbeat, job_note, serving::target_note>;
+using peer_datagram = std::variant<node_heartbeat, job_note, serving::target_note, node_greeting>;
 
 /// Heartbeats stay below the usual path MTU; what does not fit is left out.
 std::string encodeDatagram(peer_datagram message);
 /// As many notes as it takes for each to stay below the usual path MTU, in one chain.
 std::vector<serving::target_note> splitNote(serving::target_note note);
 std::optional<peer_datagram> decodeDatagram(const std::string& bytes);
+std::string encodeEnvelope(const node_envelope& envelope);
+std::optional<node_envelope> decodeEnvelope(const std::string& bytes);
 std::string encodeState(const shared_state& state);
 std::optional<shared_state> decodeState(const std::string& bytes);
 std::string encodeCaches(const std::vector<cache_news>& caches);
--- a/libs/gateway/src/peer_mesh.cpp
+++ b/libs/gateway/src/peer_mesh.cpp
@@ -3,8 +3,8 @@
 
 namespace tamarack {
 
-peer_mesh::peer_mesh(std::function<void(peer_datagram)> onMessage)
-    : m_onMessage(std::move(onMessage))
+peer_mesh::peer_mesh(envelope_handler onEnvelope)
+    : m_onEnvelope(std::move(onEnvelope))
 {
     QObject::connect(&m_socket, &QUdpSocket::readyRead, [this] { readDatagrams(); });
 }
@@ -14,25 +14,31 @@
     return m_socket.bind(QHostAddress(QString::fromStdString(address.address)), address.port);
 }
 
-void peer_mesh::send(const std::vector<serving::node_state>& recipients, const peer_datagram& message)
+void peer_mesh::send(const serving::relay_datagram& datagram)
 {
-    if (recipients.empty())
+    if (datagram.to.empty())
         return;
-    const auto bytes = encodeDatagram(message);
-    for (const auto& node : recipients)
+    const auto bytes = encodeEnvelope({ datagram.step, datagram.messages });
+    for (const auto& place : datagram.to) {
         m_socket.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()),
-            QHostAddress(QString::fromStdString(node.address)), node.peerPort);
+            QHostAddress(QString::fromStdString(place.address)), place.port);
+    }
+    m_counts.sent += datagram.to.size();
+    m_counts.sentBytes += datagram.to.size() * bytes.size();
 }
 
 void peer_mesh::readDatagrams()
 {
+    QHostAddress from;
+    quint16 port = 0;
     while (m_socket.hasPendingDatagrams()) {
-        const auto size = m_socket.readDatagram(m_buffer.data(), m_buffer.size());
-        auto message = decodeDatagram({ m_buffer.data(), static_cast<std::size_t>(std::max<qint64>(size, 0)) });
-        if (message)
-            m_onMessage(std::move(*message));
+        const auto size = m_socket.readDatagram(m_buffer.data(), m_buffer.size(), &from, &port);
+        ++m_counts.heard;
+        auto envelope = decodeEnvelope({ m_buffer.data(), static_cast<std::size_t>(std::max<qint64>(size, 0)) });
+        if (envelope)
+            m_onEnvelope({ from.toString().toStdString(), port }, std::move(*envelope));
         else
-            ++m_undecodable;
+            ++m_counts.undecodable;
     }
 }
 
--- a/libs/gateway/src/peer_mesh.h
+++ b/libs/gateway/src/peer_mesh.h
@@ -1,4 +1,4 @@
-// Heartbeats and notes between nodes, over UDP.
+// Datagrams between nodes, over UDP.
 #pragma once
 
 #include "node_messages.h"
@@ -11,23 +11,31 @@
 
 namespace tamarack {
 
+struct datagram_counts {
+    std::uint64_t sent = 0;
+    std::uint64_t sentBytes = 0;
+    std::uint64_t heard = 0;
+    std::uint64_t undecodable = 0; ///< that were no messages
+};
+
 class peer_mesh {
 public:
-    explicit peer_mesh(std::function<void(peer_datagram)> onMessage);
+    using envelope_handler = std::function<void(const serving::node_place& from, node_envelope)>;
+
+    explicit peer_mesh(envelope_handler onEnvelope);
 
     /// False if the port is taken.
     bool listen(const endpoint& address);
-    void send(const std::vector<serving::node_state>& recipients, const peer_datagram& message);
-    /// Datagrams that were no messages.
-    std::uint64_t undecodable() const { return m_undecodable; }
+    void send(const serving::relay_datagram& datagram);
+    const datagram_counts& counts() const { return m_counts; }
 
 private:
     void readDatagrams();
 
-    std::function<void(peer_datagram)> m_onMessage;
+    envelope_handler m_onEnvelope;
     QUdpSocket m_socket;
     std::array<char, 65536> m_buffer; // above any datagram: one that is cut short could not be read
-    std::uint64_t m_undecodable = 0;
+    datagram_counts m_counts;
 };
 
 }
--- a/libs/gateway/src/peer_talk.cpp
+++ b/libs/gateway/src/peer_talk.cpp
@@ -30,8 +30,12 @@
 
 peer_talk::peer_talk(dependencies parts)
     : m_parts(std::move(parts))
-    , m_mesh([this](peer_datagram message) { heard(std::move(message)); })
+    , m_mesh([this](const serving::node_place& from, const node_envelope& envelope) { heardEnvelope(from, envelope); })
+    , m_ownHash(serving::shortHash(m_parts.self().vm))
 {
+    m_relayTimer.setSingleShot(true);
+    m_relayTimer.setTimerType(Qt::PreciseTimer);
+    QObject::connect(&m_relayTimer, &QTimer::timeout, [this] { passOn(); });
     QObject::connect(&m_beatTimer, &QTimer::timeout, [this] { beat(); });
     m_noteTimer.setSingleShot(true);
     QObject::connect(&m_noteTimer, &QTimer::timeout, [this] { tellJobs(); });
@@ -44,14 +48,13 @@
     const auto now = boot_clock::now();
     auto& decisions = m_parts.decisions;
     auto& nodes = m_parts.nodes;
-    const auto self = m_parts.self();
     const bool isWhole = m_wholeBeats > 0 || m_beats % beatsPerWhole == 0;
     m_wholeBeats = std::max(0, m_wholeBeats - 1);
     ++m_beats;
-    m_mesh.send(nodes.recipients(now),
-        node_heartbeat { serving::pulseOf(self), isWhole ? std::optional(self) : std::nullopt, decisions.ownLoad(),
-            decisions.ownJobs(now), m_parts.caches.takeNews(mostCacheNews), decisions.takeHealthNews(now),
-            m_parts.roles.changing() });
+    tellAll(encodeDatagram(heartbeat(isWhole, now)));
+    // Those that are not heard may know nothing of this node, so they are told where it is.
+    if (const auto sought = nodes.toSeek(now); !sought.empty())
+        greet(sought, true);
     const int wanted = nodes.knownCount() * millisecondsPerSecond / heartbeatsPerSecond;
     const int interval = std::max(static_cast<int>(heartbeatInterval.count()), wanted);
     m_beatTimer.start(interval);
@@ -60,6 +63,54 @@
     nodes.setPeerTimeout(std::max(shortestSilence, untilAway));
 }
 
+node_heartbeat peer_talk::heartbeat(bool isWhole, instant now)
+{
+    auto& decisions = m_parts.decisions;
+    const auto self = m_parts.self();
+    return { serving::pulseOf(self), isWhole ? std::optional(self) : std::nullopt, decisions.ownLoad(),
+        decisions.ownJobs(now), m_parts.caches.takeNews(mostCacheNews), decisions.takeHealthNews(now),
+        m_parts.roles.changing() };
+}
+
+void peer_talk::tellAll(const std::string& message) { send(m_relay.tell(message, boot_clock::now())); }
+
+void peer_talk::greet(const std::vector<serving::node_state>& nodes, bool isSeeking)
+{
+    serving::relay_datagram datagram;
+    for (const auto& node : nodes)
+        datagram.to.push_back({ node.address, node.peerPort });
+    datagram.messages.push_back(encodeDatagram(node_greeting { m_parts.self(), isSeeking }));
+    m_mesh.send(datagram);
+}
+
+void peer_talk::send(const std::vector<serving::relay_datagram>& datagrams)
+{
+    for (const auto& datagram : datagrams)
+        m_mesh.send(datagram);
+    const auto wait = m_relay.nextAt() - boot_clock::now();
+    m_relayTimer.start(std::max(0ms, std::chrono::ceil<std::chrono::milliseconds>(wait)));
+}
+
+void peer_talk::passOn() { send(m_relay.due(boot_clock::now())); }
+
+void peer_talk::planRelays(const serving::node_state& self, const std::vector<serving::node_state>& alive)
+{
+    m_relay.planned(serving::planRelays(self, alive), boot_clock::now());
+    send({});
+}
+
+void peer_talk::heardEnvelope(const serving::node_place& from, const node_envelope& envelope)
+{
+    m_relay.heard(from, envelope.step, envelope.messages, boot_clock::now());
+    for (const auto& message : envelope.messages) {
+        if (const auto decoded = decodeDatagram(message))
+            heard(*decoded);
+        else
+            ++m_undecodable;
+    }
+    send({});
+}
+
 void peer_talk::jobsSent()
 {
     if (!m_noteTimer.isActive())
@@ -73,24 +124,43 @@
     const auto now = boot_clock::now();
     auto jobs = m_parts.decisions.takeNewJobs(now);
     if (!jobs.empty())
-        m_mesh.send(m_parts.nodes.alive(now), job_note { serving::shortHash(m_parts.self().vm), std::move(jobs) });
+        tellAll(encodeDatagram(job_note { m_ownHash, std::move(jobs) }));
 }
 
 void peer_talk::tellTargets(serving::target_note note)
 {
-    const auto peers = m_parts.nodes.alive(boot_clock::now());
     for (auto& part : splitNote(std::move(note)))
-        m_mesh.send(peers, std::move(part));
+        tellAll(encodeDatagram(std::move(part)));
 }
 
-void peer_talk::heard(peer_datagram message)
+// A relay tells all its nodes the same, so what a node has told itself comes back to it.
+void peer_talk::heard(const peer_datagram& message)
 {
-    if (auto* heartbeat = std::get_if<node_heartbeat>(&message))
-        return heardBeat(*heartbeat);
-    if (const auto* note = std::get_if<serving::target_note>(&message))
-        return m_parts.view.targetsTold(*note);
-    const auto& note = std::get<job_note>(message);
-    m_parts.decisions.peerSent(note.node, note.jobs, false, boot_clock::now());
+    if (const auto* heartbeat = std::get_if<node_heartbeat>(&message))
+        heardBeat(*heartbeat);
+    else if (const auto* jobs = std::get_if<job_note>(&message))
+        heardJobs(*jobs);
+    else if (const auto* targets = std::get_if<serving::target_note>(&message))
+        m_parts.view.targetsTold(*targets);
+    else
+        heardGreeting(std::get<node_greeting>(message));
+}
+
+void peer_talk::heardJobs(const job_note& message)
+{
+    if (message.node != m_ownHash)
+        m_parts.decisions.peerSent(message.node, message.jobs, false, boot_clock::now());
+}
+
+// What goes wrong without the answer: a node that has just started knows no relay, and hears nobody.
+void peer_talk::heardGreeting(const node_greeting& message)
+{
+    const auto now = boot_clock::now();
+    if (m_parts.nodes.heard(message.sender, now))
+        reached(message.sender);
+    stateHeard(message.sender);
+    if (message.isSeeking && m_relay.isRelay())
+        greet({ message.sender }, false);
 }
 
 serving::felt_node peer_talk::senderOf(const node_heartbeat& message, instant now)
@@ -101,22 +171,33 @@
     return felt;
 }
 
+void peer_talk::reached(const serving::node_state& peer)
+{
+    // It may not know where this node is, if the store is away.
+    m_wholeBeats = std::max(m_wholeBeats, 1);
+    m_parts.log.write(log_event::peer_reached, { { "peer", peer.vm }, { "incarnation", peer.incarnation } });
+}
+
+void peer_talk::stateHeard(const serving::node_state& peer)
+{
+    m_parts.view.versionSeen(peer.configurationVersion);
+    m_parts.view.targetChangeSeen(peer.lastTargetChange);
+}
+
 void peer_talk::heardBeat(const node_heartbeat& message)
 {
+    if (message.pulse.node == m_ownHash)
+        return;
     const auto now = boot_clock::now();
     const auto felt = senderOf(message, now);
     if (!felt.state)
         return; // it tells all of itself in one of the next heartbeats
     const auto sender = *felt.state;
-    if (felt.wasAway) {
-        // It may not know where this node is, if the store is away.
-        m_wholeBeats = std::max(m_wholeBeats, 1);
-        m_parts.log.write(log_event::peer_reached, { { "peer", sender.vm }, { "incarnation", sender.incarnation } });
-    }
+    if (felt.wasAway)
+        reached(sender);
+    stateHeard(sender);
     m_parts.decisions.peerTold(sender.vm, message.load, now);
     m_parts.decisions.peerSent(message.pulse.node, message.jobs, true, now);
-    m_parts.view.versionSeen(sender.configurationVersion);
-    m_parts.view.targetChangeSeen(sender.lastTargetChange);
     m_parts.caches.told(message.caches);
     m_parts.decisions.peerSaw(message.health, now);
     m_parts.roles.told(message.changing, now);
--- a/libs/gateway/src/peer_talk.h
+++ b/libs/gateway/src/peer_talk.h
@@ -14,7 +14,7 @@
 
 namespace tamarack {
 
-/// Sends at a pace that the number of nodes allows; takes what peers send into the decisions and the view.
+/// Tells at a pace that the number of nodes allows; takes what peers tell into the decisions and the view.
 class peer_talk {
 public:
     struct dependencies {
@@ -36,21 +36,40 @@
     /// Prompts have gone to engines: peers are told in a moment.
     void jobsSent();
     void tellTargets(serving::target_note note);
-    /// Datagrams that were no messages.
-    std::uint64_t undecodable() const { return m_mesh.undecodable(); }
+    /// Finds out who passes on what is told; now and then.
+    void planRelays(const serving::node_state& self, const std::vector<serving::node_state>& alive);
+    const datagram_counts& counts() const { return m_mesh.counts(); }
+    /// Datagrams, and messages in them, that could not be read.
+    std::uint64_t undecodable() const { return m_mesh.counts().undecodable + m_undecodable; }
 
 private:
-    void heard(peer_datagram message);
+    void heardEnvelope(const serving::node_place& from, const node_envelope& envelope);
+    void heard(const peer_datagram& message);
     void heardBeat(const node_heartbeat& message);
+    void heardGreeting(const node_greeting& message);
+    void heardJobs(const job_note& message);
+    /// A peer has been heard that was away.
+    void reached(const serving::node_state& peer);
+    /// What follows from a peer's state.
+    void stateHeard(const serving::node_state& peer);
+    void tellAll(const std::string& message);
+    node_heartbeat heartbeat(bool isWhole, instant now);
+    void greet(const std::vector<serving::node_state>& nodes, bool isSeeking);
+    void passOn();
+    void send(const std::vector<serving::relay_datagram>& datagrams);
     serving::felt_node senderOf(const node_heartbeat& message, instant now);
     void tellJobs();
 
     dependencies m_parts;
     peer_mesh m_mesh;
+    serving::message_relay m_relay;
+    QTimer m_relayTimer;
     QTimer m_beatTimer;
     QTimer m_noteTimer;
     int m_wholeBeats = 3; // left in which the whole state is told
     int m_beats = 0;
+    std::uint32_t m_ownHash;
+    std::uint64_t m_undecodable = 0;
 };
 
 }
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -11,7 +11,8 @@
     using enum log_group;
 
     constexpr std::array<log_event_info, static_cast<std::size_t>(log_event::count)> table { {
-        { log_event::node_started, "node_started", info, lifecycle, "availability_zone callers caller_port address" },
+        { log_event::node_started, "node_started", info, lifecycle,
+            "availability_zone callers caller_port address first_start" },
         { log_event::drain_started, "drain_started", info, lifecycle, "held connections" },
         { log_event::drain_finished, "drain_finished", info, lifecycle, "held connections" },
         { log_event::settings_reloaded, "settings_reloaded", info, lifecycle, "seeds" },
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -18,7 +18,8 @@
     std::string availabilityZone;
     std::uint64_t seed = 1;
     retry_bound retries;
-    instant startedAt; ///< of the process: a node has its part of the retries' slack some time after it
+    /// Of the process: a node has its part of the retries' slack some time after it. Not set: there was no former life.
+    instant startedAt;
     duration peerLife = std::chrono::seconds(1); ///< a peer silent for so long no longer counts
 };
 
--- a/libs/serving/include/serving/node_directory.h
+++ b/libs/serving/include/serving/node_directory.h
@@ -86,8 +86,8 @@
     std::vector<node_state> alive(instant now) const;
     /// All known, without this node.
     std::vector<node_state> others() const;
-    /// Who gets a heartbeat now.
-    std::vector<node_state> recipients(instant now);
+    /// Known nodes that are not heard and are to be told by this node itself now that it is there.
+    std::vector<node_state> toSeek(instant now);
     /// All known, this node included.
     int knownCount() const { return static_cast<int>(m_nodes.size()) + 1; }
     /// Silence after which a node counts as away, as the heartbeats' interval asks for it.
--- a/libs/serving/src/node_directory.cpp
+++ b/libs/serving/src/node_directory.cpp
@@ -128,11 +128,11 @@
     return out;
 }
 
-std::vector<node_state> node_directory::recipients(instant now)
+std::vector<node_state> node_directory::toSeek(instant now)
 {
     std::vector<node_state> out;
     for (auto& [vm, known] : m_nodes) {
-        if (!isAlive(known, now) && now < known.sentAt + m_settings.awayInterval)
+        if (isAlive(known, now) || now < known.sentAt + m_settings.awayInterval)
             continue;
         known.sentAt = now;
         out.push_back(known.state);
--- a/libs/serving/tests/test_node_directory.cpp
+++ b/libs/serving/tests/test_node_directory.cpp
@@ -28,7 +28,7 @@
     nodes.registered(node("n1"), at(0s));
     CHECK(nodes.knownCount() == 2);
     CHECK(nodes.alive(at(0s)).empty());
-    CHECK(nodes.recipients(at(1s)).size() == 1);
+    CHECK(nodes.toSeek(at(1s)).size() == 1);
     nodes.heard(node("n1"), at(1s));
     CHECK(nodes.alive(at(1s)).size() == 1);
     CHECK(nodes.alive(at(3s)).empty());
@@ -65,13 +65,13 @@
     CHECK(nodes.alive(at(100ms)).front().address == "10.0.0.1");
 }
 
-TEST_CASE("test_nodes_that_are_away_get_few_heartbeats")
+TEST_CASE("test_nodes_that_are_away_are_sought_seldom")
 {
     node_directory nodes("n0", {});
     nodes.registered(node("n1"), at(0s));
     int sent = 0;
     for (int i = 0; i < 50; ++i)
-        sent += static_cast<int>(nodes.recipients(at(i * 100ms)).size());
+        sent += static_cast<int>(nodes.toSeek(at(i * 100ms)).size());
     CHECK(sent == 5);
 }
 
