--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -43,7 +43,7 @@
     /// Who does what for all is looked at this often.
     constexpr duration dutyInterval = 100ms;
     /// Nodes that start together register within this time, in milliseconds.
-    constexpr int registrationSpread = 1500;
+    constexpr int registrationSpread = 5000;
     constexpr std::uint64_t hashTurns = 1024;
     constexpr duration stateLife = 100ms;
     /// Gauges are as old as this.
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -16,7 +16,7 @@
 namespace {
 
     /// Another version is another format: what cannot be read is dropped, and the nodes of a version know each other.
-    constexpr char formatVersion = 13;
+    constexpr char formatVersion = 14;
     /// 1,472 bytes fit into a datagram that is not split; a load takes 6, a job 27, news of a cache 16, of a
     /// target's health 8, a change of role 4, the
     /// sender some 35, or 140 when it tells all of itself. Changes of role are seldom many, and then before
@@ -195,7 +195,7 @@
 
 template <class Archive> void serialize(Archive& archive, shared_state& m)
 {
-    archive(m.configuration, m.targets, m.nodes, m.knowsNodes);
+    archive(m.configuration, m.targets, m.nodes, m.knowsNodes, m.isStoreReachable);
 }
 
 namespace {
--- a/libs/gateway/src/node_messages.h
+++ b/libs/gateway/src/node_messages.h
@@ -63,6 +63,7 @@
     serving::told_list targets;
     std::vector<serving::told_node> nodes; ///< whether they seem alive or not
     bool knowsNodes = false; ///< the sender knows all that have registered
+    bool isStoreReachable = false; ///< by the sender
 };
 
 /// A target note is sent by a node that follows the target list closely.
--- a/libs/gateway/src/peer_talk.cpp
+++ b/libs/gateway/src/peer_talk.cpp
@@ -103,6 +103,18 @@
 {
     m_relay.planned(serving::planRelays(self, alive), boot_clock::now());
     send({});
+    logRelay();
+}
+
+void peer_talk::logRelay()
+{
+    if (m_relayLogged == m_relay.relay() && m_wasRelay == m_relay.isRelay())
+        return;
+    m_relayLogged = m_relay.relay();
+    m_wasRelay = m_relay.isRelay();
+    m_parts.log.write(log_event::relay_changed,
+        { { "relay", m_relay.hasRelay() ? toString(endpoint { m_relayLogged.address, m_relayLogged.port }) : "" },
+            { "passes_on", m_wasRelay } });
 }
 
 void peer_talk::heardLoad(const serving::node_place& from, const serving::relay_load& load)
--- a/libs/gateway/src/peer_talk.h
+++ b/libs/gateway/src/peer_talk.h
@@ -51,6 +51,7 @@
     void heardJobs(const job_note& message);
     /// A peer has been heard that was away.
     void reached(const serving::node_state& peer);
+    void logRelay();
     /// One line for all that were reached since the last heartbeat.
     void logReached();
     /// What follows from a peer's state.
@@ -73,6 +74,8 @@
     int m_beats = 0;
     std::uint32_t m_ownHash;
     name_sample m_reached;
+    serving::node_place m_relayLogged;
+    bool m_wasRelay = true;
     std::uint64_t m_undecodable = 0;
 };
 
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -240,7 +240,6 @@
     if (!step.mustRead || now < m_targetsHurriedAt + hurryInterval)
         return;
     m_targetsHurriedAt = now;
-    m_isBehindTargets = !m_readsClosely;
     if (m_readsClosely)
         m_targetFeed.hurry();
     else
@@ -250,7 +249,7 @@
 void shared_view::readMissing()
 {
     m_configurationFeed.hurry();
-    if (std::exchange(m_isBehindTargets, false))
+    if (m_targets.isBehind())
         m_targetFeed.hurry();
 }
 
@@ -321,8 +320,6 @@
     const auto configuration = state.configuration ? unpack(*state.configuration) : std::nullopt;
     if (configuration)
         onConfigurationRecord(*configuration);
-    if (state.targets.upTo > m_targets.lastChange())
-        m_isBehindTargets = false;
     carryOut(m_targets.stateTaken(state.targets, boot_clock::now()));
     for (const auto& node : state.nodes)
         m_parts.nodes.told(node, boot_clock::now());
@@ -345,6 +342,7 @@
     out.nodes = m_parts.nodes.others(boot_clock::now());
     out.nodes.push_back({ self, duration::zero() });
     out.knowsNodes = knowsNodes();
+    out.isStoreReachable = isStoreReachable();
     return out;
 }
 
--- a/libs/gateway/src/shared_view.h
+++ b/libs/gateway/src/shared_view.h
@@ -62,7 +62,7 @@
     /// The store is to be asked for what is missing, as no peer has given it.
     void readMissing();
     /// Whether a change of the target list was missed.
-    bool isBehindTargets() const { return m_isBehindTargets; }
+    bool isBehindTargets() const { return m_targets.isBehind(); }
     /// What a peer knows; taken where it is newer.
     void take(const shared_state& state);
     shared_state offered(const serving::node_state& self);
@@ -117,7 +117,6 @@
     instant m_targetsHurriedAt;
     bool m_readsClosely = false;
     bool m_knowsNodes = false;
-    bool m_isBehindTargets = false;
     bool m_wereTargetsLost = false; // the store has not told the list since
 };
 
--- a/libs/gateway/src/state_pull.cpp
+++ b/libs/gateway/src/state_pull.cpp
@@ -16,9 +16,9 @@
     /// A peer answers from memory; after this another one is asked.
     constexpr duration answerTimeout = 800ms;
     /// A peer that has just started as well knows nothing yet, and one with many askers turns some away.
-    constexpr auto startRetry = 150ms;
-    /// After which a node that starts asks the store by itself; the seeds have read it within some 100 ms.
-    constexpr auto longestStart = 1s;
+    constexpr auto startRetry = 200ms;
+    /// Without a word of a seed that reaches the store, a node that starts asks the store by itself after this time.
+    constexpr auto longestSilence = 1s;
     constexpr std::string_view statePath = "/state";
     constexpr std::string_view configurationPath = "/configuration";
 
@@ -43,7 +43,7 @@
     if (!m_isStarting)
         return false;
     m_seedTurn = stableHash(m_parts.self().vm);
-    m_startTimer.start(longestStart);
+    m_startTimer.start(longestSilence);
     pull();
     return true;
 }
@@ -151,6 +151,9 @@
     if (m_isStarting) {
         if (m_parts.view.hasConfiguration() && m_parts.view.hasTargets())
             return endStart(true);
+        // The store itself may have nothing yet; the seeds look for all.
+        if (decoded && decoded->isStoreReachable)
+            m_startTimer.start(longestSilence);
         QTimer::singleShot(startRetry, &m_timer, [this] { pull(); });
     } else if (!decoded) {
         m_parts.view.readMissing();
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -31,6 +31,7 @@
     peer_lost,
     peers_reached,
     peers_lost,
+    relay_changed,
     readiness_changed,
     state_pulled,
     state_not_pulled,
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -24,6 +24,7 @@
         { log_event::peer_lost, "peer_lost", warning, lifecycle, "peer silent_ms" },
         { log_event::peers_reached, "peers_reached", info, lifecycle, "count peers" },
         { log_event::peers_lost, "peers_lost", warning, lifecycle, "count peers" },
+        { log_event::relay_changed, "relay_changed", info, lifecycle, "relay passes_on" },
         { log_event::readiness_changed, "readiness_changed", info, lifecycle, "ready configuration targets stopping" },
         { log_event::state_pulled, "state_pulled", info, lifecycle, "peer targets" },
         { log_event::state_not_pulled, "state_not_pulled", warning, lifecycle, "peer reason" },
--- a/libs/serving/include/serving/message_relay.h
+++ b/libs/serving/include/serving/message_relay.h
@@ -54,6 +54,7 @@
     bool isRelay() const { return m_plan.isRelay || !m_nodes.empty(); }
     /// Whether another node passes on what this one tells.
     bool hasRelay() const { return m_relay.port != 0; }
+    const node_place& relay() const { return m_relay; }
     /// When due() is to be called at the latest.
     instant nextAt() const { return m_nextAt; }
 
--- a/libs/serving/include/serving/target_follower.h
+++ b/libs/serving/include/serving/target_follower.h
@@ -63,6 +63,8 @@
     follow_step tick(instant now);
 
     bool hasList() const { return m_hasList; }
+    /// Whether a peer knows of a change that this node has missed.
+    bool isBehind() const { return m_hasList && m_soughtTo > m_lastChange && m_soughtTo >= m_next; }
     /// Every change up to this offset is known and obeyed here; -1: there was none.
     std::int64_t lastChange() const;
     /// For a peer.
@@ -88,6 +90,7 @@
     std::int64_t m_newest = -1; // offset of the newest change known; there may be gaps below it
     std::int64_t m_lastChange = -1; // the newest below which there is no gap
     std::int64_t m_toldTo = -1; // where the next note's chain begins
+    std::int64_t m_soughtTo = -1; // the newest change that is known to be missing; there by now if isBehind() is false
     std::int64_t m_confirmedTo = -1; // a peer that follows the list has obeyed everything up to here
     bool m_hasList = false;
 };
--- a/libs/serving/src/target_follower.cpp
+++ b/libs/serving/src/target_follower.cpp
@@ -157,6 +157,7 @@
     // What goes wrong without the chain: a note that was lost is followed by one that comes, and this node takes the
     // later change for the last one it has to know. One notices by a target that some nodes give up and others do not.
     if (std::max(m_lastChange, m_next - 1) < note.previous) {
+        m_soughtTo = std::max(m_soughtTo, note.upTo);
         step.mustRead = true;
         m_toldTo = std::max(m_toldTo, note.upTo); // what this node tells from now on begins after that
         return step;
@@ -171,7 +172,8 @@
 {
     follow_step step;
     confirmLapsed(offset, now, step.changes);
-    step.mustRead = m_hasList && offset > m_lastChange && offset >= m_next;
+    m_soughtTo = std::max(m_soughtTo, offset);
+    step.mustRead = isBehind();
     return step;
 }
 
