Relays keep to their links, beats do not fall together, and two relays that are silent for each other find each other

A new version at 1 s made all 295 nodes beat at once; equal pauses kept the beats together from then on; each relay passed hundreds of copies on in one moment, its link dropped what did not fit, three times in a row, and six seconds later half of the nodes were taken for gone.

Change: a relay waits after each datagram until its copies have left half of its link; urgent messages go first; narrow links pass on to fewer nodes; pauses between beats differ; only nodes that read for others tell of a new version at once.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -235,7 +235,8 @@
 void gateway::state::configure(const std::shared_ptr<const serving::serving_configuration>&)
 {
     callers.setLimits(limits());
-    peers.beat(); // which tells them of the version at once
+    if (view.readsClosely())
+        peers.beat(); // which tells the others of the version at once
 }
 
 bool gateway::state::isReady() const { return !isDraining && view.hasConfiguration() && view.hasTargets(); }
--- a/libs/gateway/src/peer_talk.cpp
+++ b/libs/gateway/src/peer_talk.cpp
@@ -1,6 +1,8 @@
 // Heartbeats carry all; notes what cannot wait for the next one.
 #include "peer_talk.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
 
 namespace tamarack {
@@ -26,6 +28,7 @@
     /// Where a node is takes three times as many bytes as the rest of its state, and peers know it from the store; with
     /// 82 nodes heartbeats were half of all bytes between zones.
     constexpr int beatsPerWhole = 8;
+    constexpr double beatSpread = 0.15; ///< of the interval, more or less
     constexpr int millisecondsPerSecond = 1000;
 
 }
@@ -33,6 +36,7 @@
 peer_talk::peer_talk(dependencies parts)
     : m_parts(std::move(parts))
     , m_mesh([this](const serving::node_place& from, const serving::relay_load& load) { heardLoad(from, load); })
+    , m_random(stableHash(m_parts.self().vm))
     , m_ownHash(serving::shortHash(m_parts.self().vm))
 {
     m_relayTimer.setSingleShot(true);
@@ -60,7 +64,8 @@
         greet(sought, true);
     const int wanted = nodes.knownCount() * millisecondsPerSecond / heartbeatsPerSecond;
     const int interval = std::max(static_cast<int>(heartbeatInterval.count()), wanted);
-    m_beatTimer.start(interval);
+    // What goes wrong with equal pauses: nodes that once told something at the same moment do so for ever after.
+    m_beatTimer.start(static_cast<int>(interval * (1 + beatSpread * (2 * m_random.unit() - 1))));
     const duration untilAway = fromSeconds(heartbeatsUntilAway * interval / millisecondsPerSecond);
     decisions.setPeerLife(std::max(shortestPeerLife, untilAway));
     nodes.setPeerTimeout(std::max(shortestSilence, untilAway));
--- a/libs/gateway/src/peer_talk.h
+++ b/libs/gateway/src/peer_talk.h
@@ -6,6 +6,7 @@
 #include "role_orders.h"
 #include "shared_view.h"
 
+#include "base/random_source.h"
 #include "observe/name_sample.h"
 #include "serving/dispatcher.h"
 #include "serving/node_directory.h"
@@ -72,6 +73,7 @@
     QTimer m_noteTimer;
     int m_wholeBeats = 3; // left in which the whole state is told
     int m_beats = 0;
+    random_source m_random;
     std::uint32_t m_ownHash;
     name_sample m_reached;
     serving::node_place m_relayLogged;
--- a/libs/serving/include/serving/message_relay.h
+++ b/libs/serving/include/serving/message_relay.h
@@ -4,6 +4,7 @@
 
 #include "serving/relay_plan.h"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -61,26 +62,38 @@
 private:
     /// Messages that wait for others, to be sent together.
     struct collected {
-        std::vector<std::string> messages;
-        std::size_t bytes = 0;
-        told_pace pace = told_pace::soon;
-        instant flushAt;
+        std::deque<std::string> urgent;
+        std::deque<std::string> others;
+        std::size_t bytes = 0; // of all of them
+        instant urgentAt; // when those are due
+        instant othersAt;
         instant sentAt; // the last datagram
+
+        bool isEmpty() const { return urgent.empty() && others.empty(); }
+        instant dueAt() const;
+        /// The next datagram's messages, the urgent ones first.
+        relay_load take(relay_step step);
     };
     using places = std::map<node_place, instant>; // when they were heard last
 
     void collect(collected& to, const std::vector<std::string>& messages, told_pace pace, instant now);
-    void flush(collected& from, std::vector<node_place> to, relay_step step, duration longestSilence, instant now,
-        std::vector<relay_datagram>& out);
+    void flush(collected& from, const std::vector<node_place>& to, relay_step step, duration longestSilence,
+        instant now, std::vector<relay_datagram>& out);
+    /// The first that are not silent.
+    std::vector<relay_candidate> relaysOf(const zone_relays& zone, duration silentFor, instant now) const;
     /// Leaves a relay that is silent, and finds another.
     void chooseRelay(instant now);
-    bool isUsable(const node_place& relay, instant now) const;
+    node_place bestRelay(instant now) const;
+    bool isUsable(const node_place& relay, duration silentFor, instant now) const;
     /// Finds the relays of all zones, each that is silent replaced by the next of its zone.
     void findRelays(instant now);
     std::vector<node_place> otherRelays() const;
     static std::vector<node_place> listOf(const places& nodes);
 
-    relay_plan m_plan { true, false, {}, {}, {} };
+    /// Until a datagram for so many receivers has left this node's link, and others had as much of it.
+    duration sendTime(const relay_datagram& datagram) const;
+
+    relay_plan m_plan { true, false, {}, {}, 0 };
     collected m_forNodes;
     collected m_forRelays;
     places m_nodes; // that tell this node what is for all
--- a/libs/serving/include/serving/relay_plan.h
+++ b/libs/serving/include/serving/relay_plan.h
@@ -18,18 +18,27 @@
     auto operator<=>(const node_place&) const = default;
 };
 
-/// Nodes of one zone other than the one that plans, the best relays first.
+/// A node that may pass on for others of its zone.
+struct relay_candidate {
+    node_place place;
+    std::size_t serves = 0; ///< so many nodes, itself included
+    std::uint64_t weight = 0; ///< among relays of its zone, for the node that plans; spreads the nodes over them
+};
+
+/// The nodes of a zone but for the one that plans. Of the candidates that are not silent the first ones are its relays,
+/// as many as it takes to serve all.
 struct zone_relays {
-    std::vector<node_place> ranked;
-    std::size_t wanted = 0; ///< of them
+    std::vector<relay_candidate> ranked; ///< the best first
+    std::size_t nodes = 0; ///< to be served by them
+    bool isOwn = false; ///< the zone of the node that plans
 };
 
 struct relay_plan {
     bool isRelay = false; ///< this node is one
     bool hasRelays = false; ///< some pass on for the others; else everyone tells everyone
     std::vector<zone_relays> zones;
-    std::vector<node_place> choices; ///< for this node, if it is none: the best first
     std::vector<node_place> everyone; ///< that lives
+    std::uint32_t linkMegabits = 0; ///< a second, of this node's link; 0: not known
 };
 
 /// While there are few nodes each is a relay, and everyone tells everyone. With more, one of some thirty nodes of a
--- a/libs/serving/src/message_relay.cpp
+++ b/libs/serving/src/message_relay.cpp
@@ -13,16 +13,26 @@
     /// is one in which others do not know of it yet.
     constexpr duration soonPause = 20ms;
     constexpr duration urgentPause = 2ms;
+    /// Between two datagrams to the same nodes.
+    constexpr duration shortestPause = 1ms;
+    /// Of a relay's link, for what it passes on; callers' requests and answers need the rest.
+    constexpr double linkShare = 0.5;
+    /// Of what waits to be passed on.
+    constexpr std::size_t mostWaitingBytes = 256 * 1024;
     /// Of the messages of one datagram, below the usual path MTU; a single larger one goes alone.
     constexpr std::size_t mostBytes = 1'350;
     /// What a message takes beyond its own bytes.
     constexpr std::size_t messageOverhead = 2;
+    constexpr std::size_t datagramOverhead = 32;
     /// A relay tells its nodes something at least this often.
     constexpr duration relayPulse = 100ms;
     /// After which a node leaves it.
     constexpr duration relaySilence = 450ms;
-    /// Until it is taken for a relay again.
-    constexpr duration silentFor = 3s;
+    /// Until a node takes it for its relay again, if it is not heard: with many nodes it takes as long until all know
+    /// that it is gone.
+    constexpr duration nodeLeavesFor = 8s;
+    /// Until another relay tells it something again: two that are silent for each other find each other so.
+    constexpr duration relayLeavesFor = 2s;
     /// A node tells its relay something at least this often, and a relay the others.
     constexpr duration memberPulse = 200ms;
     /// Who was not heard for so long has another relay, or is gone.
@@ -47,38 +57,48 @@
 {
     if (!m_plan.hasRelays)
         return m_plan.everyone;
-    auto out = listOf(m_planned);
+    auto out = isRelay() ? listOf(m_planned) : std::vector<node_place>();
     for (const auto& [place, heardAt] : m_otherRelays) {
-        if (!m_planned.contains(place))
+        if (std::find(out.begin(), out.end(), place) == out.end())
             out.push_back(place);
     }
     return out;
 }
 
+std::vector<relay_candidate> message_relay::relaysOf(const zone_relays& zone, duration silentFor, instant now) const
+{
+    std::vector<relay_candidate> out;
+    std::size_t served = 0;
+    for (const auto& candidate : zone.ranked) {
+        if (served >= zone.nodes)
+            break;
+        if (!isUsable(candidate.place, silentFor, now))
+            continue;
+        out.push_back(candidate);
+        served += candidate.serves;
+    }
+    return out;
+}
+
 // What goes wrong without it: all relays of a zone are lost at once, and what its nodes tell reaches no other zone
 // until everyone takes the lost ones for gone.
 void message_relay::findRelays(instant now)
 {
+    for (const auto& [place, since] : m_planned) {
+        if (now >= since + relaySilence)
+            m_silent[place] = now;
+    }
     places chosen;
     for (const auto& zone : m_plan.zones) {
-        std::size_t wanted = zone.wanted;
-        for (auto place = zone.ranked.begin(); place != zone.ranked.end() && wanted > 0; ++place) {
-            if (!isUsable(*place, now))
-                continue;
-            const auto known = m_planned.find(*place);
-            const instant since = known == m_planned.end() ? now : known->second;
-            if (now >= since + relaySilence) {
-                m_silent[*place] = now;
-                continue;
-            }
-            chosen[*place] = since;
-            --wanted;
+        for (const auto& relay : relaysOf(zone, relayLeavesFor, now)) {
+            const auto known = m_planned.find(relay.place);
+            chosen[relay.place] = known == m_planned.end() ? now : known->second;
         }
     }
     m_planned = std::move(chosen);
 }
 
-bool message_relay::isUsable(const node_place& relay, instant now) const
+bool message_relay::isUsable(const node_place& relay, duration silentFor, instant now) const
 {
     const auto left = m_silent.find(relay);
     return left == m_silent.end() || now >= left->second + silentFor;
@@ -87,9 +107,6 @@
 void message_relay::planned(relay_plan plan, instant now)
 {
     m_plan = std::move(plan);
-    const auto& choices = m_plan.choices;
-    if (std::find(choices.begin(), choices.end(), m_relay) == choices.end())
-        m_relay = {};
     chooseRelay(now);
     if (isRelay())
         findRelays(now);
@@ -101,18 +118,32 @@
         m_relay = {};
         return;
     }
-    if (m_relay.port != 0 && now < m_relayHeardAt + relaySilence)
-        return;
-    if (m_relay.port != 0)
+    if (m_relay.port != 0 && now >= m_relayHeardAt + relaySilence)
         m_silent[m_relay] = now;
-    const auto next = std::find_if(
-        m_plan.choices.begin(), m_plan.choices.end(), [&](const node_place& place) { return isUsable(place, now); });
-    m_relay = next == m_plan.choices.end() ? node_place {} : *next;
+    const auto best = bestRelay(now);
+    if (best == m_relay)
+        return;
+    // The former one goes on passing to this node until it takes it for gone.
+    m_relay = best;
     m_relayHeardAt = now; // it has as long to answer
     m_toldAt = {}; // it is to hear of this node at once
     m_nextAt = now;
 }
 
+node_place message_relay::bestRelay(instant now) const
+{
+    for (const auto& zone : m_plan.zones) {
+        if (!zone.isOwn)
+            continue;
+        const auto relays = relaysOf(zone, nodeLeavesFor, now);
+        const auto best = std::max_element(relays.begin(), relays.end(),
+            [](const relay_candidate& a, const relay_candidate& b) { return a.weight < b.weight; });
+        if (best != relays.end())
+            return best->place;
+    }
+    return {};
+}
+
 std::vector<relay_datagram> message_relay::tell(const std::string& message, told_pace pace, instant now)
 {
     if (isRelay()) {
@@ -148,43 +179,72 @@
 
 void message_relay::collect(collected& to, const std::vector<std::string>& messages, told_pace pace, instant now)
 {
-    if (messages.empty())
-        return;
-    const instant flushAt = now + (pace == told_pace::atOnce ? urgentPause : soonPause);
-    to.flushAt = to.messages.empty() ? flushAt : std::min(to.flushAt, flushAt);
-    to.pace = std::max(to.pace, pace);
+    const bool isUrgent = pace == told_pace::atOnce;
+    auto& waiting = isUrgent ? to.urgent : to.others;
     for (const auto& message : messages) {
-        to.messages.push_back(message);
-        to.bytes += message.size() + messageOverhead;
+        const auto size = message.size() + messageOverhead;
+        if (!isUrgent && to.bytes + size > mostWaitingBytes)
+            continue; // it is told again, with what is new by then
+        if (waiting.empty())
+            (isUrgent ? to.urgentAt : to.othersAt) = now + (isUrgent ? urgentPause : soonPause);
+        waiting.push_back(message);
+        to.bytes += size;
+    }
+    if (!to.isEmpty())
+        m_nextAt = std::min(m_nextAt, to.dueAt());
+}
+
+instant message_relay::collected::dueAt() const
+{
+    constexpr auto never = instant::max();
+    return std::min(urgent.empty() ? never : urgentAt, others.empty() ? never : othersAt);
+}
+
+relay_load message_relay::collected::take(relay_step step)
+{
+    relay_load load { step, urgent.empty() ? told_pace::soon : told_pace::atOnce, {} };
+    std::size_t taken = 0;
+    for (auto* waiting : { &urgent, &others }) {
+        while (!waiting->empty()) {
+            const auto size = waiting->front().size() + messageOverhead;
+            if (taken > 0 && taken + size > mostBytes)
+                return load;
+            load.messages.push_back(std::move(waiting->front()));
+            waiting->pop_front();
+            taken += size;
+            bytes -= size;
+        }
     }
-    m_nextAt = std::min(m_nextAt, to.bytes >= mostBytes ? now : to.flushAt);
+    return load;
 }
 
-void message_relay::flush(collected& from, std::vector<node_place> to, relay_step step, duration longestSilence,
+duration message_relay::sendTime(const relay_datagram& datagram) const
+{
+    if (m_plan.linkMegabits == 0)
+        return duration::zero();
+    constexpr double bitsPerByte = 8;
+    constexpr double bitsPerMegabit = 1e6;
+    std::size_t bytes = datagramOverhead;
+    for (const auto& message : datagram.load.messages)
+        bytes += message.size() + messageOverhead;
+    const double bits = bitsPerByte * static_cast<double>(datagram.to.size() * bytes);
+    return fromSeconds(bits / (linkShare * bitsPerMegabit * m_plan.linkMegabits));
+}
+
+// What goes wrong without the pause after a datagram: many nodes tell something at the same moment, such as that a new
+// version is in force; hundreds of copies of it leave the relay at once, its link drops what does not fit, and nodes
+// that live are taken for gone.
+void message_relay::flush(collected& from, const std::vector<node_place>& to, relay_step step, duration longestSilence,
     instant now, std::vector<relay_datagram>& out)
 {
-    const bool isFull = from.bytes >= mostBytes;
-    const bool isDue = !from.messages.empty() && (isFull || now >= from.flushAt);
+    const bool isDue = !from.isEmpty() && now >= from.dueAt();
     if (!isDue && now < from.sentAt + longestSilence)
         return;
     from.sentAt = now;
-    relay_datagram datagram { std::move(to), { step, from.pace, {} } };
-    auto& messages = datagram.load.messages;
-    auto next = from.messages.begin();
-    for (std::size_t bytes = 0; next != from.messages.end(); ++next) {
-        bytes += next->size() + messageOverhead;
-        if (!messages.empty() && bytes > mostBytes)
-            break;
-        messages.push_back(std::move(*next));
-    }
-    out.push_back(std::move(datagram));
-    from.messages.erase(from.messages.begin(), next);
-    from.bytes = 0;
-    for (const auto& message : from.messages)
-        from.bytes += message.size() + messageOverhead;
-    // What is left waits for more, but no longer than it would have.
-    if (from.messages.empty())
-        from.pace = told_pace::soon;
+    out.push_back({ to, from.take(step) });
+    const instant next = now + std::max(sendTime(out.back()), shortestPause);
+    from.urgentAt = std::max(from.urgentAt, next);
+    from.othersAt = std::max(from.othersAt, next);
 }
 
 std::vector<relay_datagram> message_relay::due(instant now)
@@ -200,13 +260,14 @@
         m_toldAt = now;
         out.push_back({ { m_relay }, { relay_step::told, told_pace::soon, {} } });
     }
-    if (!m_plan.hasRelays || !isRelay())
+    // Another one takes this node for a relay: without an answer it would be silent for it when it is one.
+    if (!m_plan.hasRelays || (!isRelay() && m_otherRelays.empty()))
         return out;
     flush(m_forRelays, otherRelays(), relay_step::shared, memberPulse, now, out);
     flush(m_forNodes, listOf(m_nodes), relay_step::passed, relayPulse, now, out);
     for (const auto* waiting : { &m_forRelays, &m_forNodes }) {
-        if (!waiting->messages.empty())
-            m_nextAt = std::min(m_nextAt, waiting->bytes >= mostBytes ? now : waiting->flushAt);
+        if (!waiting->isEmpty())
+            m_nextAt = std::min(m_nextAt, waiting->dueAt());
     }
     return out;
 }
--- a/libs/serving/src/relay_plan.cpp
+++ b/libs/serving/src/relay_plan.cpp
@@ -12,7 +12,10 @@
 
     /// With more nodes in all, some of them pass on for the others.
     constexpr std::size_t mostThatTellAll = 20;
-    constexpr std::size_t nodesOfRelay = 32;
+    /// That a relay passes on to: 300 nodes tell some 40 KB a second in all, and each of its nodes gets that from it.
+    constexpr std::size_t mostNodesOfRelay = 32;
+    constexpr std::size_t fewestNodesOfRelay = 6;
+    constexpr std::size_t megabitsPerNode = 2; ///< of its link
 
     node_place placeOf(const node_state& node) { return { node.address, node.peerPort }; }
 
@@ -29,20 +32,37 @@
 
     using zone_members = std::vector<const node_state*>;
 
-    std::size_t relaysOf(const zone_members& zone) { return (zone.size() + nodesOfRelay - 1) / nodesOfRelay; }
+    std::size_t nodesOf(const node_state& relay)
+    {
+        if (relay.linkMegabits == 0)
+            return mostNodesOfRelay;
+        return std::clamp<std::size_t>(relay.linkMegabits / megabitsPerNode, fewestNodesOfRelay, mostNodesOfRelay);
+    }
+
+    /// Whether `self` is among the first that serve all of their zone.
+    bool isAmongFirst(const node_state& self, const zone_members& ranked)
+    {
+        std::size_t served = 0;
+        for (const auto* node : ranked) {
+            if (served >= ranked.size())
+                return false;
+            if (node == &self)
+                return true;
+            served += nodesOf(*node);
+        }
+        return false;
+    }
 
-    /// The relays of the own zone, spread over its nodes; then its other nodes, in case that all of those are silent.
-    std::vector<node_place> choicesOf(const node_state& self, const zone_members& zone)
+    zone_relays relaysOf(const node_state& self, const zone_members& ranked)
     {
-        auto ranked = zone;
-        std::erase(ranked, &self);
-        const auto relays = static_cast<std::ptrdiff_t>(std::min(relaysOf(zone), ranked.size()));
-        std::sort(ranked.begin(), ranked.begin() + relays, [&](const node_state* a, const node_state* b) {
-            return rendezvousWeight(self.vm, a->vm) > rendezvousWeight(self.vm, b->vm);
-        });
-        std::vector<node_place> out;
-        for (const auto* node : ranked)
-            out.push_back(placeOf(*node));
+        zone_relays out;
+        out.nodes = ranked.size();
+        for (const auto* node : ranked) {
+            if (node == &self)
+                out.isOwn = true;
+            else
+                out.ranked.push_back({ placeOf(*node), nodesOf(*node), rendezvousWeight(self.vm, node->vm) });
+        }
         return out;
     }
 
@@ -51,6 +71,7 @@
 relay_plan planRelays(const node_state& self, const std::vector<node_state>& alive)
 {
     relay_plan plan;
+    plan.linkMegabits = self.linkMegabits;
     std::map<std::string_view, zone_members> zones;
     zones[self.availabilityZone].push_back(&self);
     for (const auto& node : alive) {
@@ -65,21 +86,13 @@
     for (auto& [name, zone] : zones) {
         std::sort(
             zone.begin(), zone.end(), [](const node_state* a, const node_state* b) { return ranksBefore(*a, *b); });
-        zone_relays relays;
-        relays.wanted = relaysOf(zone);
-        const auto own = std::find(zone.begin(), zone.end(), &self);
-        if (own - zone.begin() < static_cast<std::ptrdiff_t>(relays.wanted) && !self.isStopping) {
+        auto relays = relaysOf(self, zone);
+        if (!self.isStopping && isAmongFirst(self, zone)) {
             plan.isRelay = true;
-            --relays.wanted;
-        }
-        for (const auto* node : zone) {
-            if (node != &self)
-                relays.ranked.push_back(placeOf(*node));
+            relays.nodes -= std::min(relays.nodes, nodesOf(self));
         }
         plan.zones.push_back(std::move(relays));
     }
-    if (!plan.isRelay)
-        plan.choices = choicesOf(self, zones[self.availabilityZone]);
     return plan;
 }
 
