--- a/libs/gateway/src/peer_talk.cpp
+++ b/libs/gateway/src/peer_talk.cpp
@@ -106,7 +106,13 @@
 
 void peer_talk::planRelays(const serving::node_state& self, const std::vector<serving::node_state>& alive)
 {
-    m_relay.planned(serving::planRelays(self, alive), boot_clock::now());
+    auto seen = static_cast<std::uint64_t>(self.isStopping);
+    for (const auto& node : alive)
+        seen += stableHash(node.vm) << (node.isStopping ? 1 : 0);
+    // Ranking 300 nodes anew ten times a second would be a tenth of what a node does.
+    if (seen != m_seenInPlan)
+        m_relay.planned(serving::planRelays(self, alive), boot_clock::now());
+    m_seenInPlan = seen;
     send({});
     logRelay();
 }
--- a/libs/gateway/src/peer_talk.h
+++ b/libs/gateway/src/peer_talk.h
@@ -78,6 +78,7 @@
     name_sample m_reached;
     serving::node_place m_relayLogged;
     bool m_wasRelay = true;
+    std::uint64_t m_seenInPlan = 0; // the nodes that the plan was made of
     std::uint64_t m_undecodable = 0;
 };
 
