--- a/libs/http/src/connection_pool.cpp
+++ b/libs/http/src/connection_pool.cpp
@@ -43,15 +43,16 @@
     return socket;
 }
 
-bool connection_pool::give(const endpoint& peer, std::unique_ptr<stream_socket>&& socket, duration idleLimit)
+std::unique_ptr<stream_socket> connection_pool::give(
+    const endpoint& peer, std::unique_ptr<stream_socket> socket, duration idleLimit)
 {
     auto& connections = m_idle[peer];
     if (connections.size() >= mostIdlePerPeer || !socket->isConnected() || idleLimit <= duration::zero())
-        return false;
+        return socket;
     auto& kept = connections.emplace_back(*this, peer, std::move(socket));
     kept.since = boot_clock::now();
     kept.until = kept.since + idleLimit;
-    return true;
+    return nullptr;
 }
 
 void connection_pool::drop(const idle_connection& dropped)
--- a/libs/http/src/connection_pool.h
+++ b/libs/http/src/connection_pool.h
@@ -15,8 +15,9 @@
 
     /// The connection that was used last, if one has been idle for less than `longestIdle`.
     std::unique_ptr<stream_socket> take(const endpoint& peer, duration longestIdle);
-    /// Keeps a connection for at most `idleLimit`. False if it is not kept; then it is still the caller's.
-    bool give(const endpoint& peer, std::unique_ptr<stream_socket>&& socket, duration idleLimit);
+    /// Keeps a connection for at most `idleLimit`. Returns it if it is not kept.
+    std::unique_ptr<stream_socket> give(
+        const endpoint& peer, std::unique_ptr<stream_socket> socket, duration idleLimit);
     void forget(const endpoint& peer) { m_idle.erase(peer); }
 
     std::uint64_t connectionsMade = 0;
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -266,13 +266,13 @@
             m_timer.stop();
             if (!m_socket)
                 return;
-            auto socket = std::move(m_socket);
-            if (reusable && m_pool->give(m_peer, std::move(socket), m_idleLimit))
+            auto dropped = reusable ? m_pool->give(m_peer, std::move(m_socket), m_idleLimit) : std::move(m_socket);
+            if (dropped)
+                dropped->reset();
+            else
                 m_keptFor = m_idleLimit;
-            else if (socket)
-                socket->reset();
             // Destroying this object inside one of its own calls would be use after free.
-            QTimer::singleShot(0, [self = std::move(m_self), dropped = std::shared_ptr(std::move(socket))] {});
+            QTimer::singleShot(0, [self = std::move(m_self), socket = std::shared_ptr(std::move(dropped))] {});
         }
 
         detail::connection_pool* m_pool;
