Nodes that never asked the store read when the readers lose it; a version that only a narrow link has is taken from there

Sequence, from its log: nodes that start are told by peers and never ask the store themselves. At 1.0 s a cut takes 21 of 60 nodes from the store, the readers of all three zones among them, but not from their peers; at 2.35 s they notice. Every other node counted as one that does not reach the store, so the three went on being the ones to ask. At 8.38 s one node read the list for another reason and had version 5; its link is narrow, and the others asked wide ones, which lacked it, three times a second until the cut healed at 13.1 s.

Ruled out: the store (it served who asked), relays (the pulse with version 5 reached all), the compaction at 7 s (it ended at 8.3 s).

Change: a node tells whether the store answers it, does not, or was not asked. Only who lost it leaves the reading to others. Of the peers that know what is wanted the one with the widest link is asked, no longer of all.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -266,7 +266,7 @@
     out.isReady = isReady();
     out.isStopping = isDraining;
     out.configurationVersion = view.hasConfiguration() ? view.configuration()->version() : 0;
-    out.isStoreReachable = view.isStoreReachable();
+    out.storeReach = view.storeReach();
     out.lastTargetChange = view.lastTargetChange();
     out.readsForOthers = view.readsClosely();
     out.linkMegabits = settings.linkMegabits;
@@ -353,7 +353,7 @@
     counters.set("tamarack_requests_waiting", static_cast<double>(decisions.waiting()));
     counters.set("tamarack_caller_connections", callers.connectionCount());
     counters.set("tamarack_target_connections_made", static_cast<double>(client.connectionsMade()));
-    counters.set("tamarack_store_reachable", view.isStoreReachable() ? 1 : 0);
+    counters.set("tamarack_store_reachable", view.storeReach() == serving::store_reach::reached ? 1 : 0);
     counters.set("tamarack_target_list_age_seconds", seconds(now - view.targetsFreshAt()));
     counters.set("tamarack_log_lines_left_out", static_cast<double>(log.linesLeftOut()));
     counters.set("tamarack_peer_undecodable", static_cast<double>(peers.undecodable()));
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -107,14 +107,14 @@
     template <class Archive> void serialize(Archive& archive, node_state& m)
     {
         archive(m.vm, m.incarnation, m.availabilityZone, m.address, m.callerPort, m.peerPort, m.adminPort, m.isReady,
-            m.isStopping, m.configurationVersion, m.isStoreReachable, m.lastTargetChange, m.readsForOthers,
-            m.linkMegabits, m.knownNodes);
+            m.isStopping, m.configurationVersion, m.storeReach, m.lastTargetChange, m.readsForOthers, m.linkMegabits,
+            m.knownNodes);
     }
 
     template <class Archive> void serialize(Archive& archive, node_pulse& m)
     {
         archive(m.node, m.incarnation, m.configurationVersion, m.lastTargetChange, m.isReady, m.isStopping,
-            m.isStoreReachable, m.readsForOthers, m.knownNodes);
+            m.storeReach, m.readsForOthers, m.knownNodes);
     }
 
     template <class Archive> void serialize(Archive& archive, told_node& m)
--- a/libs/gateway/src/record_feed.cpp
+++ b/libs/gateway/src/record_feed.cpp
@@ -152,8 +152,8 @@
 {
     if (error == store_error::expired)
         return again(duration::zero());
-    if (m_reach != reach::lost) {
-        m_reach = reach::lost;
+    if (m_reach != serving::store_reach::lost) {
+        m_reach = serving::store_reach::lost;
         m_on.onReach(false, toString(error));
     }
     again(m_retries.afterFailure());
@@ -163,9 +163,9 @@
 {
     m_reachedAt = boot_clock::now();
     m_retries.succeeded();
-    if (m_reach == reach::reached)
+    if (m_reach == serving::store_reach::reached)
         return;
-    m_reach = reach::reached;
+    m_reach = serving::store_reach::reached;
     m_on.onReach(true, {});
 }
 
--- a/libs/gateway/src/record_feed.h
+++ b/libs/gateway/src/record_feed.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/keyed_log.h"
+#include "serving/node_directory.h"
 #include "serving/retry_pace.h"
 
 #include <QTimer>
@@ -42,8 +43,7 @@
     void stop();
 
     bool isCurrent() const { return m_next >= 0; }
-    bool isReachable() const { return m_reach == reach::reached; }
-    bool isLost() const { return m_reach == reach::lost; }
+    serving::store_reach reach() const { return m_reach; }
     /// When the view was last known to be complete.
     instant freshAt() const { return m_freshAt; }
     /// When the store answered last.
@@ -51,8 +51,6 @@
     std::int64_t next() const { return m_next; }
 
 private:
-    enum class reach { unknown, reached, lost };
-
     void startOver();
     /// The next page of the newest records.
     void readNewest();
@@ -78,7 +76,7 @@
     instant m_freshAt;
     instant m_askedAt;
     instant m_reachedAt;
-    reach m_reach = reach::unknown;
+    serving::store_reach m_reach = serving::store_reach::unknown;
     bool m_isAnswerDue = false; // the outstanding call does not wait for the next record
     bool m_isHurried = false; // there is more to read than what the outstanding call was asked for
     bool m_isStopped = false;
--- a/libs/gateway/src/role_orders.cpp
+++ b/libs/gateway/src/role_orders.cpp
@@ -53,11 +53,11 @@
 // Any node will do that reaches the store; two that both think so are kept apart by the lease.
 bool role_orders::isOnDuty(const serving::node_state& self, const std::vector<serving::node_state>& alive)
 {
-    if (!self.isReady || !self.isStoreReachable)
+    if (!self.isReady || self.storeReach != serving::store_reach::reached)
         return false;
     const auto own = rendezvousWeight(self.vm, duty);
     return std::none_of(alive.begin(), alive.end(), [own](const auto& node) {
-        const bool isAble = node.isReady && node.isStoreReachable && !node.isStopping;
+        const bool isAble = node.isReady && node.storeReach == serving::store_reach::reached && !node.isStopping;
         return isAble && rendezvousWeight(node.vm, duty) > own;
     });
 }
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -309,6 +309,24 @@
     m_on.onBehind();
 }
 
+serving::store_reach shared_view::storeReach() const
+{
+    using serving::store_reach;
+    const auto configuration = m_configurationFeed.reach();
+    const auto targets = m_targetFeed.reach();
+    for (const auto known : { store_reach::reached, store_reach::lost }) {
+        if (configuration == known || targets == known)
+            return known;
+    }
+    return store_reach::unknown;
+}
+
+bool shared_view::isStoreLost() const
+{
+    return m_configurationFeed.reach() == serving::store_reach::lost
+        || m_targetFeed.reach() == serving::store_reach::lost;
+}
+
 bool shared_view::isStarting(instant now) const
 {
     const auto last = std::max({ m_startedAt, m_configurationFeed.reachedAt(), m_targetFeed.reachedAt() });
@@ -342,7 +360,7 @@
     out.nodes = m_parts.nodes.others(boot_clock::now());
     out.nodes.push_back({ self, duration::zero() });
     out.knowsNodes = knowsNodes();
-    out.isStoreReachable = isStoreReachable();
+    out.isStoreReachable = storeReach() == serving::store_reach::reached;
     return out;
 }
 
--- a/libs/gateway/src/shared_view.h
+++ b/libs/gateway/src/shared_view.h
@@ -77,9 +77,10 @@
     /// Whether all nodes that had registered at some time were read, or told by a peer that had read them.
     bool knowsNodes() const { return m_knowsNodes || m_nodeFeed.isCurrent(); }
     const std::shared_ptr<const serving::serving_configuration>& configuration() const { return m_configuration; }
-    bool isStoreReachable() const { return m_configurationFeed.isReachable() || m_targetFeed.isReachable(); }
+    /// Reached as long as one of the topics that every node needs is read.
+    serving::store_reach storeReach() const;
     /// The last call of one of the topics that every node needs has failed.
-    bool isStoreLost() const { return m_configurationFeed.isLost() || m_targetFeed.isLost(); }
+    bool isStoreLost() const;
     instant targetsFreshAt() const { return m_targetFeed.freshAt(); }
 
 private:
--- a/libs/gateway/tests/test_role_orders.cpp
+++ b/libs/gateway/tests/test_role_orders.cpp
@@ -84,7 +84,8 @@
     {
         serving::node_state self;
         self.vm = "n1";
-        self.isReady = self.isStoreReachable = true;
+        self.isReady = true;
+        self.storeReach = serving::store_reach::reached;
         roles.tick(self, {}, boot_clock::now());
     }
 
--- a/libs/gateway/tests/test_shared_view.cpp
+++ b/libs/gateway/tests/test_shared_view.cpp
@@ -251,7 +251,7 @@
     CHECK(encodeDatagram(full).size() <= mtu);
 
     node_heartbeat usual;
-    usual.pulse = { 7, 8, 9, 10, true, false, true, false };
+    usual.pulse = { 7, 8, 9, 10, true, false, serving::store_reach::reached, false };
     usual.load = { { 1, 2 } };
     usual.jobs.resize(1);
     const auto bytes = encodeDatagram(usual);
@@ -261,7 +261,7 @@
     const auto& heard = std::get<node_heartbeat>(*decoded);
     CHECK(heard.pulse.node == 7);
     CHECK(heard.pulse.lastTargetChange == 10);
-    CHECK(heard.pulse.isStoreReachable);
+    CHECK(heard.pulse.storeReach == serving::store_reach::reached);
     CHECK_FALSE(heard.whole);
     REQUIRE(heard.load.size() == 1);
     CHECK(heard.load[0].running == 2);
--- a/libs/serving/include/serving/duty_roster.h
+++ b/libs/serving/include/serving/duty_roster.h
@@ -17,13 +17,13 @@
 /// call and no more; so a duty must do no harm when it is done twice.
 bool isOnDuty(std::string_view duty, const node_state& self, const std::vector<node_state>& alive, std::size_t count);
 
-/// Whether `self` follows the target list closely, and tells the others of its zone: one node that reaches the store,
-/// or one that goes on asking while none does.
+/// Whether `self` follows the target list closely, and tells the others of its zone: one node that reaches the store or
+/// has not asked it yet, or one that goes on asking while none reaches it.
 bool readsForZone(const node_state& self, const std::vector<node_state>& alive);
 
 /// Of nodes that all know what is wanted, the one to ask; null if there is none. What goes wrong with any of them: all
-/// ask the first one, whose link may be as narrow as theirs, and wait for seconds. So only nodes with the widest link
-/// of `alive` are asked, in the own zone where there are such; the name spreads the rest.
+/// ask the first one, whose link may be as narrow as theirs, and wait for seconds. So one with the widest link of them
+/// is asked, in the own zone where there are such; the name spreads the rest.
 const node_state* peerToAsk(
     const node_state& self, const std::vector<node_state>& alive, const std::function<bool(const node_state&)>& knows);
 
--- a/libs/serving/include/serving/node_directory.h
+++ b/libs/serving/include/serving/node_directory.h
@@ -11,6 +11,13 @@
 
 namespace tamarack::serving {
 
+/// Whether the store answers a node.
+enum class store_reach : unsigned char {
+    unknown, ///< it has not asked: peers told it what the store would
+    reached,
+    lost ///< the last call failed
+};
+
 /// What a node says of itself.
 struct node_state {
     std::string vm;
@@ -23,7 +30,7 @@
     bool isReady = false;
     bool isStopping = false;
     std::uint64_t configurationVersion = 0;
-    bool isStoreReachable = false;
+    store_reach storeReach = store_reach::unknown;
     /// It follows the target list and has obeyed every change up to this offset; -1: it does not follow it.
     std::int64_t lastTargetChange = -1;
     bool readsForOthers = false; ///< it follows the target list and the configuration closely
@@ -41,7 +48,7 @@
     std::int64_t lastTargetChange = -1;
     bool isReady = false;
     bool isStopping = false;
-    bool isStoreReachable = false;
+    store_reach storeReach = store_reach::unknown;
     bool readsForOthers = false;
     std::uint16_t knownNodes = 0;
 };
--- a/libs/serving/src/duty_roster.cpp
+++ b/libs/serving/src/duty_roster.cpp
@@ -4,6 +4,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace tamarack::serving {
 
@@ -25,6 +26,10 @@
             [&](const node_state& node) { return node.linkMegabits > self.linkMegabits; });
     }
 
+    /// What goes wrong if one that has never asked counts as one without an answer: the readers are cut off from the
+    /// store alone, and nobody follows it in their place.
+    bool mayReachStore(const node_state& node) { return node.storeReach != store_reach::lost; }
+
     std::vector<node_state> withLink(const std::vector<node_state>& nodes, std::uint32_t megabits)
     {
         std::vector<node_state> out;
@@ -37,17 +42,17 @@
 
 bool readsForZone(const node_state& self, const std::vector<node_state>& alive)
 {
-    std::vector<node_state> others;
-    std::copy_if(alive.begin(), alive.end(), std::back_inserter(others), [&](const node_state& node) {
+    std::vector<node_state> candidates;
+    std::copy_if(alive.begin(), alive.end(), std::back_inserter(candidates), [&](const node_state& node) {
         return node.availabilityZone == self.availabilityZone && node.vm != self.vm && !node.isStopping;
     });
-    std::vector<node_state> reachable;
-    std::copy_if(others.begin(), others.end(), std::back_inserter(reachable),
-        [](const node_state& node) { return node.isStoreReachable; });
-    if (!self.isStoreReachable && !reachable.empty())
-        return false;
     // With the store away from all, one goes on asking for the others.
-    auto candidates = self.isStoreReachable ? reachable : others;
+    const bool isAway = !mayReachStore(self) && std::none_of(candidates.begin(), candidates.end(), mayReachStore);
+    if (!isAway) {
+        if (!mayReachStore(self))
+            return false;
+        std::erase_if(candidates, [](const node_state& node) { return !mayReachStore(node); });
+    }
     // What goes wrong without it: a node that has just started is the one to read, but listens first; the former reader
     // leaves at once, and a change that is recorded meanwhile is told by nobody.
     if (self.readsForOthers)
@@ -58,15 +63,13 @@
 const node_state* peerToAsk(
     const node_state& self, const std::vector<node_state>& alive, const std::function<bool(const node_state&)>& knows)
 {
-    std::uint32_t widest = self.linkMegabits;
-    for (const auto& node : alive)
-        widest = std::max(widest, node.linkMegabits);
     const auto rank = [&](const node_state& node) {
-        return std::pair(node.availabilityZone == self.availabilityZone, rendezvousWeight(self.vm, node.vm));
+        return std::tuple(
+            node.linkMegabits, node.availabilityZone == self.availabilityZone, rendezvousWeight(self.vm, node.vm));
     };
     const node_state* best = nullptr;
     for (const auto& node : alive) {
-        const bool isUseful = node.adminPort != 0 && node.linkMegabits == widest && knows(node);
+        const bool isUseful = node.adminPort != 0 && knows(node);
         if (isUseful && (!best || rank(node) > rank(*best)))
             best = &node;
     }
--- a/libs/serving/src/node_directory.cpp
+++ b/libs/serving/src/node_directory.cpp
@@ -17,7 +17,7 @@
 node_pulse pulseOf(const node_state& state)
 {
     return { shortHash(state.vm), state.incarnation, state.configurationVersion, state.lastTargetChange, state.isReady,
-        state.isStopping, state.isStoreReachable, state.readsForOthers, state.knownNodes };
+        state.isStopping, state.storeReach, state.readsForOthers, state.knownNodes };
 }
 
 node_directory::known_node& node_directory::known(const std::string& vm, instant now)
@@ -48,7 +48,7 @@
     known.state.lastTargetChange = pulse.lastTargetChange;
     known.state.isReady = pulse.isReady;
     known.state.isStopping = pulse.isStopping;
-    known.state.isStoreReachable = pulse.isStoreReachable;
+    known.state.storeReach = pulse.storeReach;
     known.state.readsForOthers = pulse.readsForOthers;
     known.state.knownNodes = pulse.knownNodes;
     known.heardAt = now;
