--- a/libs/serving/tests/model/engine_model.cpp
+++ b/libs/serving/tests/model/engine_model.cpp
@@ -14,7 +14,7 @@
     constexpr double pairsPerUnit = 1e6;
     constexpr double writerPace = 0.5; ///< of an engine that only reads
     constexpr int writerPieces = 4; ///< as many pieces make one of an engine that only reads
-    constexpr std::int64_t fewestPartTokens = 512; ///< smaller parts are read again without a trace
+    constexpr std::int64_t fewestPartTokens = 16; ///< a block of memory; smaller parts are read again without a trace
 
 }
 
@@ -168,6 +168,16 @@
     return budget - tokens;
 }
 
+void engine_model::tellReading(const prompt& text)
+{
+    bool isKept = true;
+    for (const auto& part : text.parts) {
+        isKept &= part.tokens < fewestPartTokens || m_parts.contains(part.id);
+        if (!isKept)
+            m_events.onReading(part);
+    }
+}
+
 engine_model::held_job* engine_model::admit(instant now)
 {
     if (m_running.size() >= static_cast<std::size_t>(m_sheet.slots))
@@ -184,9 +194,8 @@
     const bool isImported = item.job.stage == attempt_stage::decode;
     item.toRead = isImported ? 0 : std::max<std::int64_t>(1, item.job.text.inputTokens - keptTokens(item.job.text));
     item.context = item.job.text.inputTokens;
-    const auto& shared = item.job.text.parts.front();
-    if (!isImported && shared.tokens >= fewestPartTokens && !m_parts.contains(shared.id))
-        m_events.onReading(shared);
+    if (!isImported)
+        tellReading(item.job.text);
     if (isImported) {
         item.writesFrom = now + fromSeconds(m_sheet.importMilliseconds * millisecond);
         keep(item.job.text);
--- a/libs/serving/tests/model/engine_model.h
+++ b/libs/serving/tests/model/engine_model.h
@@ -48,7 +48,7 @@
     std::function<void(std::uint64_t key)> onPrefilled;
     std::function<void(std::uint64_t key)> onEvent; ///< of the stream
     std::function<void(std::uint64_t key)> onEnd;
-    std::function<void(const prompt_part& part)> onReading; ///< of a part that is long enough to be kept
+    std::function<void(const prompt_part& part)> onReading; ///< of a part of a prompt
     std::function<void(const prompt_part& part)> onKept; ///< no tokens: it is gone
 };
 
@@ -108,6 +108,8 @@
     void endStep(instant now);
     double read(held_job& item, double budget);
     held_job* admit(instant now);
+    /// Tells of the parts that are read, as they or some before them are not kept.
+    void tellReading(const prompt& text);
     void writeOne(held_job& item);
     void finishReading(held_job& item, instant now);
     void tellSettled(instant now);
--- a/libs/serving/tests/model/fleet_sheet.h
+++ b/libs/serving/tests/model/fleet_sheet.h
@@ -29,6 +29,8 @@
     bool isRepeatable = false;
     int beginnings = 1; ///< that requests share
     double skew = 0.3; ///< of how often they are asked for
+    int groups = 0; ///< of beginnings, which have a first part in common; 0: they have none
+    size_spread common; ///< of a group
     size_spread shared;
     size_spread own;
     size_spread events; ///< of an answer
--- a/libs/serving/tests/model/request_maker.cpp
+++ b/libs/serving/tests/model/request_maker.cpp
@@ -31,6 +31,10 @@
             sum += std::pow(i + 1, -kind.skew);
             popularity.push_back(sum);
         }
+        std::vector<std::int64_t> common;
+        for (int i = 0; i < kind.groups; ++i)
+            common.push_back(static_cast<std::int64_t>(size(kind.common)));
+        m_groups.push_back(std::move(common));
         m_beginnings.push_back(std::move(sizes));
         m_popularity.push_back(std::move(popularity));
     }
@@ -50,10 +54,18 @@
     const auto& popularity = m_popularity[kind];
     const auto place = std::lower_bound(popularity.begin(), popularity.end(), m_random.unit() * popularity.back());
     const auto index = static_cast<std::size_t>(place - popularity.begin());
+    constexpr std::uint64_t firstGroup = 1 << 19;
+    const std::uint64_t ofKind = kind << 20;
+    const auto& groups = m_groups[kind];
     prompt text;
-    text.parts = { { (kind << 20) + index + 1, m_beginnings[kind][index] },
-        { m_nextPart++, static_cast<std::int64_t>(size(m_kinds[kind].own)) } };
-    text.inputTokens = text.parts[0].tokens + text.parts[1].tokens;
+    if (!groups.empty()) {
+        const auto group = index % groups.size();
+        text.parts.push_back({ ofKind + firstGroup + group, groups[group] });
+    }
+    text.parts.push_back({ ofKind + index + 1, m_beginnings[kind][index] });
+    text.parts.push_back({ m_nextPart++, static_cast<std::int64_t>(size(m_kinds[kind].own)) });
+    for (const auto& part : text.parts)
+        text.inputTokens += part.tokens;
     return text;
 }
 
@@ -67,7 +79,8 @@
     const auto events = static_cast<std::int64_t>(std::ceil(size(sheet.events)));
     out.outputTokens = (events - 1) * m_tokensPerEvent + 1;
     out.text.outputTokens = out.outputTokens;
-    const double mean = sizeOf(sheet.shared.mean + sheet.own.mean, sheet.events.mean * m_tokensPerEvent);
+    const double mean
+        = sizeOf(sheet.common.mean + sheet.shared.mean + sheet.own.mean, sheet.events.mean * m_tokensPerEvent);
     const double own = sizeOf(static_cast<double>(out.text.inputTokens), static_cast<double>(out.outputTokens)) / mean;
     const double weight = std::min(longestSize, 1 - sizeShare + sizeShare * own);
     out.owed = sheet.worth * weight;
--- a/libs/serving/tests/model/request_maker.h
+++ b/libs/serving/tests/model/request_maker.h
@@ -32,6 +32,7 @@
     int m_tokensPerEvent;
     random_source& m_random;
     std::vector<std::vector<std::int64_t>> m_beginnings; // sizes, by kind
+    std::vector<std::vector<std::int64_t>> m_groups; // sizes of their common first parts, by kind
     std::vector<std::vector<double>> m_popularity; // cumulative, by kind
     std::uint64_t m_nextPart = firstOwnPart;
 };
--- a/libs/serving/tests/model/users_fleets.cpp
+++ b/libs/serving/tests/model/users_fleets.cpp
@@ -39,7 +39,9 @@
         out.name = "small";
         out.isRepeatable = true;
         out.beginnings = 200;
-        out.shared = { 92, 0.4, 200 };
+        out.groups = 40;
+        out.common = { 55.2, 0.4, 138 };
+        out.shared = { 36.8, 0.7, 110 };
         out.own = { 291, 1.4, 1'830 };
         return out;
     }
@@ -202,14 +204,18 @@
         };
         request_sheet digest;
         digest.name = "digest";
-        digest.shared = { 5'382, 0.7, 15'000 };
+        digest.groups = 1;
+        digest.common = { 512, 0.4, 1'280 };
+        digest.shared = { 4'870, 0.7, 14'600 };
         digest.own = { 6'610, 1.4, 54'600 };
         digest.aim = 800ms;
         digest.patience = 8s;
         digest.priority = 2;
         request_sheet note;
         note.name = "note";
-        note.shared = { 198, 0.6, 530 };
+        note.groups = 40;
+        note.common = { 119, 0.4, 298 };
+        note.shared = { 79.4, 0.7, 238 };
         note.own = { 628, 1.0, 3'310 };
         note.beginnings = 402;
         note.aim = 250ms;
@@ -217,7 +223,9 @@
         note.isRepeatable = true;
         request_sheet tag;
         tag.name = "tag";
-        tag.shared = { 568, 0.6, 1'530 };
+        tag.groups = 20;
+        tag.common = { 341, 0.4, 851 };
+        tag.shared = { 227, 0.7, 681 };
         tag.own = { 1'800, 1.3, 6'870 };
         tag.events = { 2.05, 1.4, 8.2 };
         tag.beginnings = 340;
@@ -269,6 +277,10 @@
     out.engine.linkGigabits = 1'100;
     out.kinds[0].perSecond = 211;
     out.kinds[0].beginnings = 637;
+    out.kinds[1].groups = 80;
+    out.kinds[1].beginnings = 1'177;
+    out.kinds[2].groups = 40;
+    out.kinds[2].beginnings = 2'239;
     out.kinds[0].events = { 27, 0.44, 80 };
     out.kinds[0].worth = 2.5;
     out.kinds[0].lateWorth = 1.3;
