What engines list is told at once; nodes that start together ask again what engines keep

The lists themselves went with heartbeats, 12 parts in each, 1,900 parts a second from all nodes, for some 7,000 parts and what changes meanwhile.

Change: a list goes out in notes of its own, 80 parts in each. A node tells whether it has watched for 5 s or was told by one that had; a node that starts asks up to three times, a second apart, until it is told by such a one. Tests: both fail without their part.

--- a/libs/gateway/src/cache_watch.cpp
+++ b/libs/gateway/src/cache_watch.cpp
@@ -31,17 +31,20 @@
     constexpr std::string_view peerPath = "/caches";
     /// Between two peers that are asked; after the loss of all nodes their lists are there within some 2 s.
     constexpr duration peerPause = 1s;
+    /// A node that has listened for so long has heard of all lists.
+    constexpr duration listsTime = 5s;
     constexpr int mostPeersAsked = 3;
 
 }
 
 cache_watch::cache_watch(http_client& client, const target_protocol& protocol, serving::dispatcher& decisions,
-    metrics& counters, const logger& log)
+    metrics& counters, const logger& log, news_handler onListed)
     : m_client(client)
     , m_protocol(protocol)
     , m_decisions(decisions)
     , m_counters(counters)
     , m_log(log)
+    , m_onListed(std::move(onListed))
 {
 }
 
@@ -123,27 +126,31 @@
         [this](const http_response* response, const exchange_failure&) { peerAnswered(response); });
 }
 
-// A peer that has just started as well knows nothing; another one is asked.
+// What goes wrong without looking at who answers: all nodes are lost together, each asks a peer that knows the few
+// engines of its own, and none asks again.
 void cache_watch::peerAnswered(const http_response* response)
 {
     const auto caches = response ? decodeCaches(response->body) : std::nullopt;
-    const auto parts = caches ? caches->size() : 0;
-    m_log.write(log_event::caches_told, { { "parts", parts }, { "answered", caches.has_value() } });
-    if (parts == 0)
+    m_log.write(log_event::caches_told,
+        { { "parts", caches ? caches->parts.size() : 0 }, { "answered", caches.has_value() },
+            { "complete", caches && caches->isComplete } });
+    if (!caches)
         return;
-    m_isInformed = true;
-    told(*caches);
+    m_wasToldAll |= caches->isComplete;
+    m_isInformed |= caches->isComplete;
+    told(caches->parts);
 }
 
-std::vector<cache_news> cache_watch::known() const
+known_caches cache_watch::known(instant now) const
 {
     const auto& fleet = m_decisions.fleet();
-    std::vector<cache_news> out;
+    known_caches out;
+    out.isComplete = m_wasToldAll || now >= m_startedAt + listsTime;
     for (std::uint32_t row = 0; row < fleet.size(); ++row) {
         if (!fleet.isListed[row])
             continue;
         for (const auto& part : m_decisions.partsThere({ row }))
-            out.push_back({ fleet.instanceHash[row], part.id, static_cast<std::uint32_t>(part.tokens) });
+            out.parts.push_back({ fleet.instanceHash[row], part.id, static_cast<std::uint32_t>(part.tokens) });
     }
     return out;
 }
@@ -243,21 +250,32 @@
     engine.epoch = all->epoch;
     engine.next = all->next;
     m_decisions.cacheListed(engine.row, all->events);
-    keepNews(engine, all->events);
+    // What goes wrong if it waits for heartbeats: after the loss of all nodes there are some thousand parts to tell, of
+    // which heartbeats carry a dozen each, and for seconds beginnings that the fleet keeps are read again.
+    if (m_sharesWatches)
+        m_onListed(newsOf(engine, all->events));
 }
 
 // Small parts are not followed, and that a part is gone is news only if it was told before.
-void cache_watch::keepNews(watched_engine& engine, const std::vector<serving::cache_event>& events)
+std::vector<cache_news> cache_watch::newsOf(watched_engine& engine, const std::vector<serving::cache_event>& events)
 {
+    std::vector<cache_news> out;
     for (const auto& event : events) {
         const bool isKept = event.tokens >= serving::prompt_cache_map::fewestTokens;
         const bool isNews
             = isKept ? engine.toldParts.insert(event.part).second : engine.toldParts.erase(event.part) > 0;
         if (!isNews)
             continue;
-        m_news.push_back({ m_decisions.fleet().instanceHash[engine.row.value], event.part,
+        out.push_back({ m_decisions.fleet().instanceHash[engine.row.value], event.part,
             static_cast<std::uint32_t>(isKept ? event.tokens : 0) });
     }
+    return out;
+}
+
+void cache_watch::keepNews(watched_engine& engine, const std::vector<serving::cache_event>& events)
+{
+    for (const auto& news : newsOf(engine, events))
+        m_news.push_back(news);
     while (m_news.size() > mostNews)
         m_news.pop_front();
 }
--- a/libs/gateway/src/cache_watch.h
+++ b/libs/gateway/src/cache_watch.h
@@ -13,6 +13,7 @@
 #include "serving/dispatcher.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,8 +23,11 @@
 
 class cache_watch {
 public:
+    using news_handler = std::function<void(std::vector<cache_news>)>;
+
+    /// `onListed` hears of what engines keep that were asked for all of it.
     cache_watch(http_client& client, const target_protocol& protocol, serving::dispatcher& decisions, metrics& counters,
-        const logger& log);
+        const logger& log, news_handler onListed);
     ~cache_watch();
 
     /// Watches the engines that are this node's to watch; called from time to time.
@@ -33,7 +37,7 @@
     /// A peer tells of the engines that it watches.
     void told(const std::vector<cache_news>& news);
     /// All that is known, for a peer that has just started.
-    std::vector<cache_news> known() const;
+    known_caches known(instant now) const;
 
 private:
     struct watched_engine {
@@ -58,6 +62,8 @@
     void list(const std::string& instance, watched_engine& engine);
     void listed(const std::string& instance, const http_response* response);
     void answered(const std::string& instance, const http_response* response);
+    /// What peers do not know yet.
+    std::vector<cache_news> newsOf(watched_engine& engine, const std::vector<serving::cache_event>& events);
     void keepNews(watched_engine& engine, const std::vector<serving::cache_event>& events);
     void take(const std::string& instance, watched_engine& engine, const cache_report& report);
     /// The engine whose call has ended; null if it is not watched any more, or its row is another target's.
@@ -68,14 +74,17 @@
     serving::dispatcher& m_decisions;
     metrics& m_counters;
     const logger& m_log;
+    news_handler m_onListed;
     std::map<std::string, watched_engine> m_engines; // by instance
     std::deque<cache_news> m_news; // the oldest first
     std::uint64_t m_fleetSeen = 0; // generation that was last shared out
     std::uint64_t m_nodesSeen = 0; // of the nodes then
     instant m_shareAt; // not before
     instant m_askPeerAt; // not before
+    instant m_startedAt = boot_clock::now();
     int m_peersAsked = 0;
-    bool m_isInformed = false; // a peer has told what it knows, or there is none that knows anything
+    bool m_isInformed = false; // a peer has told all that there is to know, or none is asked any more
+    bool m_wasToldAll = false; // by a peer
     bool m_sharesWatches = false; // too many nodes for all to watch all
 };
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -162,7 +162,8 @@
     , registered(
           ports.store, [this] { return self(); }, log, [this] { view.registered(); })
     , services { client, decisions, ports.callers, ports.targets, counters, log }
-    , caches(client, ports.targets, decisions, counters, log)
+    , caches(client, ports.targets, decisions, counters, log,
+          [this](std::vector<cache_news> listed) { peers.tellCaches(std::move(listed)); })
     , roles({ client, ports.targets, ports.store, decisions, counters, log, [this] { peers.beat(); } }, settings.vm,
           leaseSettings(settings))
     , peers({ decisions, nodes, view, caches, roles, log, [this] { return self(); } })
@@ -176,7 +177,7 @@
           })
     , pages({ ports.callers, nodes, counters, [this] { return self(); }, [this] { return offeredState(); },
           [this] { return encodeState(view.offeredConfiguration()); },
-          [this] { return encodeCaches(caches.known()); } })
+          [this] { return encodeCaches(caches.known(boot_clock::now())); } })
     , flows(services, [this] { peers.jobsSent(); })
 {
     QObject::connect(&decisionTimer, &QTimer::timeout, [this] { tick(); });
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -16,7 +16,7 @@
 namespace {
 
     /// Another version is another format: what cannot be read is dropped, and the nodes of a version know each other.
-    constexpr char formatVersion = 14;
+    constexpr char formatVersion = 15;
     /// 1,472 bytes fit into a datagram that is not split; a load takes 6, a job 27, news of a cache 16, of a
     /// target's health 8, a change of role 4, the
     /// sender some 35, or 140 when it tells all of itself. Changes of role are seldom many, and then before
@@ -24,6 +24,7 @@
     constexpr std::size_t mostLoads = 60;
     constexpr std::size_t mostJobs = 18;
     constexpr std::size_t mostCaches = 12;
+    constexpr std::size_t mostCachesOfNote = 80;
     constexpr std::size_t mostHealth = 12;
     constexpr std::size_t mostChanging = 30;
     /// Of changes in one note, besides the note's own 40 bytes; a single larger one goes alone.
@@ -189,6 +190,10 @@
     archiveShort(archive, m.jobs);
 }
 
+template <class Archive> void serialize(Archive& archive, cache_note& m) { archiveShort(archive, m.caches); }
+
+template <class Archive> void serialize(Archive& archive, known_caches& m) { archive(m.parts, m.isComplete); }
+
 template <class Archive> void serialize(Archive& archive, node_greeting& m) { archive(m.sender, m.isSeeking); }
 
 template <class Archive> void serialize(Archive& archive, packed_record& m) { archive(m.offset, m.key, m.bytes); }
@@ -282,13 +287,21 @@
     return message ? decode<shared_state>(*message) : std::nullopt;
 }
 
-std::string encodeCaches(const std::vector<cache_news>& caches) { return encode(caches); }
-
-std::optional<std::vector<cache_news>> decodeCaches(const std::string& bytes)
+std::vector<cache_note> splitCaches(std::vector<cache_news> caches)
 {
-    return decode<std::vector<cache_news>>(bytes);
+    std::vector<cache_note> notes;
+    for (auto& news : caches) {
+        if (notes.empty() || notes.back().caches.size() >= mostCachesOfNote)
+            notes.emplace_back();
+        notes.back().caches.push_back(news);
+    }
+    return notes;
 }
 
+std::string encodeCaches(const known_caches& caches) { return encode(caches); }
+
+std::optional<known_caches> decodeCaches(const std::string& bytes) { return decode<known_caches>(bytes); }
+
 std::string encodeNode(const serving::node_state& node) { return encode(node); }
 
 std::optional<serving::node_state> decodeNode(const std::string& bytes) { return decode<serving::node_state>(bytes); }
--- a/libs/gateway/src/node_messages.h
+++ b/libs/gateway/src/node_messages.h
@@ -39,6 +39,11 @@
     std::vector<serving::told_job> jobs;
 };
 
+/// Sent when an engine was asked for all that it keeps.
+struct cache_note {
+    std::vector<cache_news> caches;
+};
+
 /// Sent to nodes that are known but not heard, and to those that seek this node.
 struct node_greeting {
     serving::node_state sender;
@@ -66,8 +71,14 @@
     bool isStoreReachable = false; ///< by the sender
 };
 
+/// What a node knows of the engines' memories.
+struct known_caches {
+    std::vector<cache_news> parts;
+    bool isComplete = false; ///< it has watched for long enough, or was told by one that had
+};
+
 /// A target note is sent by a node that follows the target list closely.
-using peer_datagram = std::variant<node_heartbeat, job_note, serving::target_note, node_greeting>;
+using peer_datagram = std::variant<node_heartbeat, job_note, serving::target_note, node_greeting, cache_note>;
 
 /// Heartbeats stay below the usual path MTU; what does not fit is left out.
 std::string encodeDatagram(peer_datagram message);
@@ -79,8 +90,10 @@
 std::optional<serving::relay_load> decodeLoad(const std::string& bytes);
 std::string encodeState(const shared_state& state);
 std::optional<shared_state> decodeState(const std::string& bytes);
-std::string encodeCaches(const std::vector<cache_news>& caches);
-std::optional<std::vector<cache_news>> decodeCaches(const std::string& bytes);
+/// As many notes as it takes for each to stay below the usual path MTU.
+std::vector<cache_note> splitCaches(std::vector<cache_news> caches);
+std::string encodeCaches(const known_caches& caches);
+std::optional<known_caches> decodeCaches(const std::string& bytes);
 std::string encodeNode(const serving::node_state& node);
 std::optional<serving::node_state> decodeNode(const std::string& bytes);
 
--- a/libs/gateway/src/peer_talk.cpp
+++ b/libs/gateway/src/peer_talk.cpp
@@ -162,6 +162,12 @@
         tellAll(encodeDatagram(std::move(part)), serving::told_pace::atOnce);
 }
 
+void peer_talk::tellCaches(std::vector<cache_news> caches)
+{
+    for (auto& part : splitCaches(std::move(caches)))
+        tellAll(encodeDatagram(std::move(part)), serving::told_pace::soon);
+}
+
 // A relay tells all its nodes the same, so what a node has told itself comes back to it.
 void peer_talk::heard(const peer_datagram& message)
 {
@@ -171,6 +177,8 @@
         heardJobs(*jobs);
     else if (const auto* targets = std::get_if<serving::target_note>(&message))
         m_parts.view.targetsTold(*targets);
+    else if (const auto* caches = std::get_if<cache_note>(&message))
+        m_parts.caches.told(caches->caches);
     else
         heardGreeting(std::get<node_greeting>(message));
 }
--- a/libs/gateway/src/peer_talk.h
+++ b/libs/gateway/src/peer_talk.h
@@ -38,6 +38,8 @@
     /// Prompts have gone to engines: peers are told in a moment.
     void jobsSent();
     void tellTargets(serving::target_note note);
+    /// What engines keep that were asked for all of it.
+    void tellCaches(std::vector<cache_news> caches);
     /// Finds out who passes on what is told; now and then.
     void planRelays(const serving::node_state& self, const std::vector<serving::node_state>& alive);
     const datagram_counts& counts() const { return m_mesh.counts(); }
--- a/libs/gateway/tests/test_cache_watch.cpp
+++ b/libs/gateway/tests/test_cache_watch.cpp
@@ -3,6 +3,7 @@
 #include "fake_ports.h"
 
 #include "http/http_server.h"
+#include "serving/duty_roster.h"
 
 using namespace tamarack;
 using namespace tamarack::tests;
@@ -31,7 +32,7 @@
 struct asked_places {
     int lists = 0;
     int peerQuestions = 0;
-    std::vector<cache_news> peerKnows;
+    known_caches peerKnows;
     http_server server;
 
     asked_places()
@@ -58,8 +59,11 @@
     metrics counters;
     logger log { quietLog() };
     http_client client;
-    cache_watch caches { client, protocol, decisions, counters, log };
+    std::vector<cache_news> told; // to peers, without waiting for the next heartbeat
+    cache_watch caches { client, protocol, decisions, counters, log,
+        [this](const std::vector<cache_news>& listed) { told.insert(told.end(), listed.begin(), listed.end()); } };
     std::vector<serving::node_state> peers;
+    serving::node_state self;
 
     watching_node()
     {
@@ -69,12 +73,17 @@
         record.address = "127.0.0.1:" + std::to_string(places.server.port());
         record.role = serving::target_role::decode;
         decisions.targetListed(record);
+        self.vm = "n1";
     }
-    void tick()
+    void tick() { caches.tick(self, peers, boot_clock::now()); }
+    void addPeer()
     {
-        serving::node_state self;
-        self.vm = "n1";
-        caches.tick(self, peers, boot_clock::now());
+        serving::node_state peer;
+        peer.vm = "n2";
+        peer.isReady = true;
+        peer.address = "127.0.0.1";
+        peer.adminPort = places.server.port();
+        peers = { peer };
     }
     bool keeps(std::uint64_t part) const
     {
@@ -101,21 +110,48 @@
     REQUIRE(node.tickUntil([&] { return node.keeps(30); }));
     CHECK(node.places.lists == 1);
     CHECK_FALSE(node.keeps(20)); // told before the list, and not in it
-    CHECK(node.caches.takeNews(10).size() == 1); // for the nodes that did not ask
+    CHECK(node.told.empty()); // each node watches by itself
+}
+
+TEST_CASE("test_what_an_engine_lists_is_told_at_once_where_few_nodes_watch_it")
+{
+    // Symptom: for five seconds after the loss of all nodes, beginnings that the fleet keeps are read again.
+    // Sequence: the watchers of each engine list what it keeps, some thousand parts in all.
+    // Cause: they were told by heartbeats, a dozen in each.
+    watching_node node;
+    for (int i = 2; i <= 12; ++i)
+        node.peers.emplace_back().vm = "n" + std::to_string(i);
+    const auto instance = node.decisions.fleet().instance[0];
+    for (int i = 0; !serving::zone_roster(node.self, node.peers).isOnDuty(instance, {}, 1); ++i)
+        node.self.vm = "watcher-" + std::to_string(i);
+    REQUIRE(node.tickUntil([&] { return node.keeps(30); }));
+    REQUIRE(node.told.size() == 1);
+    CHECK(node.told.front().part == 30);
+}
+
+TEST_CASE("test_node_that_starts_with_its_peers_asks_again_what_engines_keep")
+{
+    // Symptom: after the loss of all nodes each knows a few engines' memories for seconds.
+    // Sequence: a node asks a peer that has started at the same time, and is told what that one has listed so far.
+    // Cause: any answer was taken for all that there is to know.
+    watching_node node;
+    node.places.peerKnows = { { { serving::shortHash("e1"), 40, 800 } }, false };
+    node.addPeer();
+    REQUIRE(node.tickUntil([&] { return node.keeps(40); }));
+    node.places.peerKnows = { { { serving::shortHash("e1"), 41, 800 } }, true };
+    REQUIRE(node.tickUntil([&] { return node.keeps(41); }));
+    CHECK(node.places.peerQuestions == 2);
+    CHECK(node.caches.known(boot_clock::now()).isComplete);
 }
 
 TEST_CASE("test_node_that_starts_asks_a_peer_what_engines_keep")
 {
     watching_node node;
-    node.places.peerKnows = { { serving::shortHash("e1"), 40, 800 }, { serving::shortHash("unknown"), 41, 800 } };
-    serving::node_state peer;
-    peer.vm = "n2";
-    peer.isReady = true;
-    peer.address = "127.0.0.1";
-    peer.adminPort = node.places.server.port();
-    node.peers = { peer };
+    node.places.peerKnows
+        = { { { serving::shortHash("e1"), 40, 800 }, { serving::shortHash("unknown"), 41, 800 } }, true };
+    node.addPeer();
     REQUIRE(node.tickUntil([&] { return node.keeps(40); }));
-    CHECK(node.caches.known().size() >= 1);
+    CHECK(!node.caches.known(boot_clock::now()).parts.empty());
     for (int i = 0; i < 5; ++i)
         node.tick();
     CHECK(node.places.peerQuestions == 1);
--- a/libs/gateway/tests/test_shared_view.cpp
+++ b/libs/gateway/tests/test_shared_view.cpp
@@ -249,6 +249,10 @@
     full.health.resize(200);
     full.changing.resize(200);
     CHECK(encodeDatagram(full).size() <= mtu);
+    const auto notes = splitCaches(std::vector<cache_news>(300));
+    CHECK(notes.size() == 4);
+    for (const auto& note : notes)
+        CHECK(encodeDatagram(note).size() <= mtu);
 
     node_heartbeat usual;
     usual.pulse = { 7, 8, 9, 10, true, false, serving::store_reach::reached, false };
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -39,7 +39,9 @@
         { log_event::target_blocked, "target_blocked", warning, belief, "target reason failures for_ms" },
         { log_event::target_returned, "target_returned", info, belief, "target" },
         { log_event::cache_view_restarted, "cache_view_restarted", info, belief, "target restarted gap" },
-        { log_event::caches_told, "caches_told", info, belief, "parts answered" },
+        { log_event::caches_told, "caches_told", info, belief,
+            "parts answered complete (of a peer: the parts that it knows engines to keep, and whether that is all "
+            "there is to know)" },
         { log_event::cache_not_released, "cache_not_released", debug, belief, "reason" },
         { log_event::alarm_raised, "alarm_raised", warning, lifecycle, "alarm detail" },
         { log_event::alarm_cleared, "alarm_cleared", info, lifecycle, "alarm" },
