--- a/libs/serving/tests/model/fleet_model.cpp
+++ b/libs/serving/tests/model/fleet_model.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numbers>
+#include <numeric>
 
 namespace tamarack::serving::tests {
 
@@ -47,6 +48,8 @@
     , m_maker(m_sheet.kinds, m_sheet.engine.tokensPerEvent, m_arrivals)
 {
     m_result.kinds.resize(m_sheet.kinds.size());
+    m_outcomes.resize(m_sheet.kinds.size());
+    m_owed.resize(m_sheet.kinds.size());
     addEngines();
     addNodes();
     if (m_sheet.changesRoles) {
@@ -222,9 +225,28 @@
         m_result.tokensRead += static_cast<double>(engine.counts().tokensRead);
         m_result.transferredGigabytes += engine.counts().transferredBytes / 1e9;
     }
+    for (std::size_t kind = 0; kind < m_sheet.kinds.size(); ++kind)
+        countLargest(kind);
     return m_result;
 }
 
+// The larger a request, the more it is worth.
+void fleet_model::countLargest(std::size_t kind)
+{
+    constexpr double largestShare = 0.1;
+    auto& owed = m_owed[kind];
+    if (owed.empty())
+        return;
+    std::sort(owed.begin(), owed.end());
+    const auto first = static_cast<std::size_t>((1 - largestShare) * static_cast<double>(owed.size()));
+    auto& largest = m_result.kinds[kind].largest;
+    largest.owed = std::accumulate(owed.begin() + static_cast<std::ptrdiff_t>(first), owed.end(), 0.0);
+    for (const auto& outcome : m_outcomes[kind]) {
+        if (outcome.owed >= owed[first])
+            largest.earned += outcome.earned;
+    }
+}
+
 void fleet_model::scheduleArrival(std::size_t kind)
 {
     const auto since = m_now - m_trafficFrom;
@@ -244,6 +266,7 @@
     ++counted.asked;
     counted.owed += asked.made.owed;
     m_result.owed += asked.made.owed;
+    m_owed[kind].push_back(asked.made.owed);
     if (soonest(asked.made.text) > m_sheet.kinds[kind].aim) {
         ++counted.unreachable;
         counted.owedUnreachable += asked.made.owed - asked.made.owedLate;
@@ -498,6 +521,7 @@
     }
     counted.earned += earned;
     m_result.earned += earned;
+    m_outcomes[asked.made.kind].push_back({ asked.made.owed, earned });
 }
 
 void fleet_model::reading(const prompt_part& part)
--- a/libs/serving/tests/model/fleet_model.h
+++ b/libs/serving/tests/model/fleet_model.h
@@ -64,6 +64,7 @@
     void tellListed(std::size_t node);
     target_record recordOf(int engine) const;
     std::shared_ptr<const serving_configuration> makeConfiguration() const;
+    void countLargest(std::size_t kind);
     void scheduleArrival(std::size_t kind);
     void arrive(std::size_t kind);
     void submit(asked_request asked, std::size_t node);
@@ -124,6 +125,8 @@
     std::uint64_t m_nextKey = 1;
     std::uint64_t m_nextRequest = 1;
     fleet_result m_result;
+    std::vector<std::vector<request_outcome>> m_outcomes; // of the requests that were answered, by kind
+    std::vector<std::vector<double>> m_owed; // of all requests, by kind
 };
 
 }
--- a/libs/serving/tests/model/fleet_sheet.h
+++ b/libs/serving/tests/model/fleet_sheet.h
@@ -86,6 +86,12 @@
     duration connectionLife = std::chrono::milliseconds(750); ///< for which an idle one is kept
 };
 
+/// What one request was worth, in full and as it went.
+struct request_outcome {
+    double owed = 0;
+    double earned = 0;
+};
+
 struct kind_result {
     std::int64_t asked = 0;
     std::int64_t onTime = 0;
@@ -98,6 +104,7 @@
     double earned = 0;
     std::int64_t unreachable = 0; ///< could not have been on time even alone
     double owedUnreachable = 0; ///< what they were worth more on time than late
+    request_outcome largest; ///< of the largest tenth
 };
 
 struct fleet_result {
--- a/tools/bench/serving_bench.cpp
+++ b/tools/bench/serving_bench.cpp
@@ -62,6 +62,8 @@
     to.earned += from.earned;
     to.unreachable += from.unreachable;
     to.owedUnreachable += from.owedUnreachable;
+    to.largest.owed += from.largest.owed;
+    to.largest.earned += from.largest.earned;
 }
 
 void add(fleet_result& sum, const fleet_result& one)
@@ -90,10 +92,11 @@
         result.transferredGigabytes, result.roleChanges, static_cast<long long>(result.connections));
     for (const auto& kind : result.kinds) {
         std::printf("    asked %7lld earned %.4f  late for the first event %.4f, for a pause %.4f, refused %.4f, "
-                    "failed %.4f, left %.4f; bound %.4f\n",
+                    "failed %.4f, left %.4f; bound %.4f; largest tenth %.4f\n",
             static_cast<long long>(kind.asked), kind.earned / kind.owed, share(kind.lateFirst, kind.asked),
             share(kind.lateForPause, kind.asked), share(kind.refused, kind.asked), share(kind.failed, kind.asked),
-            share(kind.left, kind.asked), 1 - kind.owedUnreachable / kind.owed);
+            share(kind.left, kind.asked), 1 - kind.owedUnreachable / kind.owed,
+            kind.largest.earned / kind.largest.owed);
     }
 }
 
