--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -355,6 +355,11 @@
     counters.set("tamarack_caller_connections", callers.connectionCount());
     counters.set("tamarack_target_connections_made", static_cast<double>(client.connectionsMade()));
     counters.set("tamarack_store_reachable", view.storeReach() == serving::store_reach::reached ? 1 : 0);
+    counters.set("tamarack_store_topic_reachable", view.isConfigurationTopicReachable() ? 1 : 0,
+        { { "topic", "configuration" } });
+    counters.set("tamarack_store_topic_reachable", view.isTargetTopicReachable() ? 1 : 0, { { "topic", "targets" } });
+    counters.set("tamarack_reads_store_for_zone", view.readsClosely() ? 1 : 0);
+    counters.set("tamarack_configuration_age_seconds", seconds(now - view.configurationFreshAt()));
     counters.set("tamarack_target_list_age_seconds", seconds(now - view.targetsFreshAt()));
     counters.set("tamarack_log_lines_left_out", static_cast<double>(log.linesLeftOut()));
     counters.set("tamarack_peer_undecodable", static_cast<double>(peers.undecodable()));
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -43,6 +43,27 @@
 
     duration share(double part, duration whole) { return fromSeconds(part * seconds(whole)); }
 
+    std::string_view toString(serving::store_reach reach)
+    {
+        switch (reach) {
+        case serving::store_reach::unknown:
+            return "unknown";
+        case serving::store_reach::reached:
+            return "reached";
+        case serving::store_reach::lost:
+            return "lost";
+        }
+        return "unknown";
+    }
+
+    /// Returns -1 if the topic has not been read yet.
+    std::int64_t ageMilliseconds(instant freshAt)
+    {
+        if (freshAt == instant())
+            return -1;
+        return std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - freshAt).count();
+    }
+
 }
 
 shared_view::shared_view(dependencies parts, const gateway_settings& settings, handlers on)
@@ -274,6 +295,11 @@
     if (readsClosely == m_readsClosely)
         return;
     m_readsClosely = readsClosely;
+    m_parts.log.write(log_event::store_reading_changed,
+        { { "for_zone", readsClosely }, { "configuration", toString(m_configurationFeed.reach()) },
+            { "targets", toString(m_targetFeed.reach()) },
+            { "configuration_age_ms", ageMilliseconds(m_configurationFeed.freshAt()) },
+            { "targets_age_ms", ageMilliseconds(m_targetFeed.freshAt()) } });
     m_targets.setReadsSeldom(!readsClosely);
     m_targetFeed.setPause(readsClosely ? m_closePause : seldomPause);
     m_configurationFeed.setPause(readsClosely ? configurationPause : seldomPause);
--- a/libs/gateway/src/shared_view.h
+++ b/libs/gateway/src/shared_view.h
@@ -81,6 +81,11 @@
     serving::store_reach storeReach() const;
     /// The last call of one of the topics that every node needs has failed.
     bool isStoreLost() const;
+    /// Whether the store was reachable at the last call for the topic.
+    bool isConfigurationTopicReachable() const { return m_configurationFeed.reach() == serving::store_reach::reached; }
+    bool isTargetTopicReachable() const { return m_targetFeed.reach() == serving::store_reach::reached; }
+    /// Start time of the latest successful read of the topic from the store by this node.
+    instant configurationFreshAt() const { return m_configurationFeed.freshAt(); }
     instant targetsFreshAt() const { return m_targetFeed.freshAt(); }
 
 private:
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -28,6 +28,7 @@
     registration_failed,
     store_reached,
     store_lost,
+    store_reading_changed,
     peer_lost,
     peers_reached,
     peers_lost,
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -21,6 +21,8 @@
         { log_event::registration_failed, "registration_failed", warning, lifecycle, "reason" },
         { log_event::store_reached, "store_reached", info, lifecycle, "topic away_ms" },
         { log_event::store_lost, "store_lost", warning, lifecycle, "topic reason" },
+        { log_event::store_reading_changed, "store_reading_changed", info, lifecycle,
+            "for_zone configuration targets configuration_age_ms targets_age_ms" },
         { log_event::peer_lost, "peer_lost", warning, lifecycle, "peer silent_ms" },
         { log_event::peers_reached, "peers_reached", info, lifecycle, "count peers" },
         { log_event::peers_lost, "peers_lost", warning, lifecycle, "count peers" },
