--- a/libs/gateway/tests/test_shared_view.cpp
+++ b/libs/gateway/tests/test_shared_view.cpp
@@ -21,12 +21,14 @@
     int timesBehind = 0;
     shared_view view;
 
-    viewed_store()
+    explicit viewed_store(bool isStarted = true)
         : view({ decoder, store, decisions, nodes, counters, log }, {},
             { [this](const auto& configuration) { versions.push_back(configuration->version()); },
                 [this](serving::target_note note) { told.push_back(std::move(note)); }, [this] { ++storeLosses; },
                 [this] { ++timesBehind; } })
     {
+        if (!isStarted)
+            return;
         view.start();
         view.setReadsClosely(true);
     }
@@ -60,6 +62,34 @@
 
 }
 
+TEST_CASE("test_node_whose_last_call_failed_does_not_count_as_reaching_the_store")
+{
+    // Guards against a zone that waits for a reader whose calls all fail, because it read another topic long before.
+    using serving::store_reach;
+    viewed_store world;
+    world.listTargets({ { 1, "t1", "s/1" } }, 2);
+    world.lastCall("newest", store_topic::configuration)
+        .onNewest(newest_page { { { 3, "configuration", "7" } }, 4, false });
+    CHECK(world.view.storeReach() == store_reach::reached);
+    world.lastCall("read", store_topic::configuration).onRead(store_error::refused);
+    CHECK(world.view.storeReach() == store_reach::lost);
+    world.lastCall("read", store_topic::targets).onRead(record_page { {}, 2, 2 });
+    CHECK(world.view.storeReach() == store_reach::reached);
+}
+
+TEST_CASE("test_reader_that_is_told_late_by_a_peer_goes_on_reading")
+{
+    // Guards against a reader that stops reading the target list when a peer's answer ends its start.
+    viewed_store world(false);
+    world.view.setReadsClosely(true);
+    world.listTargets({ { 1, "t1", "s/1" } }, 2);
+    world.lastCall("newest", store_topic::configuration)
+        .onNewest(newest_page { { { 3, "configuration", "7" } }, 4, false });
+    world.view.startTold();
+    CHECK(spinUntil([&] { return world.store.count("read", store_topic::targets) > 0; }));
+    CHECK(world.store.count("read", store_topic::configuration) > 0);
+}
+
 TEST_CASE("test_versions_only_rise")
 {
     // Symptom: a route that was added disappears again.
