--- a/libs/gateway/src/record_feed.cpp
+++ b/libs/gateway/src/record_feed.cpp
@@ -152,6 +152,7 @@
 {
     if (error == store_error::expired)
         return again(duration::zero());
+    m_reachUpdatedAt = boot_clock::now();
     if (m_reach != serving::store_reach::lost) {
         m_reach = serving::store_reach::lost;
         m_on.onReach(false, toString(error));
@@ -161,7 +162,7 @@
 
 void record_feed::reached()
 {
-    m_reachedAt = boot_clock::now();
+    m_reachedAt = m_reachUpdatedAt = boot_clock::now();
     m_retries.succeeded();
     if (m_reach == serving::store_reach::reached)
         return;
--- a/libs/gateway/src/record_feed.h
+++ b/libs/gateway/src/record_feed.h
@@ -48,6 +48,8 @@
     instant freshAt() const { return m_freshAt; }
     /// When the store answered last.
     instant reachedAt() const { return m_reachedAt; }
+    /// When a successful or failed call last determined reach(). Expired offsets and abandoned calls do not count.
+    instant reachUpdatedAt() const { return m_reachUpdatedAt; }
     std::int64_t next() const { return m_next; }
 
 private:
@@ -76,6 +78,7 @@
     instant m_freshAt;
     instant m_askedAt;
     instant m_reachedAt;
+    instant m_reachUpdatedAt;
     serving::store_reach m_reach = serving::store_reach::unknown;
     bool m_isAnswerDue = false; // the outstanding call does not wait for the next record
     bool m_isHurried = false; // there is more to read than what the outstanding call was asked for
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -337,14 +337,8 @@
 
 serving::store_reach shared_view::storeReach() const
 {
-    using serving::store_reach;
-    const auto configuration = m_configurationFeed.reach();
-    const auto targets = m_targetFeed.reach();
-    for (const auto known : { store_reach::reached, store_reach::lost }) {
-        if (configuration == known || targets == known)
-            return known;
-    }
-    return store_reach::unknown;
+    const bool isConfigurationNewer = m_configurationFeed.reachUpdatedAt() > m_targetFeed.reachUpdatedAt();
+    return isConfigurationNewer ? m_configurationFeed.reach() : m_targetFeed.reach();
 }
 
 bool shared_view::isStoreLost() const
--- a/libs/gateway/tests/test_shared_view.cpp
+++ b/libs/gateway/tests/test_shared_view.cpp
@@ -64,7 +64,7 @@
 
 TEST_CASE("test_node_whose_last_call_failed_does_not_count_as_reaching_the_store")
 {
-    // Guards against a zone that waits for a reader whose calls all fail, because it read another topic long before.
+    // Guards against a stale success for one topic hiding failures of the other, so that a failing reader is kept.
     using serving::store_reach;
     viewed_store world;
     world.listTargets({ { 1, "t1", "s/1" } }, 2);
@@ -79,7 +79,7 @@
 
 TEST_CASE("test_reader_that_is_told_late_by_a_peer_goes_on_reading")
 {
-    // Guards against a reader that stops reading the target list when a peer's answer ends its start.
+    // Guards against startTold() postponing the next read of feeds that are already reading.
     viewed_store world(false);
     world.view.setReadsClosely(true);
     world.listTargets({ { 1, "t1", "s/1" } }, 2);
