--- a/libs/gateway/src/record_feed.cpp
+++ b/libs/gateway/src/record_feed.cpp
@@ -43,6 +43,12 @@
 
 void record_feed::again(duration pause) { m_timer.start(std::chrono::duration_cast<std::chrono::milliseconds>(pause)); }
 
+void record_feed::startAfter(duration wait)
+{
+    if (m_call == 0)
+        again(wait);
+}
+
 void record_feed::stop()
 {
     m_isStopped = true;
--- a/libs/gateway/src/record_feed.h
+++ b/libs/gateway/src/record_feed.h
@@ -32,8 +32,9 @@
     record_feed(keyed_log& store, feed_options options, handlers on);
 
     void start() { readNewest(); }
-    /// The same after a while, or at the first hurry().
-    void startAfter(duration wait) { again(wait); }
+    /// Schedules the first read after `wait`; hurry() starts it earlier. No effect once a call has been issued, since
+    /// it would postpone the next read.
+    void startAfter(duration wait);
     void setPause(duration pause) { m_options.pause = pause; }
     void setWait(duration wait) { m_options.wait = wait; }
     void setLongestRetryPause(duration longest) { m_retries.setLongest(longest); }
