--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -13,6 +13,7 @@
 #include "base/hash.h"
 #include "http/http_server.h"
 #include "serving/duty_roster.h"
+#include "serving/freshness.h"
 
 #include <QTimer>
 
@@ -78,6 +79,7 @@
     void checkDrain(instant now);
     void publishMetrics(instant now);
     void shareDuties(instant now);
+    void assignStoreReading(serving::node_state me, const std::vector<serving::node_state>& alive, instant now);
     void logReadiness();
     void logLost(const std::vector<serving::lost_node>& lost);
     void logHealth(const serving::health_change& change);
@@ -156,7 +158,7 @@
     , view({ ports.records, ports.store, decisions, nodes, counters, log }, settings,
           { [this](const auto& configuration) { configure(configuration); },
               [this](serving::target_note note) { peers.tellTargets(std::move(note)); }, [this] { pull.storeLost(); },
-              [this] { pull.behind(); } })
+              [this] { pull.behind(); }, [this] { peers.tellReadProgress(); } })
     , pull({ client, view, nodes, log, [this] { return self(); }, [this] { startTold(); }, [this] { startAlone(); } },
           pullInterval, settings.seeds)
     , registered(
@@ -236,7 +238,7 @@
 void gateway::state::configure(const std::shared_ptr<const serving::serving_configuration>&)
 {
     callers.setLimits(limits());
-    if (view.readsClosely())
+    if (view.tellsOthers())
         peers.beat(); // which tells the others of the version at once
 }
 
@@ -294,7 +296,8 @@
     if (!route) {
         log.write(log_event::request_without_route,
             { { "request", call.id }, { "host", call.host }, { "path", call.path },
-                { "version", view.configuration()->version() } });
+                { "version", view.configuration()->version() },
+                { "age_ms", milliseconds(view.configurationAge(boot_clock::now())) } });
         return refuse(caller, error_kind::unknown_service, "no route for " + call.path);
     }
     flows.submit({ std::move(request), std::move(call), view.configuration(), route, std::move(caller) });
@@ -329,11 +332,20 @@
     const auto me = self();
     const auto alive = nodes.alive(now);
     peers.planRelays(me, alive);
-    view.setReadsClosely(serving::readsForZone(me, alive));
+    assignStoreReading(me, alive, now);
     caches.tick(me, alive, now);
     roles.tick(me, alive, now);
 }
 
+void gateway::state::assignStoreReading(
+    serving::node_state me, const std::vector<serving::node_state>& alive, instant now)
+{
+    me.readsForOthers = serving::readsForZone(me, alive);
+    view.setReadsClosely(me.readsForOthers, serving::confirmsForFleet(me, alive));
+    if (view.isStale(now))
+        view.refreshIfStale(serving::refreshRank(me, alive), now);
+}
+
 void gateway::state::publishMetrics(instant now)
 {
     if (now < nextMetrics)
@@ -359,8 +371,8 @@
         { { "topic", "configuration" } });
     counters.set("tamarack_store_topic_reachable", view.isTargetTopicReachable() ? 1 : 0, { { "topic", "targets" } });
     counters.set("tamarack_reads_store_for_zone", view.readsClosely() ? 1 : 0);
-    counters.set("tamarack_configuration_age_seconds", seconds(now - view.configurationFreshAt()));
-    counters.set("tamarack_target_list_age_seconds", seconds(now - view.targetsFreshAt()));
+    counters.set("tamarack_configuration_age_seconds", seconds(view.configurationAge(now)));
+    counters.set("tamarack_target_list_age_seconds", seconds(view.targetsAge(now)));
     counters.set("tamarack_log_lines_left_out", static_cast<double>(log.linesLeftOut()));
     counters.set("tamarack_peer_undecodable", static_cast<double>(peers.undecodable()));
     counters.set("tamarack_peer_datagrams_sent", static_cast<double>(peers.counts().sent));
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -16,7 +16,7 @@
 namespace {
 
     /// Another version is another format: what cannot be read is dropped, and the nodes of a version know each other.
-    constexpr char formatVersion = 15;
+    constexpr char formatVersion = 16;
     /// 1,472 bytes fit into a datagram that is not split; a load takes 6, a job 27, news of a cache 16, of a
     /// target's health 8, a change of role 4, the
     /// sender some 35, or 140 when it tells all of itself. Changes of role are seldom many, and then before
@@ -192,6 +192,11 @@
 
 template <class Archive> void serialize(Archive& archive, cache_note& m) { archiveShort(archive, m.caches); }
 
+template <class Archive> void serialize(Archive& archive, read_note& m)
+{
+    archive(m.node, m.startedAt, m.sentAt, m.configurationVersion, m.configurationAt, m.lastTargetChange, m.targetsAt);
+}
+
 template <class Archive> void serialize(Archive& archive, known_caches& m) { archive(m.parts, m.isComplete); }
 
 template <class Archive> void serialize(Archive& archive, node_greeting& m) { archive(m.sender, m.isSeeking); }
--- a/libs/gateway/src/node_messages.h
+++ b/libs/gateway/src/node_messages.h
@@ -44,6 +44,17 @@
     std::vector<cache_news> caches;
 };
 
+/// Sent after each complete read of a store topic. Times are microseconds of the sender's boot clock.
+struct read_note {
+    std::uint32_t node = 0; ///< shortHash() of the sender's VM
+    std::int64_t startedAt = 0; ///< of the sender's process; changes on restart
+    std::int64_t sentAt = 0;
+    std::uint64_t configurationVersion = 0;
+    std::int64_t configurationAt = 0; ///< 0: never read
+    std::int64_t lastTargetChange = -1;
+    std::int64_t targetsAt = 0; ///< 0: never read
+};
+
 /// Sent to nodes that are known but not heard, and to those that seek this node.
 struct node_greeting {
     serving::node_state sender;
@@ -78,7 +89,8 @@
 };
 
 /// A target note is sent by a node that follows the target list closely.
-using peer_datagram = std::variant<node_heartbeat, job_note, serving::target_note, node_greeting, cache_note>;
+using peer_datagram
+    = std::variant<node_heartbeat, job_note, serving::target_note, node_greeting, cache_note, read_note>;
 
 /// Heartbeats stay below the usual path MTU; what does not fit is left out.
 std::string encodeDatagram(peer_datagram message);
--- a/libs/gateway/src/peer_talk.cpp
+++ b/libs/gateway/src/peer_talk.cpp
@@ -162,6 +162,15 @@
         tellAll(encodeDatagram(std::move(part)), serving::told_pace::atOnce);
 }
 
+void peer_talk::tellReadProgress()
+{
+    auto note = m_parts.view.readProgress();
+    note.node = m_ownHash;
+    note.startedAt = m_startedAt;
+    note.sentAt = boot_clock::now().time_since_epoch().count();
+    tellAll(encodeDatagram(note), serving::told_pace::atOnce);
+}
+
 void peer_talk::tellCaches(std::vector<cache_news> caches)
 {
     for (auto& part : splitCaches(std::move(caches)))
@@ -179,6 +188,8 @@
         m_parts.view.targetsTold(*targets);
     else if (const auto* caches = std::get_if<cache_note>(&message))
         m_parts.caches.told(caches->caches);
+    else if (const auto* read = std::get_if<read_note>(&message))
+        heardRead(*read);
     else
         heardGreeting(std::get<node_greeting>(message));
 }
@@ -189,6 +200,19 @@
         m_parts.decisions.peerSent(message.node, message.jobs, false, boot_clock::now());
 }
 
+void peer_talk::heardRead(const read_note& message)
+{
+    if (message.node == m_ownHash)
+        return;
+    auto& sender = m_peerProcesses[message.node];
+    if (sender.startedAt != message.startedAt)
+        sender = { message.startedAt, {} };
+    const auto at = [](std::int64_t count) { return instant(duration(count)); };
+    sender.clock.observed(at(message.sentAt), boot_clock::now());
+    m_parts.view.peerReadStore(
+        message, sender.clock.toLocal(at(message.configurationAt)), sender.clock.toLocal(at(message.targetsAt)));
+}
+
 // What goes wrong without the answer: a node that has just started knows no relay, and hears nobody.
 void peer_talk::heardGreeting(const node_greeting& message)
 {
--- a/libs/gateway/src/peer_talk.h
+++ b/libs/gateway/src/peer_talk.h
@@ -10,9 +10,11 @@
 #include "observe/name_sample.h"
 #include "serving/dispatcher.h"
 #include "serving/node_directory.h"
+#include "serving/peer_clock.h"
 
 #include <QTimer>
 #include <functional>
+#include <unordered_map>
 
 namespace tamarack {
 
@@ -38,6 +40,8 @@
     /// Prompts have gone to engines: peers are told in a moment.
     void jobsSent();
     void tellTargets(serving::target_note note);
+    /// Tells all peers up to which instant this node has read the store.
+    void tellReadProgress();
     /// What engines keep that were asked for all of it.
     void tellCaches(std::vector<cache_news> caches);
     /// Finds out who passes on what is told; now and then.
@@ -47,11 +51,17 @@
     std::uint64_t undecodable() const { return m_mesh.counts().undecodable + m_undecodable; }
 
 private:
+    struct peer_process {
+        std::int64_t startedAt = 0;
+        serving::peer_clock clock;
+    };
+
     void heardLoad(const serving::node_place& from, const serving::relay_load& load);
     void heard(const peer_datagram& message);
     void heardBeat(const node_heartbeat& message);
     void heardGreeting(const node_greeting& message);
     void heardJobs(const job_note& message);
+    void heardRead(const read_note& message);
     /// A peer has been heard that was away.
     void reached(const serving::node_state& peer);
     void logRelay();
@@ -77,6 +87,8 @@
     int m_beats = 0;
     random_source m_random;
     std::uint32_t m_ownHash;
+    std::int64_t m_startedAt = boot_clock::now().time_since_epoch().count();
+    std::unordered_map<std::uint32_t, peer_process> m_peerProcesses; // by shortHash() of the VM
     name_sample m_reached;
     serving::node_place m_relayLogged;
     bool m_wasRelay = true;
--- a/libs/gateway/src/record_feed.cpp
+++ b/libs/gateway/src/record_feed.cpp
@@ -70,12 +70,25 @@
     readOn(duration::zero());
 }
 
+void record_feed::skipTo(std::int64_t next)
+{
+    if (m_next < 0 && !m_isAnswerDue)
+        m_next = next;
+}
+
+void record_feed::deferRetry()
+{
+    if (m_reach == serving::store_reach::lost && !m_isAnswerDue && !m_isStopped)
+        again(m_options.pause);
+}
+
 void record_feed::readOn(duration wait)
 {
     if (m_next < 0)
         return readNewest();
     const auto call = ++m_call;
     m_askedAt = boot_clock::now();
+    m_askedWait = wait;
     m_isAnswerDue = wait == duration::zero();
     m_store.read(m_options.topic, m_next, wait, [this, call](store_result<record_page> result) {
         if (call == m_call)
@@ -96,6 +109,8 @@
 {
     const auto call = ++m_call;
     m_askedAt = boot_clock::now();
+    if (m_snapshotEnd < 0)
+        m_snapshotAskedAt = m_askedAt;
     m_isAnswerDue = true;
     m_store.newest(m_options.topic, m_snapshotTo, m_patience, [this, call](store_result<newest_page> result) {
         if (call == m_call)
@@ -128,8 +143,9 @@
     const auto end = m_snapshotEnd;
     startOver();
     m_next = end;
-    m_freshAt = m_askedAt;
+    m_freshAt = m_snapshotAskedAt;
     m_on.onSnapshot(snapshot);
+    m_on.onComplete();
     pause();
 }
 
@@ -146,11 +162,13 @@
     const auto& page = std::get<record_page>(result);
     reached();
     m_next = std::max(m_next, page.next);
-    m_freshAt = m_askedAt;
     if (!page.records.empty())
         m_on.onRecords(page.records);
     if (page.next < page.end)
         return again(duration::zero());
+    // An empty answer to a waiting read means that nothing was written before the wait expired.
+    m_freshAt = page.records.empty() ? std::min(m_askedAt + m_askedWait, boot_clock::now()) : m_askedAt;
+    m_on.onComplete();
     pause();
 }
 
--- a/libs/gateway/src/record_feed.h
+++ b/libs/gateway/src/record_feed.h
@@ -27,6 +27,8 @@
         std::function<void(const std::vector<keyed_record>&)> onRecords;
         /// The store answers, also at first, or does not any more.
         std::function<void(bool isReachable, std::string_view reason)> onReach;
+        /// Every record that the topic held at freshAt() has been passed to the handlers.
+        std::function<void()> onComplete = [] {};
     };
 
     record_feed(keyed_log& store, feed_options options, handlers on);
@@ -37,15 +39,19 @@
     void startAfter(duration wait);
     void setPause(duration pause) { m_options.pause = pause; }
     void setWait(duration wait) { m_options.wait = wait; }
-    void setLongestRetryPause(duration longest) { m_retries.setLongest(longest); }
+    void setRetryPauses(duration first, duration longest) { m_retries.setPauses(first, longest); }
     /// Reads now: a call that waits for the next record is given up, since its connection may have gone silent. One
     /// that is being answered goes on, and is followed by another at once.
     void hurry();
     void stop();
+    /// Starts reading at `next`, since a peer has supplied the records before it. No effect after the first read.
+    void skipTo(std::int64_t next);
+    /// Replaces a pending retry by the usual pause, since a peer has supplied the answer.
+    void deferRetry();
 
     bool isCurrent() const { return m_next >= 0; }
     serving::store_reach reach() const { return m_reach; }
-    /// When the view was last known to be complete.
+    /// Every record that the store held at this instant has been read; instant() before the first complete read.
     instant freshAt() const { return m_freshAt; }
     /// When the store answered last.
     instant reachedAt() const { return m_reachedAt; }
@@ -78,6 +84,8 @@
     std::uint64_t m_call = 0; // the outstanding call; answers of earlier ones have no effect
     instant m_freshAt;
     instant m_askedAt;
+    duration m_askedWait = duration::zero(); // wait of the outstanding call
+    instant m_snapshotAskedAt; // when its first page was requested
     instant m_reachedAt;
     instant m_reachUpdatedAt;
     serving::store_reach m_reach = serving::store_reach::unknown;
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -23,6 +23,8 @@
     /// Nodes that leave the close reading to others hear of each version and of each change of the target list, and of
     /// both again in each heartbeat; they read by themselves at this pace in case that none of the readers is heard.
     constexpr duration seldomPause = 300s;
+    /// First retry pause of nodes that read for others.
+    constexpr duration firstRetryPause = 150ms;
     /// While the store fails, nodes that read for others ask at least this often, so that they tell of its return
     /// within a third of the time within which a version must be in force; the others ask at least this often for
     /// themselves.
@@ -69,11 +71,12 @@
 shared_view::shared_view(dependencies parts, const gateway_settings& settings, handlers on)
     : m_parts(parts)
     , m_on(std::move(on))
-    , m_closePause(share(pauseShareOfBound, settings.drainBound))
-    , m_closeWait(share(waitShareOfBound, settings.configurationBound))
+    , m_drainBound(settings.drainBound)
+    , m_configurationBound(settings.configurationBound)
+    , m_configurationFreshness(settings.configurationBound, boot_clock::now())
+    , m_targetsFreshness(settings.drainBound, boot_clock::now())
     , m_targets(lapseGrace)
-    , m_configurationFeed(parts.store, { store_topic::configuration, 0s, seldomPause },
-          forEachRecord("configuration", [this](const keyed_record& record) { onConfigurationRecord(record); }))
+    , m_configurationFeed(parts.store, { store_topic::configuration, 0s, seldomPause }, configurationHandlers())
     , m_targetFeed(parts.store, { store_topic::targets, 0s, seldomPause }, targetHandlers())
     , m_nodeFeed(parts.store, { store_topic::nodes, 0s, nodePause },
           forEachRecord("nodes", [this](const keyed_record& record) { onNodeRecord(record); }))
@@ -98,6 +101,16 @@
     });
 }
 
+record_feed::handlers shared_view::configurationHandlers()
+{
+    auto on = forEachRecord("configuration", [this](const keyed_record& record) { onConfigurationRecord(record); });
+    on.onComplete = [this] {
+        m_configurationFreshness.confirmed(m_configurationFeed.freshAt());
+        m_on.onReadComplete();
+    };
+    return on;
+}
+
 record_feed::handlers shared_view::targetHandlers()
 {
     auto on = handlersFor("targets", [this](const std::vector<keyed_record>& records) {
@@ -106,6 +119,10 @@
     on.onSnapshot = [this](const std::vector<keyed_record>& all) {
         carryOut(m_targets.listRead(decodeTargets(all), m_targetFeed.next(), boot_clock::now()));
     };
+    on.onComplete = [this] {
+        m_targetsFreshness.confirmed(m_targetFeed.freshAt());
+        m_on.onReadComplete();
+    };
     return on;
 }
 
@@ -255,7 +272,7 @@
 void shared_view::carryOut(serving::follow_step step)
 {
     apply(step.changes);
-    if (step.note && m_readsClosely)
+    if (step.note && tellsOthers())
         m_on.onTargetChanges(std::move(*step.note));
     const auto now = boot_clock::now();
     if (!step.mustRead || now < m_targetsHurriedAt + hurryInterval)
@@ -275,7 +292,7 @@
 }
 
 // Only what the readers know makes the others read: a change that one of those found by itself is on its way in a note.
-std::int64_t shared_view::lastTargetChange() const { return m_readsClosely ? m_targets.lastChange() : -1; }
+std::int64_t shared_view::lastTargetChange() const { return tellsOthers() ? m_targets.lastChange() : -1; }
 
 void shared_view::targetsTold(const serving::target_note& note)
 {
@@ -284,31 +301,84 @@
 
 void shared_view::targetChangeSeen(std::int64_t offset) { carryOut(m_targets.changeSeen(offset, boot_clock::now())); }
 
-void shared_view::setRetryPause(duration longest)
+void shared_view::setReadsClosely(bool readsClosely, bool confirms)
+{
+    if (readsClosely == m_readsClosely && confirms == m_confirms)
+        return;
+    m_confirms = confirms;
+    if (readsClosely != m_readsClosely) {
+        m_readsClosely = readsClosely;
+        m_parts.log.write(log_event::store_reading_changed,
+            { { "for_zone", readsClosely }, { "configuration", toString(m_configurationFeed.reach()) },
+                { "targets", toString(m_targetFeed.reach()) },
+                { "configuration_age_ms", ageMilliseconds(m_configurationFeed.freshAt()) },
+                { "targets_age_ms", ageMilliseconds(m_targetFeed.freshAt()) } });
+        m_targets.setReadsSeldom(!readsClosely);
+    }
+    applyReadIntervals();
+    if (!readsClosely)
+        return;
+    m_targetFeed.hurry();
+    m_configurationFeed.hurry();
+}
+
+void shared_view::applyReadIntervals()
 {
+    using namespace serving::freshness_share;
+    const double wait = m_confirms ? confirmerWait : waitShareOfBound;
+    const double pause = m_confirms ? confirmerPause : pauseShareOfBound;
+    m_targetFeed.setPause(m_readsClosely ? share(pause, m_drainBound) : seldomPause);
+    m_configurationFeed.setPause(m_readsClosely ? configurationPause : seldomPause);
+    m_configurationFeed.setWait(m_readsClosely ? share(wait, m_configurationBound) : 0s);
     for (auto* feed : { &m_configurationFeed, &m_targetFeed, &m_nodeFeed })
-        feed->setLongestRetryPause(longest);
+        feed->setRetryPauses(
+            m_readsClosely ? firstRetryPause : seldomRetryPause, m_readsClosely ? closeRetryPause : seldomRetryPause);
 }
 
-void shared_view::setReadsClosely(bool readsClosely)
+read_note shared_view::readProgress() const
 {
-    if (readsClosely == m_readsClosely)
+    const auto count = [](instant at) { return at.time_since_epoch().count(); };
+    read_note out;
+    out.configurationVersion = m_configuration ? m_configuration->version() : 0;
+    out.configurationAt = count(m_configurationFeed.freshAt());
+    out.lastTargetChange = lastTargetChange();
+    out.targetsAt = count(m_targetFeed.freshAt());
+    return out;
+}
+
+void shared_view::peerReadStore(const read_note& note, instant configurationAt, instant targetsAt)
+{
+    const auto version = m_configuration ? m_configuration->version() : 0;
+    if (note.configurationAt != 0 && version >= note.configurationVersion)
+        m_configurationFreshness.confirmed(configurationAt);
+    if (note.targetsAt != 0 && m_targets.hasChangesUpTo(note.lastTargetChange))
+        m_targetsFreshness.confirmed(targetsAt);
+    if (m_readsClosely)
         return;
-    m_readsClosely = readsClosely;
-    m_parts.log.write(log_event::store_reading_changed,
-        { { "for_zone", readsClosely }, { "configuration", toString(m_configurationFeed.reach()) },
-            { "targets", toString(m_targetFeed.reach()) },
-            { "configuration_age_ms", ageMilliseconds(m_configurationFeed.freshAt()) },
-            { "targets_age_ms", ageMilliseconds(m_targetFeed.freshAt()) } });
-    m_targets.setReadsSeldom(!readsClosely);
-    m_targetFeed.setPause(readsClosely ? m_closePause : seldomPause);
-    m_configurationFeed.setPause(readsClosely ? configurationPause : seldomPause);
-    m_configurationFeed.setWait(readsClosely ? m_closeWait : 0s);
-    setRetryPause(readsClosely ? closeRetryPause : seldomRetryPause);
-    if (!readsClosely)
+    m_configurationFeed.deferRetry();
+    m_targetFeed.deferRetry();
+}
+
+void shared_view::refreshIfStale(std::size_t rank, instant now)
+{
+    if (!hasConfiguration() || !hasTargets())
+        return; // the initial reads are retried separately, at shorter intervals
+    refresh("configuration", m_configurationFeed, m_configurationFreshness, rank, now);
+    refresh("targets", m_targetFeed, m_targetsFreshness, rank, now);
+}
+
+void shared_view::refresh(
+    std::string_view topic, record_feed& feed, serving::freshness& freshness, std::size_t rank, instant now)
+{
+    if (!freshness.claimRefresh(rank, now))
         return;
-    m_targetFeed.hurry();
-    m_configurationFeed.hurry();
+    m_tellsOthersUntil = now + m_configurationBound;
+    applyReadIntervals();
+    m_parts.log.write(log_event::store_asked,
+        { { "topic", topic },
+            { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(freshness.age(now)).count() },
+            { "rank", rank } });
+    feed.hurry();
 }
 
 void shared_view::onNodeRecord(const keyed_record& record)
@@ -356,8 +426,10 @@
 void shared_view::take(const shared_state& state)
 {
     const auto configuration = state.configuration ? unpack(*state.configuration) : std::nullopt;
-    if (configuration)
+    if (configuration) {
         onConfigurationRecord(*configuration);
+        m_configurationFeed.skipTo(configuration->offset + 1);
+    }
     carryOut(m_targets.stateTaken(state.targets, boot_clock::now()));
     for (const auto& node : state.nodes)
         m_parts.nodes.told(node, boot_clock::now());
--- a/libs/gateway/src/shared_view.h
+++ b/libs/gateway/src/shared_view.h
@@ -8,6 +8,7 @@
 #include "observe/logger.h"
 #include "observe/metrics.h"
 #include "serving/dispatcher.h"
+#include "serving/freshness.h"
 #include "serving/node_directory.h"
 #include "serving/target_follower.h"
 
@@ -35,6 +36,8 @@
         /// Peers have a newer version in force, or know a change of the target list that this node has missed, and it
         /// leaves the store to others.
         std::function<void()> onBehind;
+        /// This node has read all records of a topic.
+        std::function<void()> onReadComplete = [] {};
     };
 
     shared_view(dependencies parts, const gateway_settings& settings, handlers on);
@@ -46,9 +49,20 @@
     /// This node's own record is in the store: from now on the others are read.
     void registered();
     void stop();
-    /// Whether this node reads the target list closely, for all; else it reads seldom and listens to those that do.
-    void setReadsClosely(bool readsClosely);
+    /// Whether this node reads the store closely on behalf of the others; otherwise it reads seldom and relies on
+    /// them. `confirms`: it also polls at shorter intervals, to confirm to all nodes that nothing has changed.
+    void setReadsClosely(bool readsClosely, bool confirms = false);
     bool readsClosely() const { return m_readsClosely; }
+    /// Whether this node tells its peers what it reads: as a reader, or for a limited time after a refresh.
+    bool tellsOthers() const { return m_readsClosely || boot_clock::now() < m_tellsOthersUntil; }
+    /// The instants and versions up to which this node has read the store; the caller fills in the sender.
+    read_note readProgress() const;
+    /// A peer has read the store; the instants are those of the note, by the local clock.
+    void peerReadStore(const read_note& note, instant configurationAt, instant targetsAt);
+    /// Whether a topic has gone without confirmation for so long that nodes read the store themselves.
+    bool isStale(instant now) const { return m_configurationFreshness.isStale(now) || m_targetsFreshness.isStale(now); }
+    /// Reads the stale topics that the node with this rank is due to read.
+    void refreshIfStale(std::size_t rank, instant now);
     /// A peer that reads closely has found these changes.
     void targetsTold(const serving::target_note& note);
     /// A peer knows of a change of the target list at this offset.
@@ -88,12 +102,16 @@
     /// Start time of the latest successful read of the topic from the store by this node.
     instant configurationFreshAt() const { return m_configurationFeed.freshAt(); }
     instant targetsFreshAt() const { return m_targetFeed.freshAt(); }
+    /// Time since this node was last known to hold all records of the topic, read by itself or by a peer.
+    duration configurationAge(instant now) const { return m_configurationFreshness.age(now); }
+    duration targetsAge(instant now) const { return m_targetsFreshness.age(now); }
 
 private:
     using records_handler = std::function<void(const std::vector<keyed_record>&)>;
 
     record_feed::handlers handlersFor(std::string_view topic, records_handler onRecords);
     record_feed::handlers forEachRecord(std::string_view topic, std::function<void(const keyed_record&)> onRecord);
+    record_feed::handlers configurationHandlers();
     record_feed::handlers targetHandlers();
     void onConfigurationRecord(const keyed_record& record);
     void onNodeRecord(const keyed_record& record);
@@ -104,13 +122,17 @@
     void decodeTarget(const keyed_record& record, serving::target_news& news) const;
     void apply(const serving::target_changes& changes);
     void logChanges(const serving::target_changes& changes) const;
-    void setRetryPause(duration longest);
+    void applyReadIntervals();
+    void refresh(
+        std::string_view topic, record_feed& feed, serving::freshness& freshness, std::size_t rank, instant now);
     void reachChanged(std::string_view topic, bool isReachable, std::string_view reason);
 
     dependencies m_parts;
     handlers m_on;
-    duration m_closePause;
-    duration m_closeWait;
+    duration m_drainBound;
+    duration m_configurationBound;
+    serving::freshness m_configurationFreshness;
+    serving::freshness m_targetsFreshness;
     serving::target_follower m_targets;
     record_feed m_configurationFeed;
     record_feed m_targetFeed;
@@ -119,10 +141,12 @@
     std::optional<keyed_record> m_configurationRecord; // as the store had it
     std::optional<packed_record> m_packedConfiguration; // the same, once a peer has asked for it
     instant m_startedAt;
+    instant m_tellsOthersUntil;
     instant m_tickAt; // not before
     instant m_hurriedAt;
     instant m_targetsHurriedAt;
     bool m_readsClosely = false;
+    bool m_confirms = false;
     bool m_knowsNodes = false;
     bool m_wereTargetsLost = false; // the store has not told the list since
 };
--- a/libs/gateway/tests/test_record_feed.cpp
+++ b/libs/gateway/tests/test_record_feed.cpp
@@ -142,3 +142,47 @@
     topic.last(3).onNewest(newest_page { {}, 0, false });
     CHECK(topic.reach == std::vector<bool> { false, true });
 }
+
+TEST_CASE("test_empty_answer_of_a_waiting_read_confirms_its_end")
+{
+    followed_topic topic({ store_topic::configuration, 50ms, 1ms, 1ms, 1ms });
+    topic.last(1).onNewest(newest_page { { record(4, "a") }, 5, false });
+    auto asked = boot_clock::now();
+    topic.last(2).onRead(record_page { { record(5, "b") }, 6, 6 });
+    CHECK(topic.feed.freshAt() <= boot_clock::now());
+    CHECK(topic.feed.freshAt() < asked + 50ms);
+    const auto& waiting = topic.last(3);
+    asked = boot_clock::now();
+    REQUIRE(spinUntil([&] { return boot_clock::now() > asked + 60ms; }));
+    waiting.onRead(record_page { {}, 6, 6 });
+    CHECK(topic.feed.freshAt() >= asked + 40ms);
+    CHECK(topic.feed.freshAt() <= asked + 50ms);
+}
+
+TEST_CASE("test_feed_that_was_told_the_records_reads_what_follows")
+{
+    // Guards against a full read of a topic that a peer has already supplied, which can take a second on a slow link.
+    fake_store store;
+    record_feed feed(store, { store_topic::configuration, 0ms, 1h },
+        { [](const auto&) {}, [](const auto&) {}, [](bool, std::string_view) {} });
+    feed.skipTo(7);
+    feed.hurry();
+    REQUIRE(store.calls.size() == 1);
+    CHECK(store.calls[0].what == "read");
+    CHECK(store.calls[0].from == 7);
+}
+
+TEST_CASE("test_failed_call_is_not_repeated_when_a_peer_has_told_its_answer")
+{
+    fake_store store;
+    record_feed feed(store, { store_topic::configuration, 0ms, 1h, 30ms, 30ms },
+        { [](const auto&) {}, [](const auto&) {}, [](bool, std::string_view) {} });
+    feed.skipTo(7);
+    feed.hurry();
+    const auto fail = store.calls[0].onRead;
+    fail(store_error::unreachable);
+    feed.deferRetry();
+    const auto end = boot_clock::now() + 100ms;
+    spinUntil([&] { return boot_clock::now() > end; });
+    CHECK(store.calls.size() == 1);
+}
--- a/libs/gateway/tests/test_shared_view.cpp
+++ b/libs/gateway/tests/test_shared_view.cpp
@@ -90,6 +90,49 @@
     CHECK(world.store.count("read", store_topic::configuration) > 0);
 }
 
+TEST_CASE("test_node_that_nobody_confirms_asks_the_store_itself")
+{
+    // Guards against a node that stays on an old version when no reader can be heard.
+    viewed_store world;
+    const auto now = boot_clock::now();
+    world.listTargets({ { 1, "t1", "s/1" } }, 2);
+    world.lastCall("newest", store_topic::configuration)
+        .onNewest(newest_page { { { 3, "configuration", "7" } }, 4, false });
+    world.view.setReadsClosely(false);
+    const auto reads = [&] { return world.store.count("read", store_topic::configuration); };
+    const auto before = reads();
+    world.view.refreshIfStale(0, now + 900ms);
+    CHECK(reads() == before);
+    CHECK_FALSE(world.view.tellsOthers());
+    world.view.refreshIfStale(0, now + 1500ms);
+    CHECK(reads() == before + 1);
+    CHECK(world.view.tellsOthers());
+    world.view.refreshIfStale(0, now + 1900ms);
+    CHECK(reads() == before + 1);
+}
+
+TEST_CASE("test_confirmation_of_a_peer_counts_only_for_what_is_known_here")
+{
+    viewed_store world;
+    world.listTargets({ { 1, "t1", "s/1" } }, 2);
+    world.lastCall("newest", store_topic::configuration)
+        .onNewest(newest_page { { { 3, "configuration", "7" } }, 4, false });
+    world.view.setReadsClosely(false);
+    const auto later = boot_clock::now() + 10s;
+    read_note note;
+    note.configurationAt = note.targetsAt = 1;
+    note.configurationVersion = 8;
+    note.lastTargetChange = 5;
+    world.view.peerReadStore(note, later, later);
+    CHECK(world.view.configurationAge(later) > 9s);
+    CHECK(world.view.targetsAge(later) > 9s);
+    note.configurationVersion = 7;
+    note.lastTargetChange = 1;
+    world.view.peerReadStore(note, later, later);
+    CHECK(world.view.configurationAge(later) == 0s);
+    CHECK(world.view.targetsAge(later) == 0s);
+}
+
 TEST_CASE("test_versions_only_rise")
 {
     // Symptom: a route that was added disappears again.
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -29,6 +29,7 @@
     store_reached,
     store_lost,
     store_reading_changed,
+    store_asked,
     peer_lost,
     peers_reached,
     peers_lost,
--- a/libs/serving/include/serving/retry_pace.h
+++ b/libs/serving/include/serving/retry_pace.h
@@ -17,6 +17,8 @@
     {
     }
 
+    /// Also resets the next wait to `first`.
+    void setPauses(duration first, duration longest);
     /// Also shortens a wait that is longer by now.
     void setLongest(duration longest);
     /// The wait after one more failure in a row.
--- a/libs/serving/include/serving/target_follower.h
+++ b/libs/serving/include/serving/target_follower.h
@@ -65,6 +65,8 @@
     bool hasList() const { return m_hasList; }
     /// Whether a peer knows of a change that this node has missed.
     bool isBehind() const { return m_hasList && m_soughtTo > m_lastChange && m_soughtTo >= m_next; }
+    /// Whether this node has every change up to this offset.
+    bool hasChangesUpTo(std::int64_t offset) const { return m_hasList && (offset <= m_lastChange || offset < m_next); }
     /// Every change up to this offset is known and obeyed here; -1: there was none.
     std::int64_t lastChange() const;
     /// For a peer.
--- a/libs/serving/src/retry_pace.cpp
+++ b/libs/serving/src/retry_pace.cpp
@@ -5,6 +5,12 @@
 
 namespace tamarack::serving {
 
+void retry_pace::setPauses(duration first, duration longest)
+{
+    m_first = m_next = first;
+    m_longest = longest;
+}
+
 void retry_pace::setLongest(duration longest)
 {
     m_longest = longest;
