--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -166,8 +166,9 @@
     , services { client, decisions, ports.callers, ports.targets, counters, log }
     , caches(client, ports.targets, decisions, counters, log,
           [this](std::vector<cache_news> listed) { peers.tellCaches(std::move(listed)); })
-    , roles({ client, ports.targets, ports.store, decisions, counters, log, [this] { peers.beat(); } }, settings.vm,
-          leaseSettings(settings))
+    , roles({ client, ports.targets, ports.store, decisions, counters, log, [this] { peers.beat(); },
+                [this] { view.checkStoreReach(); } },
+          settings.vm, leaseSettings(settings))
     , peers({ decisions, nodes, view, caches, roles, log, [this] { return self(); } })
     , callers(
           {},
--- a/libs/gateway/src/role_orders.cpp
+++ b/libs/gateway/src/role_orders.cpp
@@ -92,7 +92,8 @@
     const auto now = boot_clock::now();
     if (const auto* error = std::get_if<store_error>(&result)) {
         m_parts.log.write(log_event::store_lost, { { "topic", "orders" }, { "reason", toString(*error) } });
-        return m_lease.claimFailed(now);
+        m_lease.claimFailed(now);
+        return m_parts.onClaimFailed();
     }
     const auto& placed = std::get<placed_append>(result);
     if (placed.isAppended)
--- a/libs/gateway/src/role_orders.h
+++ b/libs/gateway/src/role_orders.h
@@ -30,6 +30,7 @@
         metrics& counters;
         const logger& log;
         std::function<void()> tellPeers; ///< sends a heartbeat now
+        std::function<void()> onClaimFailed; ///< called when the store refuses or does not answer a claim
     };
 
     role_orders(dependencies parts, std::string vm, serving::order_lease_settings settings);
--- a/libs/gateway/src/shared_view.cpp
+++ b/libs/gateway/src/shared_view.cpp
@@ -339,6 +339,12 @@
     m_nodeFeed.setLongestRetryPause(longestRetryPause);
 }
 
+void shared_view::checkStoreReach()
+{
+    applyReadIntervals();
+    m_configurationFeed.hurry();
+}
+
 read_note shared_view::readProgress() const
 {
     const auto count = [](instant at) { return at.time_since_epoch().count(); };
--- a/libs/gateway/src/shared_view.h
+++ b/libs/gateway/src/shared_view.h
@@ -91,6 +91,8 @@
     /// Whether all nodes that had registered at some time were read, or told by a peer that had read them.
     bool knowsNodes() const { return m_knowsNodes || m_nodeFeed.isCurrent(); }
     const std::shared_ptr<const serving::serving_configuration>& configuration() const { return m_configuration; }
+    /// Reads the configuration topic now to update storeReach(), after a store call outside of this class has failed.
+    void checkStoreReach();
     /// Reachability according to the latest completed call for either the configuration or the target topic. An earlier
     /// success for the other topic does not mask a failure.
     serving::store_reach storeReach() const;
--- a/libs/gateway/tests/test_role_orders.cpp
+++ b/libs/gateway/tests/test_role_orders.cpp
@@ -65,7 +65,10 @@
     logger log { quietLog() };
     http_client client;
     int beats = 0;
-    role_orders roles { { client, protocol, store, decisions, counters, log, [this] { ++beats; } }, "n1", {} };
+    int failedClaims = 0;
+    role_orders roles {
+        { client, protocol, store, decisions, counters, log, [this] { ++beats; }, [this] { ++failedClaims; } }, "n1", {}
+    };
 
     explicit ordering_node(std::uint64_t bornAt = 0)
     {
@@ -163,3 +166,15 @@
     CHECK(node.engine.orders.empty());
     CHECK(node.leftAlone() == 0); // it goes on in its role
 }
+
+TEST_CASE("test_failed_claim_triggers_a_store_reach_check")
+{
+    // Guards against a node that stays responsible for role orders while it cannot claim the lease.
+    ordering_node node;
+    REQUIRE(spinUntil([&] {
+        node.tick();
+        return !node.store.calls.empty();
+    }));
+    node.store.calls.front().onAppendAt(store_error::unreachable);
+    CHECK(node.failedClaims == 1);
+}
--- a/libs/gateway/tests/test_shared_view.cpp
+++ b/libs/gateway/tests/test_shared_view.cpp
@@ -77,6 +77,20 @@
     CHECK(world.view.storeReach() == store_reach::reached);
 }
 
+TEST_CASE("test_store_reach_check_detects_a_lost_store")
+{
+    // Guards against a node that keeps counting as reaching the store because of a read long ago.
+    viewed_store world;
+    world.listTargets({ { 1, "t1", "s/1" } }, 2);
+    world.lastCall("newest", store_topic::configuration)
+        .onNewest(newest_page { { { 3, "configuration", "7" } }, 4, false });
+    world.view.setReadsClosely(false);
+    CHECK(world.view.storeReach() == serving::store_reach::reached);
+    world.view.checkStoreReach();
+    world.lastCall("read", store_topic::configuration).onRead(store_error::unreachable);
+    CHECK(world.view.storeReach() == serving::store_reach::lost);
+}
+
 TEST_CASE("test_reader_that_is_told_late_by_a_peer_goes_on_reading")
 {
     // Guards against startTold() postponing the next read of feeds that are already reading.
