--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -63,10 +63,11 @@
         m_attempt->exchange->cancel();
 }
 
-void caller_flow::logAccepted(const serving::serving_request& request) const
+void caller_flow::logAccepted(const serving::serving_request& request)
 {
+    m_digest = toString(request.digest);
     m_services.log.write(log_event::request_taken,
-        { { "request", m_decoded.id }, { "route", m_routeName }, { "service", request.service },
+        { { "request", m_decoded.id }, { "digest", m_digest }, { "route", m_routeName }, { "service", request.service },
             { "version", request.configuration->version() },
             { "left_ms", m_decoded.timeLeft ? milliseconds(*m_decoded.timeLeft) : -1 },
             { "tokens", m_decoded.text ? m_decoded.text->inputTokens : 0 },
@@ -326,7 +327,8 @@
                 { "first_ms", attempt->firstMs }, { "took_ms", millisecondsSince(attempt->startedAt) } });
     } else {
         m_services.log.write(log_event::attempt_failed,
-            { { "request", m_decoded.id }, { "target", fleet.instance[attempt->command.target.value] },
+            { { "request", m_decoded.id }, { "digest", m_digest },
+                { "target", fleet.instance[attempt->command.target.value] },
                 { "stage", nameOf(stageNames, attempt->command.stage) }, { "result", nameOf(resultNames, result) },
                 { "reason", attempt->failureReason }, { "status", attempt->answer.status },
                 { "took_ms", millisecondsSince(attempt->startedAt) } });
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -46,7 +46,7 @@
     ~caller_flow();
 
     /// Logs that the request was accepted.
-    void logAccepted(const serving::serving_request& request) const;
+    void logAccepted(const serving::serving_request& request);
     void bind(request_id id, callbacks handlers);
     void start(const serving::start_attempt& command);
     void stop(attempt_id attempt);
@@ -93,6 +93,7 @@
     flow_services& m_services;
     http_request m_request; // as received from the caller
     caller_request m_decoded;
+    std::string m_digest; // for the log
     std::string m_service; // label of metrics
     std::string m_routeName;
     bool m_isRepeatable;
--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -25,6 +25,7 @@
 {
     serving::serving_request out;
     out.id = routed.decoded.id;
+    out.digest = digestOf(routed.decoded.host, routed.request.method, routed.request.target, routed.request.body);
     out.configuration = routed.configuration;
     out.route = routed.route;
     out.service = serving::chooseService(*routed.route, routed.decoded.id);
--- /dev/null
+++ b/libs/quarantine/src/request_digest.cpp
@@ -0,0 +1,51 @@
+// Implements request digests with the stable hash.
+#include "quarantine/request_digest.h"
+
+#include "base/hash.h"
+
+#include <charconv>
+#include <cstdio>
+
+namespace tamarack {
+
+namespace {
+
+    constexpr std::size_t digitsPerHash = 16;
+
+    std::optional<std::uint64_t> parseHash(std::string_view digits)
+    {
+        std::uint64_t value = 0;
+        const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), value, 16);
+        if (error != std::errc() || end != digits.data() + digits.size())
+            return std::nullopt;
+        return value;
+    }
+
+}
+
+request_digest digestOf(
+    std::string_view account, std::string_view method, std::string_view target, std::string_view body)
+{
+    return { stableHash(account), stableHash(body, stableHash(target, stableHash(method))) };
+}
+
+std::string toString(const request_digest& digest)
+{
+    char text[2 * digitsPerHash + 1];
+    std::snprintf(text, sizeof text, "%016llx%016llx", static_cast<unsigned long long>(digest.account),
+        static_cast<unsigned long long>(digest.content));
+    return text;
+}
+
+std::optional<request_digest> parseRequestDigest(std::string_view text)
+{
+    if (text.size() != 2 * digitsPerHash)
+        return std::nullopt;
+    const auto account = parseHash(text.substr(0, digitsPerHash));
+    const auto content = parseHash(text.substr(digitsPerHash));
+    if (!account || !content)
+        return std::nullopt;
+    return request_digest { *account, *content };
+}
+
+}
--- a/libs/serving/include/serving/serving_request.h
+++ b/libs/serving/include/serving/serving_request.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/error_kind.h"
 #include "base/ids.h"
+#include "quarantine/request_digest.h"
 #include "serving/serving_configuration.h"
 
 #include <memory>
@@ -28,6 +29,7 @@
 
 struct serving_request {
     std::string id; ///< given by the caller, unique for each of its tries
+    request_digest digest; ///< the same for all tries
     std::shared_ptr<const serving_configuration> configuration; ///< in force on arrival; owns `route`
     const route_rule* route = nullptr;
     std::string service;
