Stop sending a request to targets once three have ended under it, at all nodes

Cause: all that a node knew of a lost target ended with the caller's try. A later try has a new id and started clean, at any node, and at most two targets per try had no end over many tries. Class: what an attempt teaches is kept for as long as the attempt, and by one node, though the fact is about the request and true for longer.

The dispatcher now reports to the quarantine each target that closes the connection of an attempt that runs, and refuses what is quarantined, at once and before every send; held requests that have not begun to be answered are ended as well. Nodes tell each other each change at once and repeat one record with each heartbeat. A node that starts gets all records with its peers' state. One node, the one that confirms reads for the fleet, writes quarantines to the store, which nodes read when no peer gives them the state, so that a restart of all nodes forgets none. A complete answer anywhere lifts a suspicion; one that ends with its connection proves nothing.

The error is 502, ran: no, without Retry-After: coming back does not help. 503 is for what passes (test_transient_errors_have_a_retry_delay); a 4xx would blame the caller by inference.

--- a/libs/base/include/base/error_kind.h
+++ b/libs/base/include/base/error_kind.h
@@ -20,6 +20,7 @@
     overloaded,
     deadline_unreachable,
     no_target,
+    harmful_request,
     not_ready,
     stopping,
     target_unreachable,
--- a/libs/base/src/error_kind.cpp
+++ b/libs/base/src/error_kind.cpp
@@ -28,6 +28,8 @@
         { error_kind::deadline_unreachable, "deadline-unreachable", 503, ran::no, 1s,
             "The answer could not be ready before the deadline" },
         { error_kind::no_target, "no-target", 503, ran::no, 2s, "No target of the service takes work now" },
+        { error_kind::harmful_request, "harmful-request", 502, ran::no, noRetry,
+            "Targets ended while they ran this request, so it is not sent to further ones" },
         { error_kind::not_ready, "not-ready", 503, ran::no, 1s, "This node does not know the configuration in force" },
         { error_kind::stopping, "stopping", 503, ran::no, 1s, "This node is stopping; ask /v1/entries elsewhere" },
         { error_kind::target_unreachable, "target-unreachable", 502, ran::no, 1s, "No target could be reached" },
--- a/libs/gateway/include/gateway/keyed_log.h
+++ b/libs/gateway/include/gateway/keyed_log.h
@@ -17,7 +17,8 @@
     configuration,
     targets,
     nodes,
-    orders ///< claims of the lease for role orders; its records have no keys
+    orders, ///< claims of the lease for role orders; its records have no keys
+    quarantine ///< requests that crash their targets
 };
 
 struct keyed_record {
--- a/libs/gateway/include/gateway/target_protocol.h
+++ b/libs/gateway/include/gateway/target_protocol.h
@@ -44,6 +44,7 @@
     std::optional<answer_load> load;
     header_list forCaller; ///< headers to relay to the caller
     std::optional<std::uint64_t> bodyBytes; ///< empty: the body is chunked or delimited by the end of the connection
+    bool isDelimited = true; ///< false: the body ends with the connection, so its end does not show that it is complete
 };
 
 /// Events of an engine's prefix cache.
--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -281,12 +281,17 @@
     if (isFailure(attempt->answer))
         return conclude(attempt, attempt_result::failure_answer);
     // A stream that ends within an event was truncated, even if the connection was closed cleanly.
-    if (attempt->splitter.hasPartial())
+    if (attempt->splitter.hasPartial()) {
+        if (!attempt->answer.isDelimited)
+            m_services.decisions.targetClosedConnection(m_id, attempt->command.attempt, boot_clock::now());
         return conclude(attempt, m_caller->hasStarted() ? attempt_result::cut : attempt_result::broken);
+    }
     if (!attempt->isRelayed) {
         beginAnswer(attempt);
         m_caller->write(attempt->body);
     }
+    if (attempt->answer.isDelimited)
+        m_services.decisions.wholeAnswerReceived(m_id, attempt->command.attempt, boot_clock::now());
     conclude(attempt, attempt_result::answered);
     m_caller->finish();
     finish(flow_end::answered);
@@ -299,6 +304,8 @@
     attempt->failureReason = failure.reason;
     if (!failure.mayHaveReachedPeer)
         return conclude(attempt, attempt_result::unreached);
+    if (failure.isClosedByPeer)
+        m_services.decisions.targetClosedConnection(m_id, attempt->command.attempt, boot_clock::now());
     conclude(attempt, m_caller->hasStarted() ? attempt_result::cut : attempt_result::broken);
 }
 
--- a/libs/gateway/src/cluster_view.cpp
+++ b/libs/gateway/src/cluster_view.cpp
@@ -456,6 +456,8 @@
     for (const auto& node : state.nodes)
         m_parts.nodes.applyReport(node, boot_clock::now());
     m_knowsNodes |= state.knowsNodes;
+    if (!state.quarantine.empty())
+        m_on.onQuarantine(state.quarantine);
 }
 
 shared_state cluster_view::exportConfiguration()
@@ -472,6 +474,7 @@
     auto out = exportConfiguration();
     out.targets = m_targets.known();
     out.nodes = m_parts.nodes.reports(boot_clock::now());
+    out.quarantine = m_parts.decisions.quarantine().records(boot_clock::now());
     out.nodes.push_back({ self, duration::zero() });
     out.knowsNodes = knowsNodes();
     out.isStoreReachable = storeReach() == serving::store_reach::reached;
--- a/libs/gateway/src/cluster_view.h
+++ b/libs/gateway/src/cluster_view.h
@@ -39,6 +39,8 @@
         std::function<void()> onBehind;
         /// This node has read all records of a topic.
         std::function<void()> onReadComplete = [] {};
+        /// A peer's state contains quarantine records.
+        std::function<void(const std::vector<quarantine_record>&)> onQuarantine = [](const auto&) {};
     };
 
     cluster_view(dependencies parts, const gateway_settings& settings, handlers on);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -6,6 +6,7 @@
 #include "flow_table.h"
 #include "node_endpoints.h"
 #include "peer_messenger.h"
+#include "quarantine_sync.h"
 #include "registration.h"
 #include "role_coordinator.h"
 #include "state_pull.h"
@@ -102,6 +103,7 @@
     http_server callers;
     node_endpoints pages;
     flow_table flows;
+    quarantine_sync quarantine;
     QTimer decisionTimer;
     instant drainingSince; // set by drain()
     instant nextMetricsAt;
@@ -159,7 +161,8 @@
     , view({ ports.records, ports.store, decisions, nodes, counters, log }, settings,
           { [this](const auto& configuration) { configure(configuration); },
               [this](serving::target_update_batch note) { peers.broadcastTargetChanges(std::move(note)); },
-              [this] { pull.onStoreLost(); }, [this] { pull.onBehind(); }, [this] { peers.broadcastReadProgress(); } })
+              [this] { pull.onStoreLost(); }, [this] { pull.onBehind(); }, [this] { peers.broadcastReadProgress(); },
+              [this](const auto& records) { quarantine.apply(records); } })
     , pull({ client, view, nodes, log, [this] { return self(); }, [this] { startFromPeer(); },
                [this] { startFromStore(); } },
           pullInterval, settings.seeds)
@@ -171,7 +174,8 @@
     , roles({ client, ports.targets, ports.store, decisions, counters, log, [this] { peers.sendHeartbeat(); },
                 [this] { view.checkStoreReach(); } },
           settings.vm, leaseSettings(settings))
-    , peers({ decisions, nodes, view, caches, roles, log, [this] { return self(); } })
+    , peers({ decisions, nodes, view, caches, roles, log, [this] { return self(); },
+          [this](const auto& records) { quarantine.apply(records); } })
     , callers(
           {},
           [this](http_request request, std::shared_ptr<response_writer> caller) {
@@ -184,6 +188,8 @@
           [this] { return encodeState(view.exportConfiguration()); },
           [this] { return encodeCaches(caches.snapshot(boot_clock::now())); } })
     , flows(services, [this] { peers.scheduleJobAnnouncement(); })
+    , quarantine({ ports.store, decisions, log,
+          [this](serving::command_list commands) { flows.execute(std::move(commands)); } })
 {
     QObject::connect(&decisionTimer, &QTimer::timeout, [this] { tick(); });
 }
@@ -210,6 +216,7 @@
 void gateway::state::startFromStore()
 {
     view.start();
+    quarantine.start();
     nodeRegistration.start();
 }
 
@@ -345,7 +352,9 @@
     serving::node_state me, const std::vector<serving::node_state>& alive, instant now)
 {
     me.readsForOthers = serving::readsForZone(me, alive);
-    view.setReader(me.readsForOthers, serving::confirmsForFleet(me, alive));
+    const bool isConfirmer = serving::confirmsForFleet(me, alive);
+    view.setReader(me.readsForOthers, isConfirmer);
+    quarantine.tick(isConfirmer, now);
     if (view.isStale(now))
         view.refreshIfStale(serving::refreshRank(me, alive), now);
 }
@@ -370,6 +379,9 @@
     counters.set("tamarack_requests_waiting", static_cast<double>(decisions.waiting()));
     counters.set("tamarack_caller_connections", callers.connectionCount());
     counters.set("tamarack_target_connections_made", static_cast<double>(client.connectionsMade()));
+    counters.set("tamarack_quarantined_requests", static_cast<double>(decisions.quarantine().countQuarantined()));
+    counters.set("tamarack_suspected_requests",
+        static_cast<double>(decisions.quarantine().countRecords() - decisions.quarantine().countQuarantined()));
     counters.set("tamarack_store_reachable", view.storeReach() == serving::store_reach::reached ? 1 : 0);
     counters.set("tamarack_store_topic_reachable", view.isConfigurationTopicReachable() ? 1 : 0,
         { { "topic", "configuration" } });
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -16,16 +16,19 @@
 namespace {
 
     /// Messages of another version are dropped as unreadable, so only nodes of the same version communicate.
-    constexpr char formatVersion = 16;
+    constexpr char formatVersion = 17;
     /// A datagram that is not fragmented holds 1,472 bytes. A load entry takes 6 bytes, a job 27, a cache update 16, a
-    /// target's health 8, a role change 4, and the sender some 35, or 140 with its full state. There are rarely many
-    /// role changes, and then only before there is any load.
+    /// target's health 8, a role change 4, a quarantine record 35, and the sender some 35, or 140 with its full state.
+    /// There are rarely many role changes, and then only before there is any load.
     constexpr std::size_t maxLoads = 60;
     constexpr std::size_t maxJobs = 18;
     constexpr std::size_t maxCacheUpdates = 12;
     constexpr std::size_t maxUpdatesPerBatch = 80;
     constexpr std::size_t maxHealthReports = 12;
     constexpr std::size_t maxRoleChanges = 30;
+    constexpr std::size_t maxQuarantineRecords = 30;
+    /// A record with more targets than any node collects is malformed.
+    constexpr std::size_t maxQuarantineTargets = 16;
     /// Limit of the changes in one note, besides the note's own 40 bytes; a single larger change is sent alone.
     constexpr std::size_t maxNoteBytes = 1'300;
     /// Encoded size of a change without the contents of its strings: their length fields and the numbers.
@@ -172,6 +175,21 @@
 
 }
 
+template <class Archive> void serialize(Archive& archive, request_digest& m) { archive(m.account, m.content); }
+
+template <class Archive> void serialize(Archive& archive, quarantine_record& m)
+{
+    auto ageMilliseconds
+        = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m.age).count());
+    archive(m.digest, m.clearances, ageMilliseconds, m.isStored);
+    m.age = std::chrono::milliseconds(ageMilliseconds);
+    archiveShort(archive, m.targets);
+    if (m.targets.size() > maxQuarantineTargets)
+        throw cereal::Exception("too many targets in a quarantine record");
+}
+
+template <class Archive> void serialize(Archive& archive, quarantine_note& m) { archiveShort(archive, m.records); }
+
 template <class Archive> void serialize(Archive& archive, cache_update& m) { archive(m.target, m.part, m.tokens); }
 
 template <class Archive> void serialize(Archive& archive, node_heartbeat& m)
@@ -182,6 +200,7 @@
     archiveShort(archive, m.caches);
     archiveShort(archive, m.health);
     archiveShort(archive, m.changingEngines);
+    archive(m.quarantine);
 }
 
 template <class Archive> void serialize(Archive& archive, job_announcement& m)
@@ -205,7 +224,7 @@
 
 template <class Archive> void serialize(Archive& archive, shared_state& m)
 {
-    archive(m.configuration, m.targets, m.nodes, m.knowsNodes, m.isStoreReachable);
+    archive(m.configuration, m.targets, m.nodes, m.quarantine, m.knowsNodes, m.isStoreReachable);
 }
 
 namespace {
@@ -303,6 +322,21 @@
     return notes;
 }
 
+std::vector<quarantine_note> splitQuarantineNote(std::vector<quarantine_record> records)
+{
+    std::vector<quarantine_note> notes;
+    for (auto& record : records) {
+        if (notes.empty() || notes.back().records.size() >= maxQuarantineRecords)
+            notes.emplace_back();
+        notes.back().records.push_back(std::move(record));
+    }
+    return notes;
+}
+
+std::string encodeQuarantine(const quarantine_record& record) { return encode(record); }
+
+std::optional<quarantine_record> decodeQuarantine(const std::string& bytes) { return decode<quarantine_record>(bytes); }
+
 std::string encodeCaches(const cache_snapshot& caches) { return encode(caches); }
 
 std::optional<cache_snapshot> decodeCaches(const std::string& bytes) { return decode<cache_snapshot>(bytes); }
--- a/libs/gateway/src/node_messages.h
+++ b/libs/gateway/src/node_messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/keyed_log.h"
+#include "quarantine/request_quarantine.h"
 #include "serving/message_relay.h"
 #include "serving/node_directory.h"
 #include "serving/peer_load.h"
@@ -31,6 +32,12 @@
     std::vector<cache_update> caches;
     std::vector<serving::health_report> health; ///< of targets with recent failures
     std::vector<std::uint32_t> changingEngines; ///< shortHash() of each engine whose role the sender is changing
+    std::optional<quarantine_record> quarantine; ///< one of the sender's records, in rotation
+};
+
+/// Sent when quarantine records have changed.
+struct quarantine_note {
+    std::vector<quarantine_record> records;
 };
 
 /// Sent when prompts are sent to engines, so that peers do not choose the same engine before the next heartbeat.
@@ -78,6 +85,7 @@
     std::optional<compressed_record> configuration; ///< as written by operators
     serving::target_list_snapshot targets;
     std::vector<serving::node_report> nodes; ///< all known nodes, alive or not
+    std::vector<quarantine_record> quarantine;
     bool knowsNodes = false; ///< the sender knows all nodes that have registered
     bool isStoreReachable = false; ///< by the sender
 };
@@ -90,7 +98,7 @@
 
 /// A target note is sent by a node that reads the target list on behalf of others.
 using peer_datagram = std::variant<node_heartbeat, job_announcement, serving::target_update_batch, node_probe,
-    cache_update_batch, read_progress>;
+    cache_update_batch, read_progress, quarantine_note>;
 
 /// Encodes a message. Heartbeats are truncated to stay below the usual path MTU.
 std::string encodeDatagram(peer_datagram message);
@@ -104,6 +112,10 @@
 std::optional<shared_state> decodeState(const std::string& bytes);
 /// Splits updates into messages, each below the usual path MTU.
 std::vector<cache_update_batch> splitCacheUpdates(std::vector<cache_update> caches);
+/// Splits records into notes, each below the usual path MTU.
+std::vector<quarantine_note> splitQuarantineNote(std::vector<quarantine_record> records);
+std::string encodeQuarantine(const quarantine_record& record);
+std::optional<quarantine_record> decodeQuarantine(const std::string& bytes);
 std::string encodeCaches(const cache_snapshot& caches);
 std::optional<cache_snapshot> decodeCaches(const std::string& bytes);
 std::string encodeNode(const serving::node_state& node);
--- a/libs/gateway/src/peer_messenger.cpp
+++ b/libs/gateway/src/peer_messenger.cpp
@@ -79,7 +79,7 @@
     const auto self = m_parts.self();
     return { serving::nodeStatusOf(self), isFull ? std::optional(self) : std::nullopt, decisions.ownLoad(),
         decisions.ownJobs(now), m_parts.caches.takeUpdates(maxCacheUpdatesPerHeartbeat),
-        decisions.takeHealthReports(now), m_parts.roles.changingEngines() };
+        decisions.takeHealthReports(now), m_parts.roles.changingEngines(), decisions.quarantine().nextRecord(now) };
 }
 
 void peer_messenger::broadcast(const std::string& message, serving::send_pace pace)
@@ -156,6 +156,13 @@
     auto jobs = m_parts.decisions.takeNewJobs(now);
     if (!jobs.empty())
         broadcast(encodeDatagram(job_announcement { m_ownHash, std::move(jobs) }), serving::send_pace::immediate);
+    broadcastQuarantine(now);
+}
+
+void peer_messenger::broadcastQuarantine(instant now)
+{
+    for (auto& note : splitQuarantineNote(m_parts.decisions.quarantine().takeNews(now)))
+        broadcast(encodeDatagram(std::move(note)), serving::send_pace::immediate);
 }
 
 void peer_messenger::broadcastTargetChanges(serving::target_update_batch note)
@@ -192,6 +199,8 @@
         m_parts.caches.applyPeerUpdates(caches->caches);
     else if (const auto* read = std::get_if<read_progress>(&message))
         onReadProgress(*read);
+    else if (const auto* quarantine = std::get_if<quarantine_note>(&message))
+        m_parts.onQuarantine(quarantine->records);
     else
         onProbe(std::get<node_probe>(message));
 }
@@ -272,6 +281,8 @@
     m_parts.caches.applyPeerUpdates(message.caches);
     m_parts.decisions.updatePeerHealth(message.health, now);
     m_parts.roles.markPeerChanges(message.changingEngines, now);
+    if (message.quarantine)
+        m_parts.onQuarantine({ *message.quarantine });
 }
 
 }
--- a/libs/gateway/src/peer_messenger.h
+++ b/libs/gateway/src/peer_messenger.h
@@ -30,6 +30,7 @@
         role_coordinator& roles;
         const logger& log;
         std::function<serving::node_state()> self;
+        std::function<void(const std::vector<quarantine_record>&)> onQuarantine;
     };
 
     explicit peer_messenger(dependencies parts);
@@ -38,7 +39,7 @@
     bool listen(const endpoint& address);
     /// Sends a heartbeat to all peers now and schedules the next one.
     void sendHeartbeat();
-    /// Schedules an announcement of the prompts that were just sent to engines.
+    /// Schedules an announcement of the prompts that were just sent to engines and of changed quarantine records.
     void scheduleJobAnnouncement();
     void broadcastTargetChanges(serving::target_update_batch note);
     /// Sends all peers the instants up to which this node has read the store.
@@ -77,6 +78,7 @@
     void send(const std::vector<serving::relay_datagram>& datagrams);
     serving::status_sender updateSender(const node_heartbeat& message, instant now);
     void broadcastNewJobs();
+    void broadcastQuarantine(instant now);
 
     dependencies m_parts;
     peer_socket m_peerSocket;
--- /dev/null
+++ b/libs/gateway/src/quarantine_sync.cpp
@@ -0,0 +1,114 @@
+// Implements the reads and writes of quarantines in the store.
+#include "quarantine_sync.h"
+
+#include "observe/name_sample.h"
+
+namespace tamarack {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /// Peers send each other their records; the store is read in case none of them does.
+    constexpr duration backupReadInterval = 300s;
+    constexpr duration firstRetryPause = 200ms;
+    constexpr duration maxRetryPause = 5s;
+
+}
+
+quarantine_sync::quarantine_sync(dependencies parts)
+    : m_parts(std::move(parts))
+    , m_feed(m_parts.store, { store_topic::quarantine, 0s, backupReadInterval, firstRetryPause, maxRetryPause },
+          { [this](const auto& records) { onRecords(records); }, [this](const auto& records) { onRecords(records); },
+              [](bool, std::string_view) {} })
+    , m_retries(firstRetryPause, maxRetryPause)
+{
+}
+
+void quarantine_sync::onRecords(const std::vector<keyed_record>& records)
+{
+    std::vector<quarantine_record> decoded;
+    for (const auto& record : records) {
+        auto item = record.value ? decodeQuarantine(*record.value) : std::nullopt;
+        if (!item)
+            continue; // removed, or written by another version
+        item->isStored = true;
+        decoded.push_back(std::move(*item));
+    }
+    if (!decoded.empty())
+        apply(decoded);
+}
+
+void quarantine_sync::apply(const std::vector<quarantine_record>& records)
+{
+    serving::command_list commands;
+    m_parts.decisions.applyQuarantine(records, boot_clock::now(), commands);
+    m_parts.execute(std::move(commands));
+}
+
+void quarantine_sync::tick(bool isWriter, instant now)
+{
+    auto& quarantine = m_parts.decisions.quarantine();
+    for (const auto& change : quarantine.takeChanges())
+        logChange(change);
+    const auto ended = quarantine.takeEnded();
+    if (!isWriter)
+        return m_toRemove.clear();
+    m_toRemove.insert(m_toRemove.end(), ended.begin(), ended.end());
+    if (!m_isWriting && now >= m_nextWriteAt)
+        write(now);
+}
+
+void quarantine_sync::write(instant now)
+{
+    const auto removed = m_toRemove.empty() ? std::optional<request_digest>() : std::optional(m_toRemove.front());
+    const auto added = removed ? std::nullopt : m_parts.decisions.quarantine().nextToStore(now);
+    if (!removed && !added)
+        return;
+    m_isWriting = true;
+    // A record without a value removes its key.
+    m_parts.store.append(store_topic::quarantine, toString(removed ? *removed : added->digest),
+        removed ? std::string() : encodeQuarantine(*added), [this, removed, added](const auto& result) {
+            const bool isWritten = std::holds_alternative<std::int64_t>(result);
+            if (isWritten && removed)
+                std::erase(m_toRemove, *removed);
+            if (isWritten && added)
+                m_parts.decisions.quarantine().setStored(added->digest);
+            onWritten(isWritten);
+        });
+}
+
+void quarantine_sync::onWritten(bool isWritten)
+{
+    m_isWriting = false;
+    if (isWritten)
+        m_retries.succeeded();
+    else
+        m_nextWriteAt = boot_clock::now() + m_retries.nextDelay();
+}
+
+std::string quarantine_sync::targetNames(const std::vector<std::uint32_t>& targets) const
+{
+    const auto& fleet = m_parts.decisions.fleet();
+    name_sample names;
+    for (const auto hash : targets) {
+        const auto target = fleet.findByHash(hash);
+        names.add(target.isValid() ? fleet.instance[target.value] : "unknown");
+    }
+    return names.text();
+}
+
+void quarantine_sync::logChange(const quarantine_change& change) const
+{
+    const auto& record = change.record;
+    if (!change.isQuarantined)
+        return m_parts.log.write(log_event::quarantine_ended,
+            { { "digest", toString(record.digest) }, { "clearances", record.clearances },
+                { "left", m_parts.decisions.quarantine().countQuarantined() } });
+    m_parts.log.write(log_event::request_quarantined,
+        { { "digest", toString(record.digest) }, { "targets", targetNames(record.targets) },
+            { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(record.age).count() },
+            { "quarantined", m_parts.decisions.quarantine().countQuarantined() } });
+}
+
+}
--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -27,6 +27,8 @@
     bool mayHaveReachedPeer = false;
     bool timedOut = false;
     std::string reason;
+    /// The peer has closed or reset the established connection.
+    bool isClosedByPeer = false;
 };
 
 struct exchange_options {
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -236,28 +236,29 @@
         void onPeerEnd(stream_end reason)
         {
             if (reason != stream_end::finished)
-                return fail("connection broken off", false);
+                return fail("connection broken off", false, reason == stream_end::reset);
             // Beast asserts that at least one byte precedes put_eof(), but a peer may close before it has sent any.
             if (!m_parser->got_some())
-                return fail("peer closed without an answer", false);
+                return fail("peer closed without an answer", false, true);
             boost::system::error_code error;
             m_parser->put_eof(error);
             if (!error && m_parser->is_done() && !m_isSkipped)
                 return end();
-            fail("peer closed in mid-answer", false);
+            fail("peer closed in mid-answer", false, true);
         }
 
         void onEnded(stream_end reason) override
         {
-            fail(reason == stream_end::refused ? "cannot connect" : "connection broken off", false);
+            fail(reason == stream_end::refused ? "cannot connect" : "connection broken off", false,
+                reason == stream_end::reset);
         }
 
-        void fail(std::string reason, bool timedOut)
+        void fail(std::string reason, bool timedOut, bool isClosedByPeer = false)
         {
             const auto keepAlive = shared_from_this();
             const auto handlers = std::move(m_handlers);
             m_handlers = nullptr;
-            const exchange_failure failure { m_mayHaveReached, timedOut, std::move(reason) };
+            const exchange_failure failure { m_mayHaveReached, timedOut, std::move(reason), isClosedByPeer };
             release(false);
             if (handlers && handlers->onFailure)
                 handlers->onFailure(failure);
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -46,6 +46,8 @@
     target_record_invalid,
     target_blocked,
     target_returned,
+    request_quarantined,
+    quarantine_ended,
     cache_view_restarted,
     caches_told,
     cache_not_released,
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -41,6 +41,8 @@
         { log_event::target_record_invalid, "target_record_invalid", warning, belief, "target field message" },
         { log_event::target_blocked, "target_blocked", warning, belief, "target reason failures for_ms" },
         { log_event::target_returned, "target_returned", info, belief, "target" },
+        { log_event::request_quarantined, "request_quarantined", warning, belief, "digest targets age_ms quarantined" },
+        { log_event::quarantine_ended, "quarantine_ended", info, belief, "digest clearances left" },
         { log_event::cache_view_restarted, "cache_view_restarted", info, belief, "target restarted gap" },
         { log_event::caches_told, "caches_told", info, belief,
             "parts answered complete (of a peer: the prompt parts that it knows to be cached by engines, and whether "
--- a/libs/quarantine/include/quarantine/request_quarantine.h
+++ b/libs/quarantine/include/quarantine/request_quarantine.h
@@ -25,7 +25,6 @@
     bool isStored = false; ///< the store holds the quarantine
 };
 
-
 /// A request was quarantined or released, for the log.
 struct quarantine_change {
     quarantine_record record;
--- a/libs/quarantine/src/request_quarantine.cpp
+++ b/libs/quarantine/src/request_quarantine.cpp
@@ -150,8 +150,8 @@
         found->second.isStored = true;
 }
 
-// An expired quarantine becomes a clearance instead of being removed, so that a peer whose clock is a moment behind does
-// not restore it.
+// An expired quarantine becomes a clearance instead of being removed, so that a peer whose clock is a moment behind
+// does not restore it.
 void request_quarantine::tick(instant now)
 {
     for (auto at = m_entries.begin(); at != m_entries.end();) {
@@ -248,7 +248,8 @@
             < std::pair(b.second.targets.size(), b.second.changedAt);
     };
     const auto first = m_entries.lower_bound({ account, 0 });
-    const auto last = std::find_if(first, m_entries.end(), [&](const auto& item) { return item.first.account != account; });
+    const auto last
+        = std::find_if(first, m_entries.end(), [&](const auto& item) { return item.first.account != account; });
     m_entries.erase(std::min_element(first, last, isLessUseful));
 }
 
--- a/libs/quarantine/tests/test_request_quarantine.cpp
+++ b/libs/quarantine/tests/test_request_quarantine.cpp
@@ -17,7 +17,8 @@
 instant at(duration sinceStart) { return instant(1h) + sinceStart; }
 
 /// Ends `count` targets, beginning with `first`, under the request.
-void endTargets(request_quarantine& quarantine, const request_digest& digest, std::uint32_t first, int count, instant now)
+void endTargets(
+    request_quarantine& quarantine, const request_digest& digest, std::uint32_t first, int count, instant now)
 {
     for (int i = 0; i < count; ++i)
         quarantine.targetEnded(digest, first + static_cast<std::uint32_t>(i), now);
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -2,6 +2,7 @@
 // deterministic: it uses no socket, clock or thread.
 #pragma once
 
+#include "quarantine/request_quarantine.h"
 #include "serving/peer_load.h"
 #include "serving/placement.h"
 #include "serving/retry_limiter.h"
@@ -46,6 +47,10 @@
     void updatePeerHealth(const std::vector<health_report>& reports, instant now);
     /// Outcomes of this node's attempts since the last call, to be sent to the peers.
     std::vector<health_report> takeHealthReports(instant now) { return m_health.takeReports(now); }
+    /// Merges quarantine records of a peer or of the store, and ends the requests that they quarantine.
+    void applyQuarantine(const std::vector<quarantine_record>& records, instant now, command_list& out);
+    request_quarantine& quarantine() { return m_quarantine; }
+    const request_quarantine& quarantine() const { return m_quarantine; }
     /// Sets the number of known nodes, reachable or not, including this one. 0 if the number is unknown.
     void setKnownNodes(int nodes);
 
@@ -57,6 +62,10 @@
     void streamEventReceived(request_id request, attempt_id attempt, instant now);
     /// Part of the response has been sent to the caller.
     void responseStarted(request_id request, attempt_id attempt);
+    /// The target has sent an answer that is certainly complete. Called before attemptEnded().
+    void wholeAnswerReceived(request_id request, attempt_id attempt, instant now);
+    /// The target has closed the connection of an attempt before the end of its answer. Called before attemptEnded().
+    void targetClosedConnection(request_id request, attempt_id attempt, instant now);
     /// An attempt has ended. `cacheName` is the name of the KV cache that a prefill exported.
     void attemptEnded(request_id request, attempt_id attempt, attempt_result result, const std::string& cacheName,
         instant now, command_list& out);
@@ -96,6 +105,8 @@
     void finishPrefill(std::size_t row, instant now, bool wasRead);
     retry_limiter& retryLimiterOf(const std::string& service);
     bool tryStart(std::size_t row, instant now, command_list& out);
+    /// Refuses the request if it is quarantined. Returns whether it was.
+    bool refuseIfQuarantined(std::size_t row, command_list& out);
     bool startDecode(std::size_t row, instant now, command_list& out);
     void start(std::size_t row, const target_choice& choice, instant now, command_list& out);
     void startOrWait(std::size_t row, instant now, command_list& out);
@@ -127,6 +138,7 @@
     prefill_queues m_queues;
     prompt_cache_map m_caches;
     target_health m_health;
+    request_quarantine m_quarantine;
     idle_connections m_connections;
     placement m_placement;
     random_source m_random;
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -43,7 +43,7 @@
 {
     // An error that promises "not run" must be true. Once a target may have worked on the request, nothing is promised.
     if (hasRunOrMayRun(row) && answerFor(kind).executed == ran::no)
-        kind = error_kind::attempt_timeout;
+        kind = kind == error_kind::harmful_request ? error_kind::outcome_unknown : error_kind::attempt_timeout;
     const request_id id = m_book.idOf(row);
     const auto attempt = m_book.current[row].id;
     if (attempt.isValid())
@@ -75,6 +75,23 @@
     return progress.arrivals == 0 || retryLimiterOf(request.service).maySend(m_knownNodes, now);
 }
 
+void dispatcher::wholeAnswerReceived(request_id request, attempt_id attempt, instant now)
+{
+    if (isCurrent(request, attempt))
+        m_quarantine.answered(m_book.request[static_cast<std::size_t>(m_book.row(request))].digest, now);
+}
+
+void dispatcher::targetClosedConnection(request_id request, attempt_id attempt, instant now)
+{
+    if (!isCurrent(request, attempt))
+        return;
+    const auto row = static_cast<std::size_t>(m_book.row(request));
+    const auto& current = m_book.current[row];
+    // A prefill does not run the request.
+    if (current.stage != attempt_stage::prefill)
+        m_quarantine.targetEnded(m_book.request[row].digest, m_fleet.instanceHash[current.target.value], now);
+}
+
 void dispatcher::attemptEnded(request_id request, attempt_id attempt, attempt_result result,
     const std::string& cacheName, instant now, command_list& out)
 {
@@ -165,6 +182,8 @@
     finishPrefill(row, now, true);
     releaseAttempt(row);
     m_book.progress[row].cache = { attempt.target, cacheName };
+    if (refuseIfQuarantined(row, out))
+        return;
     if (!startDecode(row, now, out))
         m_waiting.insert(m_waiting.begin(), m_book.idOf(row));
 }
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -157,8 +157,32 @@
     return minRetryDelay + fromSeconds(seconds(retryDelaySpread) * m_random.unit());
 }
 
+bool dispatcher::refuseIfQuarantined(std::size_t row, command_list& out)
+{
+    if (!m_quarantine.isQuarantined(m_book.request[row].digest))
+        return false;
+    refuse(row, error_kind::harmful_request, duration::zero(), out);
+    return true;
+}
+
+void dispatcher::applyQuarantine(const std::vector<quarantine_record>& records, instant now, command_list& out)
+{
+    const auto before = m_quarantine.countQuarantined();
+    for (const auto& record : records)
+        m_quarantine.apply(record, now);
+    if (m_quarantine.countQuarantined() <= before)
+        return;
+    for (std::size_t row = 0; row < m_book.rows(); ++row) {
+        // An attempt that has begun to answer may complete, which would show that the request is harmless.
+        if (m_book.phase[row] != request_phase::free && !m_book.current[row].hasStartedAnswering)
+            refuseIfQuarantined(row, out);
+    }
+}
+
 bool dispatcher::tryStart(std::size_t row, instant now, command_list& out)
 {
+    if (refuseIfQuarantined(row, out))
+        return true;
     // Checked again here, not only when the retry is requested: several waiting requests may each have been allowed a
     // retry before any of them was sent, and all of them are sent together when a slot becomes free.
     if (!mayRetry(row, now)) {
@@ -364,6 +388,7 @@
 void dispatcher::tick(instant now, command_list& out)
 {
     m_peers.refresh(now);
+    m_quarantine.tick(now);
     for (std::size_t row = 0; row < m_book.rows(); ++row) {
         if (m_book.phase[row] != request_phase::free)
             checkTimes(row, now, out);
