The present interface: stop sending a request to targets once three have ended under it

traffic_system uses the same quarantine. Its heartbeats go to three random peers each, so they repeat suspicions as well as quarantines, two in each heartbeat. An instance is a target's name and incarnation; the account is the authorization with the user of the prompt, so a caller can quarantine its own requests only. Idempotency keys, orders and nested calls pass the same admission. Not covered: the platform's log holds no quarantines, so a restart of all nodes of this interface forgets them.

Peer messages have a new version; a full heartbeat still fits into one datagram (test_heartbeat_round_trip_within_one_datagram).

--- a/libs/decide/include/decide/traffic.h
+++ b/libs/decide/include/decide/traffic.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/error_kind.h"
 #include "base/ids.h"
+#include "quarantine/request_digest.h"
 
 #include <cstdint>
 #include <variant>
@@ -14,6 +15,7 @@
 /// Properties of a request that admission and routing depend on.
 struct request_shape {
     service_id service;
+    request_digest digest; ///< the same for all tries of the request
     bool isUrgent = false;
     bool isIdempotent = true;
     int depth = 0; ///< 0 for a request from a caller, higher for calls nested in another request
--- a/libs/decide/include/decide/traffic_system.h
+++ b/libs/decide/include/decide/traffic_system.h
@@ -6,6 +6,7 @@
 #include "decide/retry_budget.h"
 #include "decide/router.h"
 #include "decide/target_table.h"
+#include "quarantine/request_quarantine.h"
 
 #include <array>
 #include <deque>
@@ -47,6 +48,14 @@
     void prefillCompleted(request_id request, attempt_id attempt);
     /// Stage prefill: the target returned the final answer, so no decode stage follows.
     void wholeAnswerReceived(request_id request, attempt_id attempt);
+    /// The target has sent an answer that is certainly complete. Called before attemptEnded().
+    void completeAnswerReceived(request_id request, attempt_id attempt, instant now);
+    /// The target has closed the connection of an attempt before the end of its answer. Called before attemptEnded().
+    void targetClosedConnection(request_id request, attempt_id attempt, instant now);
+    /// Merges quarantine records of a peer, and ends the requests that they quarantine.
+    void applyQuarantine(const std::vector<quarantine_record>& records, instant now, traffic_commands& out);
+    request_quarantine& quarantine() { return m_quarantine; }
+    const request_quarantine& quarantine() const { return m_quarantine; }
     /// The attempt has ended with the given result.
     void attemptEnded(
         request_id request, attempt_id attempt, attempt_result result, instant now, traffic_commands& out);
@@ -92,6 +101,8 @@
     bool startAt(
         std::size_t row, request_stage stage, const routing_choice& choice, instant now, traffic_commands& out);
     bool startOrRefuse(std::size_t row, instant now, traffic_commands& out);
+    /// Refuses the request if it is quarantined. Returns whether it was.
+    bool refuseIfQuarantined(std::size_t row, traffic_commands& out);
     void enqueue(std::size_t row, bool atFront);
     void releaseTargetLoad(std::size_t row);
     void refuse(std::size_t row, error_kind kind, duration retryAfter, traffic_commands& out);
@@ -122,6 +133,7 @@
     request_table m_requests;
     router m_router;
     account_limiter m_accounts;
+    request_quarantine m_quarantine;
     std::vector<retry_budget> m_budgets; // by service
     std::vector<service_queue> m_queues; // by service
     std::vector<double>
--- a/libs/decide/src/traffic_dispatch.cpp
+++ b/libs/decide/src/traffic_dispatch.cpp
@@ -141,6 +141,8 @@
 // could still use in time.
 bool traffic_system::startOrRefuse(std::size_t row, instant now, traffic_commands& out)
 {
+    if (refuseIfQuarantined(row, out))
+        return true;
     if (!willMissDeadline(row, now))
         return tryStart(row, now, out);
     const auto& shape = m_requests.shape[row];
@@ -181,6 +183,7 @@
 
 void traffic_system::tick(instant now, traffic_commands& out)
 {
+    m_quarantine.tick(now);
     for (std::uint32_t s = 0; s < m_queues.size(); ++s) {
         bool recoversSoon = false;
         m_slotsNow[s] = usableSlots({ s }, now, recoversSoon);
--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -2,6 +2,7 @@
 #include "decide/traffic_system.h"
 
 #include "base/contract.h"
+#include "base/hash.h"
 
 #include <algorithm>
 #include <cmath>
@@ -83,6 +84,8 @@
             = fromSeconds(shape.isUrgent ? m_config->policy.urgentDeadline : m_config->policy.defaultDeadline);
     const request_id id = m_requests.add(shape, now);
     const auto row = static_cast<std::size_t>(m_requests.row(id));
+    if (refuseIfQuarantined(row, out))
+        return id;
     if (shape.depth > m_config->policy.maxDepth) {
         refuse(row, error_kind::overloaded, shortestRetryAfter, out);
         return id;
@@ -166,6 +169,8 @@
     releaseTargetLoad(row);
     ++m_counts.refused;
     // If a target may have executed the request, an error kind that promises "not run" would be false.
+    if (m_requests.mayHaveRun[row] && kind == error_kind::harmful_request)
+        kind = error_kind::outcome_unknown;
     if (m_requests.mayHaveRun[row] && answerFor(kind).executed == ran::no)
         kind = m_requests.tokensDone[row] > 0 ? error_kind::answer_cut : error_kind::attempt_timeout;
     const auto service = m_requests.shape[row].service;
@@ -201,6 +206,8 @@
     if (isServiceRemoved || isPastDeadline || hasUsedAllAttempts
         || (countsAgainstBudget && !m_budgets[service.value].spend()))
         return refuse(row, kind, duration::zero(), out);
+    if (refuseIfQuarantined(row, out))
+        return;
     ++m_counts.retried;
     if (!tryStart(row, now, out))
         enqueue(row, true);
@@ -217,6 +224,8 @@
         m_requests.mayHaveRun[row] = 1;
         m_requests.stage[row] = request_stage::decode;
         m_requests.phase[row] = request_phase::waiting;
+        if (refuseIfQuarantined(row, out))
+            return;
         if (!shape.service.isValid() || !startDecode(row, now, out)) {
             if (!shape.service.isValid())
                 return refuse(row, error_kind::unknown_service, duration::zero(), out);
@@ -239,6 +248,47 @@
     m_requests.remove(m_requests.idOf(row));
 }
 
+bool traffic_system::refuseIfQuarantined(std::size_t row, traffic_commands& out)
+{
+    if (!m_quarantine.isQuarantined(m_requests.shape[row].digest))
+        return false;
+    refuse(row, error_kind::harmful_request, duration::zero(), out);
+    return true;
+}
+
+void traffic_system::applyQuarantine(const std::vector<quarantine_record>& records, instant now, traffic_commands& out)
+{
+    const auto before = m_quarantine.countQuarantined();
+    for (const auto& record : records)
+        m_quarantine.apply(record, now);
+    if (m_quarantine.countQuarantined() <= before)
+        return;
+    for (std::size_t row = 0; row < m_requests.rows(); ++row) {
+        // An attempt that has begun to answer may complete, which would show that the request is harmless.
+        if (m_requests.phase[row] != request_phase::free && m_requests.tokensDone[row] == 0)
+            refuseIfQuarantined(row, out);
+    }
+}
+
+void traffic_system::completeAnswerReceived(request_id request, attempt_id attempt, instant now)
+{
+    if (isCurrent(request, attempt))
+        m_quarantine.answered(m_requests.shape[static_cast<std::size_t>(m_requests.row(request))].digest, now);
+}
+
+void traffic_system::targetClosedConnection(request_id request, attempt_id attempt, instant now)
+{
+    if (!isCurrent(request, attempt))
+        return;
+    const auto row = static_cast<std::size_t>(m_requests.row(request));
+    const auto target = m_requests.target[row].value;
+    // A prefill does not run the request.
+    if (m_requests.stage[row] == request_stage::prefill)
+        return;
+    const auto instance = stableHash(m_targets.name[target], m_targets.incarnation[target]);
+    m_quarantine.targetEnded(m_requests.shape[row].digest, static_cast<std::uint32_t>(instance), now);
+}
+
 void traffic_system::attemptEnded(
     request_id request, attempt_id attempt, attempt_result result, instant now, traffic_commands& out)
 {
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -184,7 +184,7 @@
     archive(m.digest, m.clearances, ageMilliseconds, m.isStored);
     m.age = std::chrono::milliseconds(ageMilliseconds);
     archiveShort(archive, m.targets);
-    if (m.targets.size() > maxQuarantineTargets)
+    if (Archive::is_loading::value && m.targets.size() > maxQuarantineTargets)
         throw cereal::Exception("too many targets in a quarantine record");
 }
 
--- a/libs/gateway/tests/test_cluster_view.cpp
+++ b/libs/gateway/tests/test_cluster_view.cpp
@@ -349,6 +349,7 @@
     full.caches.resize(200);
     full.health.resize(200);
     full.changingEngines.resize(200);
+    full.quarantine = quarantine_record { { 1, 2 }, 1, { 1, 2, 3 }, 1h, true };
     CHECK(encodeDatagram(full).size() <= mtu);
     const auto notes = splitCacheUpdates(std::vector<cache_update>(300));
     CHECK(notes.size() == 4);
@@ -371,6 +372,28 @@
     REQUIRE(received.load.size() == 1);
     CHECK(received.load[0].running == 2);
     CHECK(received.jobs.size() == 1);
+    CHECK_FALSE(received.quarantine);
+}
+
+TEST_CASE("test_quarantine_records_fit_into_datagrams_and_round_trip")
+{
+    constexpr std::size_t mtu = 1'472;
+    const quarantine_record record { { 0xffffffffffffffff, 7 }, 3, { 1, 2, 3 }, 23h, true };
+    const auto notes = splitQuarantineNote(std::vector<quarantine_record>(100, record));
+    CHECK(notes.size() == 4);
+    for (const auto& note : notes)
+        CHECK(encodeDatagram(note).size() <= mtu);
+    const auto decoded = decodeDatagram(encodeDatagram(notes.front()));
+    REQUIRE(decoded);
+    const auto& read = std::get<quarantine_note>(*decoded).records.front();
+    CHECK(read.digest == record.digest);
+    CHECK(read.clearances == 3);
+    CHECK(read.targets == record.targets);
+    CHECK(read.age == record.age);
+    CHECK(read.isStored);
+    auto tooMany = record;
+    tooMany.targets.resize(200);
+    CHECK_FALSE(decodeQuarantine(encodeQuarantine(tooMany)));
 }
 
 TEST_CASE("test_missing_changes_are_requested_after_a_lost_note")
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -220,6 +220,7 @@
         input.shape.account = stableHash(parsed.user, input.shape.account);
     input.toTarget.target = request.target;
     input.toTarget.body = std::move(request.body);
+    input.shape.digest = digestOf(input.shape.account, request.method, request.target, input.toTarget.body);
     m_submit(std::move(input), caller, nullptr);
 }
 
@@ -250,6 +251,7 @@
     if (input.toTarget.target.front() == '?')
         input.toTarget.target.insert(0, "/");
     input.toTarget.body = std::move(request.body);
+    input.shape.digest = digestOf(input.shape.account, request.method, request.target, input.toTarget.body);
     const auto path = input.toTarget.path();
     input.shape.isIdempotent = !isNonIdempotent(service, request.method, path);
     if (input.shape.isIdempotent)
--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -16,6 +16,7 @@
     constexpr duration tickInterval = 50ms;
     constexpr std::size_t loadsPerHeartbeat = 48;
     constexpr std::size_t digestEntriesPerHeartbeat = 6;
+    constexpr std::size_t quarantineRecordsPerHeartbeat = 2;
     constexpr int missedPollsUntilBlocked = 2;
     constexpr duration unresponsiveTargetBlock = 1s;
     constexpr duration demandTimeToLive = 10s;
@@ -41,13 +42,15 @@
 }
 
 control_plane::control_plane(const node_settings& settings, const instance_id& instance, http_client& client,
-    traffic_system& traffic, metrics& counters, const logger& log, configuration_handler onConfiguration)
+    traffic_system& traffic, metrics& counters, const logger& log, configuration_handler onConfiguration,
+    quarantine_handler onQuarantine)
     : m_settings(settings)
     , m_instance(instance)
     , m_traffic(traffic)
     , m_counters(counters)
     , m_log(log)
     , m_onConfiguration(std::move(onConfiguration))
+    , m_onQuarantine(std::move(onQuarantine))
     , m_control(
           { instance, settings.region, settings.availabilityZone }, controlSettingsFrom(settings), boot_clock::now())
     , m_loadExchange(settings.vm, settings.availabilityZone, traffic.targets())
@@ -164,6 +167,22 @@
     return out;
 }
 
+// A heartbeat goes to a few random peers, so suspicions are repeated as well and spread from node to node.
+std::vector<quarantine_record> control_plane::quarantineRecords(instant now)
+{
+    auto& quarantine = m_traffic.quarantine();
+    quarantine.takeNews(now); // included in the rotation
+    std::vector<quarantine_record> out;
+    const auto count = std::min(quarantineRecordsPerHeartbeat, quarantine.countRecords());
+    while (out.size() < count) {
+        auto record = quarantine.nextRecord(now, true);
+        if (!record)
+            break;
+        out.push_back(std::move(*record));
+    }
+    return out;
+}
+
 void control_plane::sendHeartbeat()
 {
     const auto now = boot_clock::now();
@@ -171,6 +190,7 @@
     message.sender = selfState();
     message.loads = m_loadExchange.entries(loadsPerHeartbeat, now);
     message.digest = digest(now);
+    message.quarantine = quarantineRecords(now);
     const auto& services = m_traffic.config().services;
     for (std::uint32_t s = 0; s < services.size(); ++s) {
         const auto demand = m_traffic.demand({ s }, now);
@@ -188,6 +208,8 @@
     m_control.onPeerHeartbeat(message.sender, now);
     m_loadExchange.applyEntries(message.loads, now);
     m_peerDemand[message.sender.instance.node] = { now, message.demands };
+    if (!message.quarantine.empty())
+        m_onQuarantine(message.quarantine);
     for (const auto& entry : message.digest)
         m_control.onPeerIncarnation({ entry.vm, entry.incarnation }, now);
     const bool isAhead = message.sender.logReach > m_control.replicated().next().value;
@@ -352,6 +374,24 @@
     }
 }
 
+void control_plane::logQuarantineChanges()
+{
+    auto& quarantine = m_traffic.quarantine();
+    quarantine.takeEnded(); // the log of the platform holds no quarantines
+    for (const auto& change : quarantine.takeChanges()) {
+        const auto digest = toString(change.record.digest);
+        if (!change.isQuarantined)
+            m_log.write(log_event::quarantine_ended,
+                { { "digest", digest }, { "clearances", change.record.clearances },
+                    { "left", quarantine.countQuarantined() } });
+        else
+            m_log.write(log_event::request_quarantined,
+                { { "digest", digest }, { "targets", change.record.targets.size() },
+                    { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(change.record.age).count() },
+                    { "quarantined", quarantine.countQuarantined() } });
+    }
+}
+
 void control_plane::tick()
 {
     const auto now = boot_clock::now();
@@ -363,6 +403,7 @@
         m_onConfiguration(output.configuration);
     }
     logLeaseChanges();
+    logQuarantineChanges();
     updateTargetFlags(now);
     for (const auto& body : output.appends)
         append(body);
@@ -398,6 +439,7 @@
     m_counters.set("tamarack_ready", m_control.ready().acceptsWork(now) ? 1 : 0);
     m_counters.set("tamarack_requests_held", static_cast<double>(m_traffic.held()));
     m_counters.set("tamarack_requests_waiting", static_cast<double>(m_traffic.waiting()));
+    m_counters.set("tamarack_quarantined_requests", static_cast<double>(m_traffic.quarantine().countQuarantined()));
     const auto& peerCounts = m_peers.counts();
     m_counters.set("tamarack_peer_bytes_sent", static_cast<double>(peerCounts.bytesSent));
     m_counters.set("tamarack_peer_bytes_received", static_cast<double>(peerCounts.bytesReceived));
--- a/libs/node/src/control_plane.h
+++ b/libs/node/src/control_plane.h
@@ -26,10 +26,12 @@
 class control_plane {
 public:
     using configuration_handler = std::function<void(std::shared_ptr<const deployment>)>;
+    using quarantine_handler = std::function<void(const std::vector<quarantine_record>&)>;
     using key_handler = std::function<void(const peer_request&, peer_transport::reply_sender)>;
 
     control_plane(const node_settings& settings, const instance_id& instance, http_client& client,
-        traffic_system& traffic, metrics& counters, const logger& log, configuration_handler onConfiguration);
+        traffic_system& traffic, metrics& counters, const logger& log, configuration_handler onConfiguration,
+        quarantine_handler onQuarantine);
 
     /// Starts the timers and the first reads. Returns false if the peer port cannot be opened.
     bool start();
@@ -59,6 +61,8 @@
     void aggregateDemand(instant now);
     std::vector<digest_entry> digest(instant now);
     void logLeaseChanges();
+    void logQuarantineChanges();
+    std::vector<quarantine_record> quarantineRecords(instant now);
     void publishMetrics(instant now);
 
     struct peer_demand {
@@ -72,6 +76,7 @@
     metrics& m_counters;
     const logger& m_log;
     configuration_handler m_onConfiguration;
+    quarantine_handler m_onQuarantine;
     key_handler m_onKey;
     control_system m_control;
     load_exchange m_loadExchange;
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -84,11 +84,17 @@
     , spans(settings.spanFile, "tamarackrelay " + settings.vm)
     , spanIds(stableHash(toString(instance), static_cast<std::uint64_t>(wallNanoseconds())))
     , traffic(settings.vm, settings.availabilityZone, stableHash(toString(instance)))
-    , control(settings, instance, client, traffic, counters, log,
+    , control(
+          settings, instance, client, traffic, counters, log,
           [this](std::shared_ptr<const deployment> config) {
               traffic_commands commands;
               traffic.configure(std::move(config), boot_clock::now(), commands);
               execute(std::move(commands));
+          },
+          [this](const std::vector<quarantine_record>& records) {
+              traffic_commands commands;
+              traffic.applyQuarantine(records, boot_clock::now(), commands);
+              execute(std::move(commands));
           })
     , keys(instance, settings.keyMemory)
     , idempotency(keys, control.peers(), control.decisions().members(), counters, keyHomeTimeout)
--- a/libs/node/src/relay.cpp
+++ b/libs/node/src/relay.cpp
@@ -161,6 +161,7 @@
     if (head.status == statusKvMissing && attempt->command.stage == request_stage::decode)
         return conclude(attempt, attempt_result::kv_missing);
     attempt->buffered.status = head.status;
+    attempt->isDelimited = head.headers.has("content-length") || head.headers.has("transfer-encoding");
     for (const auto& header : head.headers.entries) {
         if (isForwardedToCaller(header.name))
             attempt->buffered.headers.entries.push_back(header);
@@ -257,6 +258,7 @@
     if (!attempt->sawEnd)
         return conclude(attempt, attempt_result::cut);
     const auto self = shared_from_this();
+    m_services.traffic.completeAnswerReceived(m_id, attempt->command.attempt, boot_clock::now());
     conclude(attempt, attempt_result::answered);
     m_caller->finish();
     const http_response streamed { 200, {}, {} };
@@ -287,6 +289,8 @@
     // the prompt in prefill.
     attempt->command.stage = request_stage::whole;
     m_services.traffic.wholeAnswerReceived(m_id, attempt->command.attempt);
+    if (attempt->isDelimited)
+        m_services.traffic.completeAnswerReceived(m_id, attempt->command.attempt, boot_clock::now());
     conclude(attempt, attempt_result::answered);
     m_caller->sendWhole(answer);
     finish({ &answer, error_kind::internal });
@@ -301,6 +305,8 @@
             { "target", m_services.traffic.targets().name[attempt->command.target.value] } });
     if (!failure.mayHaveReachedPeer)
         return conclude(attempt, attempt_result::not_sent);
+    if (failure.isClosedByPeer)
+        m_services.traffic.targetClosedConnection(m_id, attempt->command.attempt, boot_clock::now());
     conclude(attempt, attempt->isStreaming ? attempt_result::cut : attempt_result::maybe_run);
 }
 
--- a/libs/node/src/relay.h
+++ b/libs/node/src/relay.h
@@ -80,6 +80,7 @@
         http_response buffered; // an answer that is not streamed, or an error response
         event_splitter splitter;
         bool isStreaming = false;
+        bool isDelimited = false; // otherwise the end of the connection, which may be a crash, ends the answer
         bool sawEnd = false;
         bool sawFirst = false;
         bool hasEnded = false;
--- a/libs/peer/include/peer/peer_messages.h
+++ b/libs/peer/include/peer/peer_messages.h
@@ -3,6 +3,7 @@
 
 #include "decide/key_registry.h"
 #include "decide/membership.h"
+#include "quarantine/request_quarantine.h"
 
 #include <cstdint>
 #include <optional>
@@ -42,6 +43,7 @@
     std::vector<load_entry> loads;
     std::vector<demand_entry> demands;
     std::vector<digest_entry> digest;
+    std::vector<quarantine_record> quarantine; ///< some of the sender's records, in rotation
 };
 
 enum class peer_question : std::uint8_t {
--- a/libs/peer/src/peer_codec.cpp
+++ b/libs/peer/src/peer_codec.cpp
@@ -4,6 +4,7 @@
 
 #include "base/hash.h"
 
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -42,9 +43,27 @@
     archive(entry.vm, entry.address, entry.peerPort, entry.incarnation, entry.configurationVersion);
 }
 
+template <class Archive> void serialize(Archive& archive, request_digest& digest)
+{
+    archive(digest.account, digest.content);
+}
+
+template <class Archive> void serialize(Archive& archive, quarantine_record& record)
+{
+    // Lengths and ages in as few bytes as they need, so that a full heartbeat fits into one datagram.
+    auto ageMilliseconds
+        = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(record.age).count());
+    auto count = static_cast<std::uint8_t>(std::min<std::size_t>(record.targets.size(), 255));
+    archive(record.digest, record.clearances, ageMilliseconds, record.isStored, count);
+    record.age = std::chrono::milliseconds(ageMilliseconds);
+    record.targets.resize(count);
+    for (auto& target : record.targets)
+        archive(target);
+}
+
 template <class Archive> void serialize(Archive& archive, heartbeat& message)
 {
-    archive(message.sender, message.loads, message.demands, message.digest);
+    archive(message.sender, message.loads, message.demands, message.digest, message.quarantine);
 }
 
 template <class Archive> void serialize(Archive& archive, peer_request& message)
@@ -59,7 +78,7 @@
 
 namespace {
 
-    constexpr std::uint32_t magic = 0x54525931; // "TRY1": protocol name and version
+    constexpr std::uint32_t magic = 0x54525932; // "TRY2": protocol name and version
 
     constexpr std::size_t checksumBytes = 8;
 
--- a/libs/quarantine/include/quarantine/request_digest.h
+++ b/libs/quarantine/include/quarantine/request_digest.h
@@ -17,7 +17,8 @@
     auto operator<=>(const request_digest&) const = default;
 };
 
-/// Computes the digest. `target` is the request target with its query.
+/// Computes the digest. `account` is the hash of the client account, `target` the request target with its query.
+request_digest digestOf(std::uint64_t account, std::string_view method, std::string_view target, std::string_view body);
 request_digest digestOf(
     std::string_view account, std::string_view method, std::string_view target, std::string_view body);
 
--- a/libs/quarantine/include/quarantine/request_quarantine.h
+++ b/libs/quarantine/include/quarantine/request_quarantine.h
@@ -68,8 +68,9 @@
 
     /// Records that this node has changed since the last call, to be sent to the peers at once.
     std::vector<quarantine_record> takeNews(instant now);
-    /// The next quarantined or cleared record in rotation, to be repeated to the peers.
-    std::optional<quarantine_record> nextRecord(instant now);
+    /// The next record in rotation, to be repeated to the peers. Suspicions are left out where each change reaches all
+    /// peers by takeNews().
+    std::optional<quarantine_record> nextRecord(instant now, bool withSuspicions = false);
     /// All records that peers may use.
     std::vector<quarantine_record> records(instant now) const;
     /// A quarantine that the store does not hold yet.
@@ -95,7 +96,7 @@
     duration lifetimeOf(const entry& item) const;
     bool isExpired(const entry& item, instant now) const;
     /// Whether the record is worth repeating: peers that have removed an expired record must not get it again.
-    bool isRepeatable(const entry& item, instant now) const;
+    bool isRepeatable(const entry& item, bool withSuspicions, instant now) const;
     bool wasAnswered(const request_digest& digest, instant now) const;
     void clear(table::iterator found, instant now);
     /// Adds a target to the entry. Returns false if it is known or none is needed any more.
--- a/libs/quarantine/src/request_digest.cpp
+++ b/libs/quarantine/src/request_digest.cpp
@@ -23,10 +23,15 @@
 
 }
 
+request_digest digestOf(std::uint64_t account, std::string_view method, std::string_view target, std::string_view body)
+{
+    return { account, stableHash(body, stableHash(target, stableHash(method))) };
+}
+
 request_digest digestOf(
     std::string_view account, std::string_view method, std::string_view target, std::string_view body)
 {
-    return { stableHash(account), stableHash(body, stableHash(target, stableHash(method))) };
+    return digestOf(stableHash(account), method, target, body);
 }
 
 std::string toString(const request_digest& digest)
--- a/libs/quarantine/src/request_quarantine.cpp
+++ b/libs/quarantine/src/request_quarantine.cpp
@@ -41,10 +41,10 @@
     return now >= item.changedAt + lifetimeOf(item);
 }
 
-bool request_quarantine::isRepeatable(const entry& item, instant now) const
+bool request_quarantine::isRepeatable(const entry& item, bool withSuspicions, instant now) const
 {
     const bool isSettled = isQuarantined(item) || item.clearances > 0;
-    return isSettled && now + repeatMargin < item.changedAt + lifetimeOf(item);
+    return (isSettled || withSuspicions) && now + repeatMargin < item.changedAt + lifetimeOf(item);
 }
 
 quarantine_record request_quarantine::recordOf(const table::value_type& item, instant now) const
@@ -189,9 +189,9 @@
     return out;
 }
 
-std::optional<quarantine_record> request_quarantine::nextRecord(instant now)
+std::optional<quarantine_record> request_quarantine::nextRecord(instant now, bool withSuspicions)
 {
-    const auto isWanted = [&](const auto& item) { return isRepeatable(item.second, now); };
+    const auto isWanted = [&](const auto& item) { return isRepeatable(item.second, withSuspicions, now); };
     const auto first = m_entries.upper_bound(m_lastRepeated);
     auto found = std::find_if(first, m_entries.end(), isWanted);
     if (found == m_entries.end()) {
--- a/tests/standins/engine_standin.cpp
+++ b/tests/standins/engine_standin.cpp
@@ -171,6 +171,8 @@
                 item.attempt = "0";
             item.isCut = fault == "cut";
             item.isTruncated = fault == "truncate";
+            if (item.prompt == harmfulPrompt && !item.isPrefill)
+                return QCoreApplication::exit(1);
             const auto priority = static_cast<int>(parseNumber(request.headers.find("x-priority")).value_or(0));
             if (request.headers.find("x-stage") == "decode")
                 return importCache(request, std::move(item), priority);
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -25,6 +25,9 @@
     double vmListLagSeconds = 0.5;
 };
 
+/// An engine that begins to run this prompt ends.
+inline constexpr const char* harmfulPrompt = "harmful";
+
 /// A stand-in process; listens from construction on, until it is destroyed.
 class standin {
 public:
