Follow the store's quarantines while nodes do not hear each other

A node that is cut off from its peers, and reaches the store, targets and callers, was told of no quarantine and told none: its own three targets on top of the others'.

While some known node is silent, the node that writes quarantines for those that it hears also reads them every second. A node that hears nobody writes and reads for itself. Suspicions are not stored, so each side still finds its own three targets if they end at the same time.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -354,7 +354,8 @@
     me.readsForOthers = serving::readsForZone(me, alive);
     const bool isConfirmer = serving::confirmsForFleet(me, alive);
     view.setReader(me.readsForOthers, isConfirmer);
-    quarantine.tick(isConfirmer, now);
+    const bool areNodesSilent = static_cast<std::size_t>(nodes.knownCount()) > alive.size() + 1;
+    quarantine.tick(isConfirmer, areNodesSilent, now);
     if (view.isStale(now))
         view.refreshIfStale(serving::refreshRank(me, alive), now);
 }
--- a/libs/gateway/src/quarantine_sync.cpp
+++ b/libs/gateway/src/quarantine_sync.cpp
@@ -11,6 +11,8 @@
 
     /// Peers send each other their records; the store is read in case none of them does.
     constexpr duration backupReadInterval = 300s;
+    /// Read interval of a writer while it does not hear some nodes.
+    constexpr duration followInterval = 1s;
     constexpr duration firstRetryPause = 200ms;
     constexpr duration maxRetryPause = 5s;
 
@@ -46,8 +48,19 @@
     m_parts.execute(std::move(commands));
 }
 
-void quarantine_sync::tick(bool isWriter, instant now)
+void quarantine_sync::followStore(bool isFollowing)
 {
+    if (isFollowing == m_isFollowing)
+        return;
+    m_isFollowing = isFollowing;
+    m_feed.setPause(isFollowing ? followInterval : backupReadInterval);
+    if (isFollowing)
+        m_feed.readNow();
+}
+
+void quarantine_sync::tick(bool isWriter, bool areNodesSilent, instant now)
+{
+    followStore(isWriter && areNodesSilent);
     auto& quarantine = m_parts.decisions.quarantine();
     for (const auto& change : quarantine.takeChanges())
         logChange(change);
--- a/libs/gateway/src/quarantine_sync.h
+++ b/libs/gateway/src/quarantine_sync.h
@@ -30,13 +30,15 @@
     void start() { m_feed.start(); }
     /// Applies records of peers.
     void apply(const std::vector<quarantine_record>& records);
-    /// Logs changes. `isWriter`: this node keeps the store up to date on behalf of the fleet.
-    void tick(bool isWriter, instant now);
+    /// Logs changes. `isWriter`: this node keeps the store up to date on behalf of the fleet. `areNodesSilent`: nodes
+    /// that this one does not hear may be at work and write to the store as well, so a writer also reads it.
+    void tick(bool isWriter, bool areNodesSilent, instant now);
 
 private:
     void onRecords(const std::vector<keyed_record>& records);
     void logChange(const quarantine_change& change) const;
     std::string targetNames(const std::vector<std::uint32_t>& targets) const;
+    void followStore(bool isFollowing);
     void write(instant now);
     void onWritten(bool isWritten);
 
@@ -46,6 +48,7 @@
     std::vector<request_digest> m_toRemove; // from the store
     instant m_nextWriteAt;
     bool m_isWriting = false;
+    bool m_isFollowing = false; // reads the store at short intervals
 };
 
 }
--- a/libs/gateway/tests/test_quarantine_sync.cpp
+++ b/libs/gateway/tests/test_quarantine_sync.cpp
@@ -30,19 +30,19 @@
 {
     sync_fixture world;
     world.quarantine();
-    world.sync.tick(false, boot_clock::now());
+    world.sync.tick(false, false, boot_clock::now());
     CHECK(world.store.calls.empty());
-    world.sync.tick(true, boot_clock::now());
-    world.sync.tick(true, boot_clock::now());
+    world.sync.tick(true, false, boot_clock::now());
+    world.sync.tick(true, false, boot_clock::now());
     REQUIRE(world.store.count("append", store_topic::quarantine) == 1);
     CHECK(world.store.calls.back().key == toString(harmful));
     world.store.calls.back().onAppend(store_error::unreachable);
-    world.sync.tick(true, boot_clock::now());
+    world.sync.tick(true, false, boot_clock::now());
     CHECK(world.store.count("append", store_topic::quarantine) == 1); // not before a pause
-    world.sync.tick(true, boot_clock::now() + 1s);
+    world.sync.tick(true, false, boot_clock::now() + 1s);
     REQUIRE(world.store.count("append", store_topic::quarantine) == 2);
     world.store.calls.back().onAppend(std::int64_t { 5 });
-    world.sync.tick(true, boot_clock::now() + 2s);
+    world.sync.tick(true, false, boot_clock::now() + 2s);
     CHECK(world.store.count("append", store_topic::quarantine) == 2);
 }
 
@@ -51,14 +51,14 @@
     sync_fixture world;
     world.quarantine();
     world.decisions.quarantine().setStored(harmful);
-    world.sync.tick(true, boot_clock::now());
+    world.sync.tick(true, false, boot_clock::now());
     CHECK(world.store.calls.empty());
     world.decisions.quarantine().release(harmful, boot_clock::now());
-    world.sync.tick(true, boot_clock::now());
+    world.sync.tick(true, false, boot_clock::now());
     REQUIRE(world.store.count("append", store_topic::quarantine) == 1);
     CHECK(world.store.calls.back().key == toString(harmful));
     world.store.calls.back().onAppend(std::int64_t { 5 });
-    world.sync.tick(true, boot_clock::now());
+    world.sync.tick(true, false, boot_clock::now());
     CHECK(world.store.count("append", store_topic::quarantine) == 1);
 }
 
@@ -71,6 +71,23 @@
     const auto done = world.store.calls.back().onNewest;
     done(newest_page { { { 0, toString(harmful), stored }, { 1, "other", "not a record" } }, 2, false });
     CHECK(world.decisions.quarantine().isQuarantined(harmful));
-    world.sync.tick(true, boot_clock::now());
+    world.sync.tick(true, false, boot_clock::now());
     CHECK(world.store.count("append", store_topic::quarantine) == 0);
 }
+
+TEST_CASE("test_writer_follows_the_store_while_it_does_not_hear_some_nodes")
+{
+    sync_fixture world;
+    world.sync.tick(true, false, boot_clock::now());
+    world.sync.tick(false, true, boot_clock::now());
+    CHECK(world.store.calls.empty());
+    world.sync.tick(true, true, boot_clock::now());
+    REQUIRE(world.store.count("newest", store_topic::quarantine) == 1);
+    const auto newest = world.store.calls.back().onNewest;
+    newest(newest_page { {}, 0, false });
+    REQUIRE(spinUntil([&] { return world.store.count("read", store_topic::quarantine) == 1; }));
+    const auto stored = encodeQuarantine({ harmful, 0, { 1, 2, 3 }, 0s, false });
+    const auto read = world.store.calls.back().onRead;
+    read(record_page { { { 0, toString(harmful), stored } }, 1, 1 });
+    CHECK(world.decisions.quarantine().isQuarantined(harmful));
+}
