Count the targets that end after the callers of a harmful request have left

A caller that leaves has its attempt cancelled, and the attempt forgotten; an engine that has begun to run it ends nevertheless, and no node counted that. A request whose clients give up early would have been sent for ever.

When another connection to the same instance is closed, or none can be made, the end counts for it as well.

--- a/libs/decide/include/decide/traffic_system.h
+++ b/libs/decide/include/decide/traffic_system.h
@@ -6,6 +6,7 @@
 #include "decide/retry_budget.h"
 #include "decide/router.h"
 #include "decide/target_table.h"
+#include "quarantine/abandoned_attempts.h"
 #include "quarantine/request_quarantine.h"
 
 #include <array>
@@ -105,6 +106,10 @@
     bool refuseIfQuarantined(std::size_t row, traffic_commands& out);
     void enqueue(std::size_t row, bool atFront);
     void releaseTargetLoad(std::size_t row);
+    /// Hash of the target's name and incarnation.
+    std::uint32_t instanceHash(target_id target) const;
+    /// Attributes the end of a target to the attempts at it that were cancelled shortly before.
+    void blameAbandoned(target_id target, instant now);
     void refuse(std::size_t row, error_kind kind, duration retryAfter, traffic_commands& out);
     void retryOrRefuse(std::size_t row, error_kind kind, bool countsAgainstBudget, instant now, traffic_commands& out);
     void succeeded(std::size_t row, instant now, traffic_commands& out);
@@ -134,6 +139,7 @@
     router m_router;
     account_limiter m_accounts;
     request_quarantine m_quarantine;
+    abandoned_attempts m_abandoned;
     std::vector<retry_budget> m_budgets; // by service
     std::vector<service_queue> m_queues; // by service
     std::vector<double>
--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -281,12 +281,23 @@
     if (!isCurrent(request, attempt))
         return;
     const auto row = static_cast<std::size_t>(m_requests.row(request));
-    const auto target = m_requests.target[row].value;
+    const auto target = m_requests.target[row];
     // A prefill does not run the request.
-    if (m_requests.stage[row] == request_stage::prefill)
-        return;
-    const auto instance = stableHash(m_targets.name[target], m_targets.incarnation[target]);
-    m_quarantine.targetEnded(m_requests.shape[row].digest, static_cast<std::uint32_t>(instance), now);
+    if (m_requests.stage[row] != request_stage::prefill)
+        m_quarantine.targetEnded(m_requests.shape[row].digest, instanceHash(target), now);
+    blameAbandoned(target, now);
+}
+
+std::uint32_t traffic_system::instanceHash(target_id target) const
+{
+    return static_cast<std::uint32_t>(stableHash(m_targets.name[target.value], m_targets.incarnation[target.value]));
+}
+
+void traffic_system::blameAbandoned(target_id target, instant now)
+{
+    const auto instance = instanceHash(target);
+    for (const auto& digest : m_abandoned.takeAt(instance, now))
+        m_quarantine.targetEnded(digest, instance, now);
 }
 
 void traffic_system::attemptEnded(
@@ -311,6 +322,7 @@
         return succeeded(row, now, out);
     case attempt_result::not_sent:
         targetFailed(m_requests.target[row], now);
+        blameAbandoned(m_requests.target[row], now);
         return retryOrRefuse(row, error_kind::target_unreachable, true, now, out);
     case attempt_result::refused:
         // The target is full, draining or stopping. That is no failure, but it should not be retried immediately.
@@ -345,8 +357,13 @@
     const auto row = m_requests.row(request);
     if (row < 0)
         return;
-    const auto service = m_requests.shape[static_cast<std::size_t>(row)].service;
-    releaseTargetLoad(static_cast<std::size_t>(row));
+    const auto index = static_cast<std::size_t>(row);
+    const auto service = m_requests.shape[index].service;
+    const bool mayRun
+        = m_requests.phase[index] == request_phase::running && m_requests.stage[index] != request_stage::prefill;
+    if (mayRun)
+        m_abandoned.add(m_requests.shape[index].digest, instanceHash(m_requests.target[index]), now);
+    releaseTargetLoad(index);
     m_requests.remove(request);
     if (service.isValid())
         dispatch(service, now, out);
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -2,6 +2,7 @@
 // deterministic: it uses no socket, clock or thread.
 #pragma once
 
+#include "quarantine/abandoned_attempts.h"
 #include "quarantine/request_quarantine.h"
 #include "serving/peer_load.h"
 #include "serving/placement.h"
@@ -126,6 +127,10 @@
     void refuse(std::size_t row, error_kind kind, duration retryAfter, command_list& out);
     void remove(std::size_t row, command_list& out);
     void releaseAttempt(std::size_t row);
+    /// Remembers the current attempt, which is being cancelled although its target may run it.
+    void abandonAttempt(std::size_t row, instant now);
+    /// Attributes the end of a target to the attempts at it that were cancelled shortly before.
+    void blameAbandoned(target_id target, instant now);
     void releaseCache(std::size_t row, command_list& out);
     void checkTimes(std::size_t row, instant now, command_list& out);
     bool hasRunOrMayRun(std::size_t row) const;
@@ -139,6 +144,7 @@
     prompt_cache_map m_caches;
     target_health m_health;
     request_quarantine m_quarantine;
+    abandoned_attempts m_abandoned;
     idle_connections m_connections;
     placement m_placement;
     random_source m_random;
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -17,6 +17,20 @@
     m_book.phase[row] = request_phase::waiting;
 }
 
+void dispatcher::abandonAttempt(std::size_t row, instant now)
+{
+    const auto& current = m_book.current[row];
+    if (current.id.isValid() && current.stage != attempt_stage::prefill)
+        m_abandoned.add(m_book.request[row].digest, m_fleet.instanceHash[current.target.value], now);
+}
+
+void dispatcher::blameAbandoned(target_id target, instant now)
+{
+    const auto instance = m_fleet.instanceHash[target.value];
+    for (const auto& digest : m_abandoned.takeAt(instance, now))
+        m_quarantine.targetEnded(digest, instance, now);
+}
+
 void dispatcher::releaseCache(std::size_t row, command_list& out)
 {
     auto& cache = m_book.progress[row].cache;
@@ -90,6 +104,7 @@
     // A prefill does not run the request.
     if (current.stage != attempt_stage::prefill)
         m_quarantine.targetEnded(m_book.request[row].digest, m_fleet.instanceHash[current.target.value], now);
+    blameAbandoned(current.target, now);
 }
 
 void dispatcher::attemptEnded(request_id request, attempt_id attempt, attempt_result result,
@@ -119,6 +134,7 @@
     switch (result) {
     case attempt_result::unreached:
         m_health.recordFailure(attempt.target, now);
+        blameAbandoned(attempt.target, now);
         // The attempt never reached the target. If it was the first prefill of a prompt, the prompt may still be
         // prefilled separately, because prefilling it at an engine that decodes would interrupt about twenty streams.
         if (couldRun) {
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -342,6 +342,7 @@
     const auto attempt = m_book.current[static_cast<std::size_t>(row)].id;
     if (attempt.isValid())
         out.push_back(stop_attempt { request, attempt });
+    abandonAttempt(static_cast<std::size_t>(row), now);
     remove(static_cast<std::size_t>(row), out);
     dispatch(now, out);
 }
@@ -369,9 +370,11 @@
 void dispatcher::checkTimes(std::size_t row, instant now, command_list& out)
 {
     const auto& current = m_book.current[row];
-    if (now >= m_book.times[row].answerDeadline)
+    if (now >= m_book.times[row].answerDeadline) {
+        abandonAttempt(row, now);
         return refuse(row, hasRunOrMayRun(row) ? error_kind::attempt_timeout : error_kind::deadline_unreachable,
             duration::zero(), out);
+    }
     const bool isSilent = !current.hasStartedAnswering || current.lastEventAt != instant();
     if (!current.id.isValid() || !isSilent || now < current.silenceDeadline)
         return;
@@ -380,6 +383,7 @@
         return;
     // The target has been silent for far longer than expected, so the request is better sent to another one.
     out.push_back(stop_attempt { m_book.idOf(row), current.id });
+    abandonAttempt(row, now);
     m_connections.forget(current.target); // the connection may be the cause of the silence
     handleAttemptResult(
         row, m_book.progress[row].hasStarted ? attempt_result::cut : attempt_result::broken, {}, now, out);
--- a/libs/serving/tests/test_harmful_requests.cpp
+++ b/libs/serving/tests/test_harmful_requests.cpp
@@ -31,6 +31,8 @@
     double randomCrashesPerSecond = 0; ///< of engines, for no request's sake
     bool restartsNodes = false; ///< one node after the other, and at 8 s all of them
     bool exchangesRecords = true;
+    bool isolatesNode = false; ///< one node reaches the store and the engines, but no other node
+    duration callersLeaveAfter = duration::zero(); ///< zero: they stay
 };
 
 struct harmful_result {
@@ -65,7 +67,9 @@
             every(1 / m_options.randomCrashesPerSecond, [this] { crash(m_random.below(m_engines.size())); });
         for (std::size_t i = 0; i < m_nodes.size(); ++i)
             schedule(fromSeconds(m_random.unit() * 0.1), [this, i] { heartbeat(i); });
-        schedule(100ms, [this] { keepStore(); });
+        schedule(100ms, [this] { keepStore(0); });
+        if (m_options.isolatesNode)
+            schedule(100ms, [this] { keepStore(m_nodes.size() - 1); });
         if (m_options.restartsNodes) {
             every(1, [this] { startNode(m_random.below(m_nodes.size())); });
             schedule(8s, [this] {
@@ -169,6 +173,8 @@
         const auto id = world.decisions.submit(std::move(request), m_now, commands);
         m_requests[{ index, id }] = { isHarmful, tries, digest };
         execute(index, commands);
+        if (m_options.callersLeaveAfter > duration::zero() && isHarmful)
+            schedule(m_options.callersLeaveAfter, [this, index, id] { leave(index, id); });
     }
 
     void execute(std::size_t index, const command_list& commands)
@@ -177,15 +183,42 @@
             if (const auto* start = std::get_if<start_attempt>(&item))
                 send(index, *start);
             else if (const auto* stop = std::get_if<stop_attempt>(&item))
-                std::erase_if(m_attempts, [&](const auto& open) {
-                    return open.second.node == index && open.second.attempt == stop->attempt;
-                });
+                stopAttempt(index, stop->attempt);
             else if (const auto* refusal = std::get_if<refuse_request>(&item))
                 refused(index, *refusal);
         }
         broadcastNews(index);
     }
 
+    void leave(std::size_t index, request_id id)
+    {
+        if (m_requests.erase({ index, id }) == 0)
+            return;
+        command_list commands;
+        m_nodes[index].world->decisions.callerDisconnected(id, m_now, commands);
+        execute(index, commands);
+    }
+
+    /// An engine that has begun to run the harmful request ends although its node has closed the connection.
+    void stopAttempt(std::size_t index, attempt_id attempt)
+    {
+        const auto found = std::find_if(m_attempts.begin(), m_attempts.end(),
+            [&](const auto& item) { return item.second.node == index && item.second.attempt == attempt; });
+        if (found == m_attempts.end())
+            return;
+        const auto open = found->second;
+        m_attempts.erase(found);
+        if (!open.isHarmful || open.stage == attempt_stage::prefill || !m_engines[open.engine].isUp)
+            return;
+        const auto instance = m_engines[open.engine].instance;
+        schedule(30ms, [this, open, instance] {
+            if (m_engines[open.engine].instance != instance || !m_engines[open.engine].isUp)
+                return;
+            m_crashes.push_back(m_now);
+            crash(open.engine);
+        });
+    }
+
     void refused(std::size_t index, const refuse_request& refusal)
     {
         const auto found = m_requests.find({ index, refusal.request });
@@ -278,6 +311,8 @@
         execute(open.node, commands);
     }
 
+    bool isIsolated(std::size_t node) const { return m_options.isolatesNode && node + 1 == m_nodes.size(); }
+
     void deliver(std::size_t to, std::vector<quarantine_record> records)
     {
         if (m_random.unit() < m_options.messageLoss)
@@ -294,7 +329,7 @@
         if (!m_options.exchangesRecords)
             return;
         for (std::size_t to = 0; to < m_nodes.size(); ++to) {
-            if (to != from)
+            if (to != from && !isIsolated(to) && !isIsolated(from))
                 deliver(to, records);
         }
     }
@@ -317,15 +352,21 @@
             fromSeconds(std::max(0.1, static_cast<double>(m_nodes.size()) / 160)), [this, index] { heartbeat(index); });
     }
 
-    void keepStore()
+    void keepStore(std::size_t writer)
     {
-        auto& quarantine = m_nodes.front().world->decisions.quarantine();
+        auto& quarantine = m_nodes[writer].world->decisions.quarantine();
         if (auto record = quarantine.nextToStore(m_now)) {
             record->isStored = true;
             m_stored.push_back(*record);
             quarantine.setStored(record->digest);
         }
-        schedule(100ms, [this] { keepStore(); });
+        constexpr int writesPerRead = 10;
+        if (m_options.isolatesNode && ++m_writes % writesPerRead < 2) {
+            command_list commands;
+            m_nodes[writer].world->decisions.applyQuarantine(m_stored, m_now, commands);
+            execute(writer, commands);
+        }
+        schedule(100ms, [this, writer] { keepStore(writer); });
     }
 
     void evaluate()
@@ -350,6 +391,7 @@
     std::vector<instant> m_arrivals; // of the harmful request at engines
     std::vector<instant> m_crashes; // under it
     std::uint64_t m_lastKey = 0;
+    int m_writes = 0;
     harmful_result m_result;
 };
 
@@ -394,6 +436,32 @@
     }
 }
 
+TEST_CASE("test_harmful_request_is_left_by_a_node_that_reaches_the_store_but_no_peer")
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(30); ++seed) {
+        harmful_options options;
+        options.seed = seed;
+        options.isolatesNode = true;
+        const auto result = harmful_world(options).run();
+        INFO("seed " << seed << ", " << result.crashes << " crashes");
+        CHECK(result.lateArrivals <= maxLateArrivals);
+    }
+}
+
+TEST_CASE("test_harmful_request_is_recognized_though_its_callers_leave_early")
+{
+    // Guards against forgetting an attempt with its caller: an engine that has begun to run it ends nevertheless.
+    for (std::uint64_t seed = 1; seed <= seedCount(30); ++seed) {
+        harmful_options options;
+        options.seed = seed;
+        options.harmfulPerSecond = 20;
+        options.callersLeaveAfter = 60ms;
+        const auto result = harmful_world(options).run();
+        INFO("seed " << seed << ", " << result.crashes << " crashes");
+        CHECK(result.lateArrivals <= maxLateArrivals);
+    }
+}
+
 TEST_CASE("test_harmful_request_is_sent_on_and_on_by_nodes_that_exchange_nothing")
 {
     // Shows that the runs above would notice nodes that keep what they know to themselves.
