Operators see and release quarantined requests

A quarantine is an inference and lasts 24 h, so whoever has mended the targets needs a way to end it. tamarackctl status lists quarantines and release ends one, at any node; on the users' platform the admin port has GET /quarantine and POST /quarantine/release/DIGEST. The release is a clearance, which outweighs every older record at peers and is carried to the store by the node that writes there. test_operators_see_and_release_quarantined_requests, and the process test of the present interface.

--- a/apps/tamarackctl/command_table.cpp
+++ b/apps/tamarackctl/command_table.cpp
@@ -11,12 +11,13 @@
 
 namespace {
 
-    constexpr std::array<command, 10> table { {
+    constexpr std::array<command, 11> table { {
         { "check", "FILE...", "check operators' texts, or with --node-settings nodes' settings", runCheck },
         { "diff", "FILE", "show what a text would change in the configuration in force", runDiff },
         { "publish", "FILE", "publish a text as the next version, unless somebody else did meanwhile", runPublish },
         { "status", "", "show each node: instance, zone, configuration, log, leases, targets, open orders", runStatus },
         { "drain", "", "let the node stop gracefully", runDrain },
+        { "release", "DIGEST", "end the quarantine of a request that was held to crash its targets", runRelease },
         { "trace", "TRACE-ID FILE...", "print one request's trace as a tree, from span files", runTrace },
         { "explain", "REQUEST-ID FILE...", "print one request's story in order, from the nodes' log files",
             runExplain },
--- a/apps/tamarackctl/command_table.h
+++ b/apps/tamarackctl/command_table.h
@@ -32,6 +32,7 @@
 int runPublish(const arguments&);
 int runStatus(const arguments&);
 int runDrain(const arguments&);
+int runRelease(const arguments&);
 int runTrace(const arguments&);
 int runExplain(const arguments&);
 int runFailures(const arguments&);
--- a/apps/tamarackctl/status_command.cpp
+++ b/apps/tamarackctl/status_command.cpp
@@ -1,4 +1,4 @@
-// Implements status and drain, which call the admin interface of nodes.
+// Implements status, drain and release, which call the admin interface of nodes.
 #include "command_table.h"
 
 #include "http/http_client.h"
@@ -19,7 +19,8 @@
 
     /// Sends a request to a node and waits for the response. Returns its JSON object, or nullopt if the node did not
     /// respond with status 200 and a JSON object.
-    std::optional<json> callNode(http_client& client, const std::string& address, const char* method, const char* path)
+    std::optional<json> callNode(
+        http_client& client, const std::string& address, const char* method, const std::string& path)
     {
         http_request request;
         request.method = method;
@@ -68,6 +69,9 @@
                 target.value("service", "").c_str(), target.value("role", "").c_str(), target.value("running", 0.0),
                 target.value("takes_work", false) ? "" : "  takes no work",
                 target.value("leaving", false) ? "  leaving" : "", target.value("changing", false) ? "  changing" : "");
+        for (const auto& item : node.value("quarantined", json::array()))
+            std::printf("quarantined %s for %.0f s, %llu targets ended under it\n", item.value("digest", "").c_str(),
+                item.value("age_seconds", 0.0), item.value("targets", 0ULL));
     }
 
 }
@@ -105,6 +109,21 @@
     return hasUnreachableNode ? exitUnreachable : exitOk;
 }
 
+// One node is enough: it tells the others.
+int runRelease(const arguments& args)
+{
+    const auto digest = operand(args, 0);
+    if (!args.count("node") || digest.empty())
+        return reportError(exitUsage, "release needs DIGEST and --node ip:port, the admin address of any node");
+    const auto address = args["node"].as<std::vector<std::string>>().front();
+    http_client client;
+    if (!callNode(client, address, "POST", "/quarantine/release/" + digest))
+        return reportError(
+            exitFailed, "node " + address + " does not answer, or knows no quarantined request " + digest);
+    std::cout << "request " << digest << " is released\n";
+    return exitOk;
+}
+
 int runDrain(const arguments& args)
 {
     if (!args.count("node"))
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -76,6 +76,7 @@
     void handleCaller(http_request request, std::shared_ptr<response_writer> caller);
     void refuse(const std::shared_ptr<response_writer>& caller, error_kind kind, std::string_view detail);
 
+    bool release(const request_digest& digest);
     void tick();
     void checkDrain(instant now);
     void publishMetrics(instant now);
@@ -186,7 +187,9 @@
           })
     , pages({ ports.callers, nodes, counters, [this] { return self(); }, [this] { return encodedState(); },
           [this] { return encodeState(view.exportConfiguration()); },
-          [this] { return encodeCaches(caches.snapshot(boot_clock::now())); } })
+          [this] { return encodeCaches(caches.snapshot(boot_clock::now())); },
+          [this] { return quarantine.describe(boot_clock::now()); },
+          [this](const request_digest& digest) { return release(digest); } })
     , flows(services, [this] { peers.scheduleJobAnnouncement(); })
     , quarantine({ ports.store, decisions, log,
           [this](serving::command_list commands) { flows.execute(std::move(commands)); } })
@@ -314,6 +317,13 @@
     flows.submit({ std::move(request), std::move(call), view.configuration(), route, std::move(caller) });
 }
 
+bool gateway::state::release(const request_digest& digest)
+{
+    const bool isReleased = decisions.quarantine().release(digest, boot_clock::now());
+    peers.scheduleJobAnnouncement();
+    return isReleased;
+}
+
 void gateway::state::tick()
 {
     const auto now = boot_clock::now();
--- a/libs/gateway/src/node_endpoints.cpp
+++ b/libs/gateway/src/node_endpoints.cpp
@@ -16,6 +16,8 @@
     constexpr std::string_view statePath = "/state";
     constexpr std::string_view configurationPath = "/configuration";
     constexpr std::string_view cachesPath = "/caches";
+    constexpr std::string_view quarantinePath = "/quarantine";
+    constexpr std::string_view releasePath = "/quarantine/release/"; // followed by the digest
     /// Limit of concurrent large responses to peers, of some 100 KB each.
     constexpr std::size_t maxLargeResponses = 40;
     constexpr std::string_view metricsPath = "/metrics";
@@ -27,6 +29,13 @@
         return response;
     }
 
+    http_response json(int status, std::string body)
+    {
+        http_response response { status, {}, std::move(body) };
+        response.headers.set("Content-Type", "application/json");
+        return response;
+    }
+
     http_response malformedRequestResponse(error_kind kind, std::string_view detail)
     {
         return plainText(answerFor(kind).status, std::string(detail) + "\n");
@@ -96,9 +105,23 @@
         return sendLargeResponse(writer, m_sources.configuration);
     if (request.path() == cachesPath)
         return sendLargeResponse(writer, m_sources.caches);
+    if (request.path() == quarantinePath)
+        return writer->sendWhole(json(200, m_sources.quarantine()));
+    if (request.method == "POST" && request.path().starts_with(releasePath))
+        return answerRelease(request, writer);
     answerMetrics(request, writer);
 }
 
+void node_endpoints::answerRelease(const http_request& request, const std::shared_ptr<response_writer>& writer)
+{
+    const auto digest = parseRequestDigest(request.path().substr(releasePath.size()));
+    if (!digest)
+        return writer->sendWhole(json(400, R"({"error":"the digest must have 32 hexadecimal digits"})"));
+    if (!m_sources.release(*digest))
+        return writer->sendWhole(json(404, R"({"error":"no request with this digest is quarantined"})"));
+    writer->sendWhole(json(200, R"({"released":true})"));
+}
+
 // The number of concurrent large responses is limited: after the loss of 300 nodes with 3,000 targets, all of them ask
 // the few nodes with wide links at once, responses of half a megabyte queue up for narrow links, and a responding node
 // would take 481 MB of memory. A rejected peer retries.
--- a/libs/gateway/src/node_endpoints.h
+++ b/libs/gateway/src/node_endpoints.h
@@ -6,6 +6,7 @@
 
 #include "http/http_server.h"
 #include "observe/metrics.h"
+#include "quarantine/request_digest.h"
 #include "serving/node_directory.h"
 
 #include <functional>
@@ -25,6 +26,9 @@
         std::function<std::string()> state; ///< encoded state, for a peer that has just started or lags behind
         std::function<std::string()> configuration; ///< the same with the configuration only
         std::function<std::string()> caches; ///< encoded cache snapshot, for a peer that has just started
+        std::function<std::string()> quarantine; ///< JSON, for operators
+        /// Ends the quarantine of a request. Returns false if it is not quarantined.
+        std::function<bool(const request_digest&)> release;
     };
 
     explicit node_endpoints(sources from);
@@ -39,6 +43,7 @@
     void answerReady(const http_request& request, const std::shared_ptr<response_writer>& writer);
     void answerEntries(const http_request& request, const std::shared_ptr<response_writer>& writer);
     void answerPeer(const http_request& request, const std::shared_ptr<response_writer>& writer);
+    void answerRelease(const http_request& request, const std::shared_ptr<response_writer>& writer);
     /// Sends a response that may be large; rejects it with 503 while too many of them are in flight.
     void sendLargeResponse(const std::shared_ptr<response_writer>& writer, const std::function<std::string()>& body);
     void answerMetrics(const http_request& request, const std::shared_ptr<response_writer>& writer);
--- a/libs/gateway/src/quarantine_sync.cpp
+++ b/libs/gateway/src/quarantine_sync.cpp
@@ -3,6 +3,10 @@
 
 #include "observe/name_sample.h"
 
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
 namespace tamarack {
 
 namespace {
@@ -100,15 +104,29 @@
         m_nextWriteAt = boot_clock::now() + m_retries.nextDelay();
 }
 
-std::string quarantine_sync::targetNames(const std::vector<std::uint32_t>& targets) const
+std::string quarantine_sync::targetName(std::uint32_t hash) const
 {
     const auto& fleet = m_parts.decisions.fleet();
-    name_sample names;
-    for (const auto hash : targets) {
-        const auto target = fleet.findByHash(hash);
-        names.add(target.isValid() ? fleet.instance[target.value] : "unknown");
+    const auto target = fleet.findByHash(hash);
+    return target.isValid() ? fleet.instance[target.value] : "unknown";
+}
+
+std::string quarantine_sync::describe(instant now) const
+{
+    const auto& quarantine = m_parts.decisions.quarantine();
+    QJsonArray list;
+    for (const auto& record : quarantine.records(now)) {
+        if (!quarantine.isQuarantined(record.digest))
+            continue;
+        QJsonArray targets;
+        for (const auto hash : record.targets)
+            targets.append(QString::fromStdString(targetName(hash)));
+        list.append(QJsonObject { { "digest", QString::fromStdString(toString(record.digest)) }, { "targets", targets },
+            { "age_seconds", seconds(record.age) }, { "stored", record.isStored } });
     }
-    return names.text();
+    const auto suspected = quarantine.countRecords() - quarantine.countQuarantined();
+    const QJsonObject body { { "quarantined", list }, { "suspected", static_cast<qint64>(suspected) } };
+    return QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString();
 }
 
 void quarantine_sync::logChange(const quarantine_change& change) const
@@ -118,8 +136,11 @@
         return m_parts.log.write(log_event::quarantine_ended,
             { { "digest", toString(record.digest) }, { "clearances", record.clearances },
                 { "left", m_parts.decisions.quarantine().countQuarantined() } });
+    name_sample names;
+    for (const auto hash : record.targets)
+        names.add(targetName(hash));
     m_parts.log.write(log_event::request_quarantined,
-        { { "digest", toString(record.digest) }, { "targets", targetNames(record.targets) },
+        { { "digest", toString(record.digest) }, { "targets", names.text() },
             { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(record.age).count() },
             { "quarantined", m_parts.decisions.quarantine().countQuarantined() } });
 }
--- a/libs/gateway/src/quarantine_sync.h
+++ b/libs/gateway/src/quarantine_sync.h
@@ -30,6 +30,8 @@
     void start() { m_feed.start(); }
     /// Applies records of peers.
     void apply(const std::vector<quarantine_record>& records);
+    /// The quarantined requests as JSON.
+    std::string describe(instant now) const;
     /// Logs changes. `isWriter`: this node keeps the store up to date on behalf of the fleet. `areNodesSilent`: nodes
     /// that this one does not hear may be at work and write to the store as well, so a writer also reads it.
     void tick(bool isWriter, bool areNodesSilent, instant now);
@@ -37,7 +39,7 @@
 private:
     void onRecords(const std::vector<keyed_record>& records);
     void logChange(const quarantine_change& change) const;
-    std::string targetNames(const std::vector<std::uint32_t>& targets) const;
+    std::string targetName(std::uint32_t hash) const;
     void followStore(bool isFollowing);
     void write(instant now);
     void onWritten(bool isWritten);
--- a/libs/gateway/tests/test_node_endpoints.cpp
+++ b/libs/gateway/tests/test_node_endpoints.cpp
@@ -57,3 +57,34 @@
         return spinUntil([&] { return isDone; }) && body == "short";
     }));
 }
+
+TEST_CASE("test_operators_see_and_release_quarantined_requests")
+{
+    const fake_callers callers;
+    serving::node_directory nodes { "n1", {} };
+    metrics counters;
+    const request_digest known { 1, 2 };
+    const auto empty = [] { return std::string(); };
+    node_endpoints pages({ callers, nodes, counters, [] { return serving::node_state {}; }, empty, empty, empty,
+        [] { return std::string("{}"); }, [&](const request_digest& digest) { return digest == known; } });
+    gateway_settings settings;
+    settings.ready = settings.entries = settings.metrics = endpoint { "127.0.0.1", 0 };
+    QTcpServer free;
+    REQUIRE(free.listen(QHostAddress::LocalHost, 0));
+    settings.admin = { "127.0.0.1", free.serverPort() };
+    free.close();
+    REQUIRE(pages.listen(settings).empty());
+    http_client client;
+    const auto statusOf = [&](const char* method, const std::string& path) {
+        int status = -1;
+        client.fetch(settings.admin, { method, path, {}, {} }, {},
+            [&](const http_response* response, const exchange_failure&) { status = response ? response->status : 0; });
+        spinUntil([&] { return status >= 0; });
+        return status;
+    };
+    CHECK(statusOf("GET", "/quarantine") == 200);
+    CHECK(statusOf("POST", "/quarantine/release/" + toString(known)) == 200);
+    CHECK(statusOf("POST", "/quarantine/release/" + toString(request_digest { 1, 3 })) == 404);
+    CHECK(statusOf("POST", "/quarantine/release/12") == 400);
+    CHECK(statusOf("GET", "/quarantine/release/" + toString(known)) == 404);
+}
--- a/libs/node/src/admin_api.cpp
+++ b/libs/node/src/admin_api.cpp
@@ -37,6 +37,17 @@
         return list;
     }
 
+    ordered_json quarantineJson(const request_quarantine& quarantine, instant now)
+    {
+        auto list = ordered_json::array();
+        for (const auto& record : quarantine.records(now)) {
+            if (quarantine.isQuarantined(record.digest))
+                list.push_back({ { "digest", toString(record.digest) }, { "targets", record.targets.size() },
+                    { "age_seconds", seconds(record.age) } });
+        }
+        return list;
+    }
+
     ordered_json targetsJson(const traffic_system& traffic, instant now)
     {
         auto list = ordered_json::array();
@@ -56,7 +67,7 @@
 
 }
 
-admin_api::admin_api(const node_settings& settings, const control_plane& control, const traffic_system& traffic,
+admin_api::admin_api(const node_settings& settings, const control_plane& control, traffic_system& traffic,
     const metrics& counters, std::function<void()> onDrain)
     : m_settings(settings)
     , m_control(control)
@@ -69,6 +80,14 @@
     m_server.route("/metrics", [this] {
         return QHttpServerResponse("text/plain; version=0.0.4", QByteArray::fromStdString(m_counters.text()));
     });
+    m_server.route("/quarantine/release/<arg>", QHttpServerRequest::Method::Post, [this](const QString& text) {
+        const auto digest = parseRequestDigest(text.toStdString());
+        const bool isReleased = digest && m_traffic.quarantine().release(*digest, boot_clock::now());
+        if (!isReleased)
+            return QHttpServerResponse("application/json", R"({"error":"no request with this digest is quarantined"})",
+                QHttpServerResponse::StatusCode::NotFound);
+        return jsonResponse("{\"released\":true}");
+    });
     m_server.route("/drain", QHttpServerRequest::Method::Post, [this] {
         m_onDrain();
         return jsonResponse("{\"draining\":true}");
@@ -113,6 +132,7 @@
         { "accepted", counts.accepted }, { "answered", counts.answered }, { "refused", counts.refused },
         { "retried", counts.retried }, { "resumed", counts.resumed } };
     body["targets"] = targetsJson(m_traffic, now);
+    body["quarantined"] = quarantineJson(m_traffic.quarantine(), now);
     return body.dump(2);
 }
 
--- a/libs/node/src/admin_api.h
+++ b/libs/node/src/admin_api.h
@@ -15,7 +15,7 @@
 /// Serves the administration port of a node. The referenced objects must outlive it.
 class admin_api {
 public:
-    admin_api(const node_settings& settings, const control_plane& control, const traffic_system& traffic,
+    admin_api(const node_settings& settings, const control_plane& control, traffic_system& traffic,
         const metrics& counters, std::function<void()> onDrain);
 
     /// Returns false if the port cannot be opened.
@@ -26,7 +26,7 @@
 
     const node_settings& m_settings;
     const control_plane& m_control;
-    const traffic_system& m_traffic;
+    traffic_system& m_traffic;
     const metrics& m_counters;
     std::function<void()> m_onDrain;
     QHttpServer m_server;
--- a/tests/process/test_harmful_requests.cpp
+++ b/tests/process/test_harmful_requests.cpp
@@ -43,6 +43,15 @@
     const auto from = crashes[crashesUntilHarmful - 1] + agreementBound;
     CHECK(std::count_if(crashes.begin(), crashes.end(), [&](instant at) { return at > from; }) <= maxLateCrashes);
     CHECK(lastStatus == 502);
+    const auto quarantined = [&](const std::string& vm) { return run->status(vm)["quarantined"]; };
+    const auto vms = run->vms();
+    for (const auto& vm : vms)
+        REQUIRE(waitUntil([&] { return quarantined(vm).size() == 1; }));
+    const std::string digest = quarantined(vms.front())[0]["digest"];
+    CHECK(run->ctl({ "release", "0123", "--node", toString(run->adminAddress(vms.front())) }) != 0);
+    CHECK(run->ctl({ "release", digest, "--node", toString(run->adminAddress(vms.front())) }) == 0);
+    for (const auto& vm : vms)
+        CHECK(waitUntil([&] { return quarantined(vm).empty(); }));
     harness::test_caller caller(nodes, 3);
     CHECK(caller.call(streamCall("harmless")).end == call_end::whole);
 }
