Keep what a node has observed of a harmful request until it knows a peer

test_quarantine_known_to_one_node_reaches_a_peer_that_joins_later covers the repetition with heartbeats; it did not fail before.

--- a/libs/gateway/src/peer_messenger.cpp
+++ b/libs/gateway/src/peer_messenger.cpp
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack {
 
@@ -114,7 +115,8 @@
     // Ranking 300 nodes ten times a second would take a tenth of a node's CPU time.
     if (seen != m_plannedNodesHash)
         m_relay.setPlan(serving::planRelays(self, alive), boot_clock::now());
-    m_plannedNodesHash = seen;
+    if (std::exchange(m_plannedNodesHash, seen) != seen)
+        broadcastQuarantine(boot_clock::now());
     send({});
     logRelay();
 }
@@ -159,8 +161,11 @@
     broadcastQuarantine(now);
 }
 
+// What is observed while no peer is known is kept until one is.
 void peer_messenger::broadcastQuarantine(instant now)
 {
+    if (m_plannedNodesHash == 0)
+        return;
     for (auto& note : splitQuarantineNote(m_parts.decisions.quarantine().takeNews(now)))
         broadcast(encodeDatagram(std::move(note)), serving::send_pace::immediate);
 }
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -1,5 +1,8 @@
 // Tests the start of a node with fake interfaces.
 #include "fake_ports.h"
+#include "node_messages.h"
+
+#include <QTcpServer>
 
 using namespace tamarack;
 using namespace tamarack::tests;
@@ -46,3 +49,65 @@
     }
     CHECK(spinUntil([&] { return store.count("append", store_topic::nodes) == 2; }));
 }
+
+TEST_CASE("test_quarantine_known_to_one_node_reaches_a_peer_that_joins_later")
+{
+    // Guards against a node that never hears of a quarantine because its notes were sent before the node was there.
+    const fake_decoder decoder;
+    const fake_callers callers;
+    const fake_targets targets;
+    http_client client;
+    const request_digest harmful { 1, 2 };
+    const auto freePort = [] {
+        QTcpServer server;
+        server.listen(QHostAddress::LocalHost, 0);
+        return server.serverPort();
+    };
+    const auto settingsOf = [&](const char* vm) {
+        gateway_settings settings;
+        settings.vm = vm;
+        settings.callers = { "127.0.0.1", freePort() };
+        settings.peers = { "127.0.0.1", freePort() };
+        settings.admin = { "127.0.0.1", freePort() };
+        return settings;
+    };
+    const auto answerNewest = [](fake_store& store, store_topic topic, const newest_page& page) {
+        REQUIRE(spinUntil([&] { return store.count("newest", topic) == 1; }));
+        for (const auto& call : std::vector<fake_store::call>(store.calls)) {
+            if (call.what == "newest" && call.topic == topic)
+                call.onNewest(page);
+        }
+    };
+    fake_store storeOfFirst;
+    const auto first = settingsOf("n1");
+    gateway firstNode(first, { callers, targets, decoder, storeOfFirst }, client, [] {});
+    REQUIRE(firstNode.start().empty());
+    const auto record = encodeQuarantine({ harmful, 0, { 1, 2, 3 }, std::chrono::seconds(0), true });
+    answerNewest(storeOfFirst, store_topic::quarantine, { { { 0, toString(harmful), record } }, 1, false });
+
+    fake_store storeOfSecond;
+    const auto second = settingsOf("n2");
+    gateway secondNode(second, { callers, targets, decoder, storeOfSecond }, client, [] {});
+    REQUIRE(secondNode.start().empty());
+    for (const auto& call : std::vector<fake_store::call>(storeOfSecond.calls)) {
+        if (call.what == "append")
+            call.onAppend(std::int64_t { 4 });
+    }
+    serving::node_state known;
+    known.vm = first.vm;
+    known.address = first.peers.address;
+    known.peerPort = first.peers.port;
+    answerNewest(storeOfSecond, store_topic::nodes, { { { 0, first.vm, encodeNode(known) } }, 1, false });
+    const auto knowsQuarantine = [&] {
+        std::string body;
+        bool isDone = false;
+        client.fetch(second.admin, { "GET", "/quarantine", {}, {} }, {},
+            [&](const http_response* response, const exchange_failure&) {
+                body = response ? response->body : "";
+                isDone = true;
+            });
+        spinUntil([&] { return isDone; });
+        return body.find(toString(harmful)) != std::string::npos;
+    };
+    CHECK(spinUntil(knowsQuarantine));
+}
--- a/libs/quarantine/include/quarantine/request_quarantine.h
+++ b/libs/quarantine/include/quarantine/request_quarantine.h
@@ -101,6 +101,7 @@
     void clear(table::iterator found, instant now);
     /// Adds a target to the entry. Returns false if it is known or none is needed any more.
     bool addTarget(entry& item, std::uint32_t target) const;
+    void addNews(const request_digest& digest);
     void recordChange(const table::value_type& item, bool wasQuarantined, instant now);
     quarantine_record recordOf(const table::value_type& item, instant now) const;
     /// Makes room for a record of the account, if necessary at the expense of the account with the most records.
--- a/libs/quarantine/src/request_quarantine.cpp
+++ b/libs/quarantine/src/request_quarantine.cpp
@@ -73,6 +73,12 @@
         m_ended.push_back(item.first);
 }
 
+void request_quarantine::addNews(const request_digest& digest)
+{
+    if (m_news.size() < m_limits.maxRecords)
+        m_news.push_back(digest);
+}
+
 void request_quarantine::targetEnded(const request_digest& digest, std::uint32_t target, instant now)
 {
     if (wasAnswered(digest, now))
@@ -85,7 +91,7 @@
     if (!addTarget(item, target))
         return;
     item.changedAt = now;
-    m_news.push_back(digest);
+    addNews(digest);
     recordChange(*found, wasQuarantined, now);
 }
 
@@ -105,7 +111,7 @@
     item.targets.clear();
     item.changedAt = now;
     item.isStored = false;
-    m_news.push_back(found->first);
+    addNews(found->first);
     recordChange(*found, wasQuarantined, now);
 }
 
