End other copies of a request that the node itself has quarantined

Only a peer's record ended the copies that a node held; after its own third target the others went on, and each could end one more.

--- a/libs/decide/include/decide/traffic_system.h
+++ b/libs/decide/include/decide/traffic_system.h
@@ -104,6 +104,8 @@
     bool startOrRefuse(std::size_t row, instant now, traffic_commands& out);
     /// Refuses the request if it is quarantined. Returns whether it was.
     bool refuseIfQuarantined(std::size_t row, traffic_commands& out);
+    /// Ends the held requests that have been quarantined since the last call.
+    void endQuarantined(traffic_commands& out);
     void enqueue(std::size_t row, bool atFront);
     void releaseTargetLoad(std::size_t row);
     /// Hash of the target's name and incarnation.
@@ -140,6 +142,7 @@
     account_limiter m_accounts;
     request_quarantine m_quarantine;
     abandoned_attempts m_abandoned;
+    std::uint64_t m_quarantinesSeen = 0;
     std::vector<retry_budget> m_budgets; // by service
     std::vector<service_queue> m_queues; // by service
     std::vector<double>
--- a/libs/decide/src/traffic_dispatch.cpp
+++ b/libs/decide/src/traffic_dispatch.cpp
@@ -184,6 +184,7 @@
 void traffic_system::tick(instant now, traffic_commands& out)
 {
     m_quarantine.tick(now);
+    endQuarantined(out);
     for (std::uint32_t s = 0; s < m_queues.size(); ++s) {
         bool recoversSoon = false;
         m_slotsNow[s] = usableSlots({ s }, now, recoversSoon);
--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -258,10 +258,14 @@
 
 void traffic_system::applyQuarantine(const std::vector<quarantine_record>& records, instant now, traffic_commands& out)
 {
-    const auto before = m_quarantine.countQuarantined();
     for (const auto& record : records)
         m_quarantine.apply(record, now);
-    if (m_quarantine.countQuarantined() <= before)
+    endQuarantined(out);
+}
+
+void traffic_system::endQuarantined(traffic_commands& out)
+{
+    if (std::exchange(m_quarantinesSeen, m_quarantine.begun()) == m_quarantine.begun())
         return;
     for (std::size_t row = 0; row < m_requests.rows(); ++row) {
         // An attempt that has begun to answer may complete, which would show that the request is harmless.
--- a/libs/decide/tests/test_traffic_quarantine.cpp
+++ b/libs/decide/tests/test_traffic_quarantine.cpp
@@ -120,3 +120,18 @@
     f.admit(harmful, 2);
     CHECK(f.started());
 }
+
+TEST_CASE("test_traffic_ends_other_copies_of_a_request_that_it_has_quarantined_itself")
+{
+    quarantine_fixture f;
+    f.admit(harmful, 1);
+    const auto other = *f.started();
+    f.admit(harmful, 1);
+    for (int i = 0; i < 3; ++i)
+        f.crash(1.1 + 0.01 * i); // soon, so that each try goes to another target
+    CHECK(f.traffic.isCurrent(other.request, other.attempt));
+    f.commands.clear();
+    f.traffic.tick(at(1.2), f.commands);
+    REQUIRE(f.refusal());
+    CHECK(f.refusal()->request == other.request);
+}
--- a/libs/quarantine/include/quarantine/request_quarantine.h
+++ b/libs/quarantine/include/quarantine/request_quarantine.h
@@ -64,6 +64,8 @@
 
     bool isQuarantined(const request_digest& digest) const;
     std::size_t countQuarantined() const;
+    /// How many quarantines have begun here so far.
+    std::uint64_t begun() const { return m_begun; }
     std::size_t countRecords() const { return m_entries.size(); }
 
     /// Records that this node has changed since the last call, to be sent to the peers at once.
@@ -116,6 +118,7 @@
     std::vector<request_digest> m_ended;
     std::vector<quarantine_change> m_changes;
     request_digest m_lastRepeated;
+    std::uint64_t m_begun = 0;
 };
 
 }
--- a/libs/quarantine/src/request_quarantine.cpp
+++ b/libs/quarantine/src/request_quarantine.cpp
@@ -69,6 +69,7 @@
     if (isNow == wasQuarantined)
         return;
     m_changes.push_back({ recordOf(item, now), isNow });
+    m_begun += isNow;
     if (wasQuarantined)
         m_ended.push_back(item.first);
 }
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -108,6 +108,8 @@
     bool tryStart(std::size_t row, instant now, command_list& out);
     /// Refuses the request if it is quarantined. Returns whether it was.
     bool refuseIfQuarantined(std::size_t row, command_list& out);
+    /// Ends the held requests that have been quarantined since the last call.
+    void endQuarantined(command_list& out);
     bool startDecode(std::size_t row, instant now, command_list& out);
     void start(std::size_t row, const target_choice& choice, instant now, command_list& out);
     void startOrWait(std::size_t row, instant now, command_list& out);
@@ -145,6 +147,7 @@
     target_health m_health;
     request_quarantine m_quarantine;
     abandoned_attempts m_abandoned;
+    std::uint64_t m_quarantinesSeen = 0;
     idle_connections m_connections;
     placement m_placement;
     random_source m_random;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -167,10 +167,14 @@
 
 void dispatcher::applyQuarantine(const std::vector<quarantine_record>& records, instant now, command_list& out)
 {
-    const auto before = m_quarantine.countQuarantined();
     for (const auto& record : records)
         m_quarantine.apply(record, now);
-    if (m_quarantine.countQuarantined() <= before)
+    endQuarantined(out);
+}
+
+void dispatcher::endQuarantined(command_list& out)
+{
+    if (std::exchange(m_quarantinesSeen, m_quarantine.begun()) == m_quarantine.begun())
         return;
     for (std::size_t row = 0; row < m_book.rows(); ++row) {
         // An attempt that has begun to answer may complete, which would show that the request is harmless.
@@ -393,6 +397,7 @@
 {
     m_peers.refresh(now);
     m_quarantine.tick(now);
+    endQuarantined(out);
     for (std::size_t row = 0; row < m_book.rows(); ++row) {
         if (m_book.phase[row] != request_phase::free)
             checkTimes(row, now, out);
