The present interface: a quarantine that ends a running request does not say "not run"

A request whose quarantine arrived while an engine worked on it got harmful-request with ran: no, though it may have run; a keyed call could have been sent again with a false promise. It gets outcome-unknown now, as in the users' path, which looks at the attempt under way. test_traffic_ends_a_running_request_that_a_peer_has_quarantined got harmful-request before.

--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -252,6 +252,8 @@
 {
     if (!m_quarantine.isQuarantined(m_requests.shape[row].digest))
         return false;
+    if (m_requests.phase[row] == request_phase::running)
+        m_requests.mayHaveRun[row] |= m_requests.stage[row] != request_stage::prefill;
     refuse(row, error_kind::harmful_request, duration::zero(), out);
     return true;
 }
--- a/libs/decide/tests/test_traffic_quarantine.cpp
+++ b/libs/decide/tests/test_traffic_quarantine.cpp
@@ -83,6 +83,7 @@
     f.commands.clear();
     f.traffic.applyQuarantine({ { harmful, 0, { 1, 2, 3 }, 0s, false } }, at(1.1), f.commands);
     REQUIRE(f.refusal());
+    CHECK(f.refusal()->kind == error_kind::outcome_unknown); // its target may have begun to run it
     CHECK(f.traffic.held() == 0);
 }
 
@@ -134,4 +135,5 @@
     f.traffic.tick(at(1.2), f.commands);
     REQUIRE(f.refusal());
     CHECK(f.refusal()->request == other.request);
+    CHECK(f.refusal()->kind == error_kind::outcome_unknown);
 }
