Test that a lease runs from the sending of its record

tools/mutations.py trust-from-confirmation was not noticed by any test, while docs/INVARIANTS.md says that each mutation is: the simulation reads records back too soon for it to matter. test_lease_runs_from_the_sending_of_its_record_and_not_from_its_confirmation fails with the mutation (run in a scratch copy) and passes without.

--- a/libs/decide/tests/test_leases_and_orders.cpp
+++ b/libs/decide/tests/test_leases_and_orders.cpp
@@ -152,6 +152,31 @@
     CHECK(claims(67) == 1);
 }
 
+TEST_CASE("test_lease_runs_from_the_sending_of_its_record_and_not_from_its_confirmation")
+{
+    // Guards against two holders: challengers date the record from when they saw it, which may be long before its
+    // writer has read it back.
+    const instance_id self { "a", 1 };
+    lease_settings settings;
+    settings.length = std::chrono::seconds(6);
+    lease_system leases(self, settings);
+    leases.setLeases({ { "l", 0 } });
+    const auto atSecond = [](double seconds) { return instant(fromSeconds(1000 + seconds)); };
+    replicated_state state;
+    const auto appendAndConfirm = [&](std::int64_t offset, record_body body, double sentAt, double confirmedAt) {
+        const auto sequence = static_cast<std::uint64_t>(offset + 1);
+        leases.onAppendSent(body, sequence, atSecond(sentAt));
+        const log_record record { { offset }, { self, sequence }, std::move(body) };
+        leases.onLogRecord(record, state.apply(record), atSecond(confirmedAt));
+    };
+    appendAndConfirm(0, claim_record { "l", {} }, 0, 5);
+    CHECK(leases.holds("l", state, atSecond(5.9)));
+    CHECK_FALSE(leases.holds("l", state, atSecond(6.1)));
+    appendAndConfirm(1, renewal_record { "l", { 0 } }, 7, 12);
+    CHECK(leases.holds("l", state, atSecond(12.9)));
+    CHECK_FALSE(leases.holds("l", state, atSecond(13.1)));
+}
+
 TEST_CASE("test_order_learned_from_a_peer_is_never_sent")
 {
     // A node appends an order, loses access to the log, and learns of its own record from a peer's state. It must
