--- a/libs/decide/include/decide/traffic_system.h
+++ b/libs/decide/include/decide/traffic_system.h
@@ -52,7 +52,14 @@
     /// The target has sent an answer that is certainly complete. Called before attemptEnded().
     void completeAnswerReceived(request_id request, attempt_id attempt, instant now);
     /// The target has closed the connection of an attempt before the end of its answer. Called before attemptEnded().
+    /// Whether the target itself has ended must be checked.
     void targetClosedConnection(request_id request, attempt_id attempt, instant now);
+    /// Targets that have closed connections since the last call; their status is needed.
+    std::vector<target_id> takeTargetsToCheck();
+    /// The target answers with this incarnation. Called before the target table is updated.
+    void targetAnswered(target_id target, std::uint64_t incarnation, instant now);
+    /// The target does not answer.
+    void targetSilent(target_id target, instant now) { blameAttemptsAt(target, now); }
     /// Merges quarantine records of a peer, and ends the requests that they quarantine.
     void applyQuarantine(const std::vector<quarantine_record>& records, instant now, traffic_commands& out);
     request_quarantine& quarantine() { return m_quarantine; }
@@ -110,8 +117,8 @@
     void releaseTargetLoad(std::size_t row);
     /// Hash of the target's name and incarnation.
     std::uint32_t instanceHash(target_id target) const;
-    /// Attributes the end of a target to the attempts at it that were cancelled shortly before.
-    void blameAbandoned(target_id target, instant now);
+    /// Attributes the end of a target to the attempts at it that were cancelled or cut off shortly before.
+    void blameAttemptsAt(target_id target, instant now);
     void refuse(std::size_t row, error_kind kind, duration retryAfter, traffic_commands& out);
     void retryOrRefuse(std::size_t row, error_kind kind, bool countsAgainstBudget, instant now, traffic_commands& out);
     void succeeded(std::size_t row, instant now, traffic_commands& out);
@@ -141,7 +148,9 @@
     router m_router;
     account_limiter m_accounts;
     request_quarantine m_quarantine;
-    abandoned_attempts m_abandoned;
+    abandoned_attempts m_abandoned; // cancelled
+    abandoned_attempts m_cutOff; // their targets closed the connection
+    std::vector<target_id> m_targetsToCheck;
     std::uint64_t m_quarantinesSeen = 0;
     std::vector<retry_budget> m_budgets; // by service
     std::vector<service_queue> m_queues; // by service
--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -288,10 +288,20 @@
         return;
     const auto row = static_cast<std::size_t>(m_requests.row(request));
     const auto target = m_requests.target[row];
+    m_targetsToCheck.push_back(target);
     // A prefill does not run the request.
     if (m_requests.stage[row] != request_stage::prefill)
-        m_quarantine.targetEnded(m_requests.shape[row].digest, instanceHash(target), now);
-    blameAbandoned(target, now);
+        m_cutOff.add(m_requests.shape[row].digest, instanceHash(target), now);
+}
+
+std::vector<target_id> traffic_system::takeTargetsToCheck() { return std::exchange(m_targetsToCheck, {}); }
+
+void traffic_system::targetAnswered(target_id target, std::uint64_t incarnation, instant now)
+{
+    const auto known = m_targets.incarnation[target.value];
+    if (known != 0 && known != incarnation)
+        return blameAttemptsAt(target, now);
+    m_cutOff.takeAt(instanceHash(target), now); // the target has closed connections, but has not ended
 }
 
 std::uint32_t traffic_system::instanceHash(target_id target) const
@@ -299,11 +309,13 @@
     return static_cast<std::uint32_t>(stableHash(m_targets.name[target.value], m_targets.incarnation[target.value]));
 }
 
-void traffic_system::blameAbandoned(target_id target, instant now)
+void traffic_system::blameAttemptsAt(target_id target, instant now)
 {
     const auto instance = instanceHash(target);
-    for (const auto& digest : m_abandoned.takeAt(instance, now))
-        m_quarantine.targetEnded(digest, instance, now);
+    for (auto* attempts : { &m_abandoned, &m_cutOff }) {
+        for (const auto& digest : attempts->takeAt(instance, now))
+            m_quarantine.targetEnded(digest, instance, now);
+    }
 }
 
 void traffic_system::attemptEnded(
@@ -328,7 +340,7 @@
         return succeeded(row, now, out);
     case attempt_result::not_sent:
         targetFailed(m_requests.target[row], now);
-        blameAbandoned(m_requests.target[row], now);
+        blameAttemptsAt(m_requests.target[row], now);
         return retryOrRefuse(row, error_kind::target_unreachable, true, now, out);
     case attempt_result::refused:
         // The target is full, draining or stopping. That is no failure, but it should not be retried immediately.
--- a/libs/decide/tests/test_traffic_quarantine.cpp
+++ b/libs/decide/tests/test_traffic_quarantine.cpp
@@ -51,6 +51,7 @@
         const auto start = *started();
         commands.clear();
         traffic.targetClosedConnection(start.request, start.attempt, at(time));
+        traffic.targetSilent(start.target, at(time));
         traffic.attemptEnded(start.request, start.attempt, attempt_result::maybe_run, at(time), commands);
     }
 };
@@ -137,3 +138,20 @@
     CHECK(f.refusal()->request == other.request);
     CHECK(f.refusal()->kind == error_kind::outcome_unknown);
 }
+
+TEST_CASE("test_traffic_resumes_a_request_whose_targets_close_connections_without_ending")
+{
+    quarantine_fixture f;
+    f.admit(harmful, 1);
+    for (int i = 0; i < 3; ++i) {
+        REQUIRE(f.started());
+        const auto start = *f.started();
+        f.commands.clear();
+        f.traffic.targetClosedConnection(start.request, start.attempt, at(1.1 + 0.01 * i));
+        CHECK(f.traffic.takeTargetsToCheck() == std::vector { start.target });
+        f.traffic.targetAnswered(start.target, 7, at(1.1 + 0.01 * i));
+        f.traffic.attemptEnded(start.request, start.attempt, attempt_result::cut, at(1.1 + 0.01 * i), f.commands);
+    }
+    CHECK(f.started());
+    CHECK(f.traffic.quarantine().countRecords() == 0);
+}
--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -277,6 +277,7 @@
     m_control.onTargetView(name, status.view);
     if (!id.isValid())
         return;
+    m_traffic.targetAnswered(id, status.view.incarnation, boot_clock::now());
     if (status.hasLoad)
         targets.report(id, status.load);
     const auto row = id.value;
@@ -294,11 +295,13 @@
 
 void control_plane::onNoStatus(const std::string& name)
 {
-    if (++m_missedPolls[name] < missedPollsUntilBlocked)
-        return;
     auto& targets = m_traffic.targets();
     const target_id id = targets.find(name);
     const auto now = boot_clock::now();
+    if (id.isValid())
+        m_traffic.targetSilent(id, now);
+    if (++m_missedPolls[name] < missedPollsUntilBlocked)
+        return;
     if (id.isValid())
         targets.blockedUntil[id.value] = std::max(targets.blockedUntil[id.value], now + unresponsiveTargetBlock);
 }
@@ -404,6 +407,8 @@
     }
     logLeaseChanges();
     logQuarantineChanges();
+    for (const auto target : m_traffic.takeTargetsToCheck())
+        m_poller.poll(m_traffic.targets().name[target.value], parseEndpoint(m_traffic.targets().address[target.value]));
     updateTargetFlags(now);
     for (const auto& body : output.appends)
         append(body);
