Leave attempts that may run to show that a quarantine is wrong

Three engines ended in the first moments, under a request that many callers make alike, before any answer to it was known; the attempts under way at other engines were then stopped everywhere, and with them the only evidence.

An attempt that may run already is left now, at the node itself and at its peers: it has arrived, so its engine ends or answers in any case.

--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -177,8 +177,10 @@
     if (std::exchange(m_quarantinesSeen, m_quarantine.begun()) == m_quarantine.begun())
         return;
     for (std::size_t row = 0; row < m_book.rows(); ++row) {
-        // An attempt that has begun to answer may complete, which would show that the request is harmless.
-        if (m_book.phase[row] != request_phase::free && !m_book.current[row].hasStartedAnswering)
+        // An attempt that may run already is the only one that can still show that the request is harmless.
+        const auto& current = m_book.current[row];
+        const bool mayRun = current.id.isValid() && current.stage != attempt_stage::prefill;
+        if (m_book.phase[row] != request_phase::free && !mayRun)
             refuseIfQuarantined(row, out);
     }
 }
