Libraries for client accounts, usage, duties with one holder and orders for instances

libs/accounts finds the account of an API key by its digest and decides on access to a route. libs/usage counts requests by account and window and merges the reports of all nodes. libs/duties lets one node at a time state what it will tell the platform: each statement is a conditional append that succeeds only if its writer knows all before it, and it is a claim of the order lease at the same time, so a successor repeats what was stated and never contradicts it. libs/scaling decides on the number of instances. None is wired in yet.

The order lease learns three things for this: an end that is known already is not waited for anew, an end that is the own process's may be continued at once but gives no authority, and a rejected claim may leave the end unknown.

Test in virtual time: 1,040 worlds of 3, 6 and 90 nodes with lost and late appends, freezes, cuts and restarts; no two reports of a window differ, no number is shared or falls, no holders take turns. Seen red while the model let a node make two calls at a time.

--- a/libs/base/include/base/error_kind.h
+++ b/libs/base/include/base/error_kind.h
@@ -10,6 +10,7 @@
 
 enum class error_kind : unsigned char {
     bad_request,
+    unauthorized,
     header_too_large,
     body_too_large,
     request_timeout,
--- a/libs/base/src/error_kind.cpp
+++ b/libs/base/src/error_kind.cpp
@@ -15,6 +15,8 @@
 
     constexpr std::array<error_answer, static_cast<std::size_t>(error_kind::count)> table { {
         { error_kind::bad_request, "bad-request", 400, ran::no, noRetry, "The request cannot be understood" },
+        { error_kind::unauthorized, "unauthorized", 401, ran::no, noRetry,
+            "The request needs the API key of a client account" },
         { error_kind::header_too_large, "header-too-large", 431, ran::no, noRetry,
             "The request's header is too large" },
         { error_kind::body_too_large, "body-too-large", 413, ran::no, noRetry, "The request's body is too large" },
--- a/libs/serving/include/serving/order_lease.h
+++ b/libs/serving/include/serving/order_lease.h
@@ -35,8 +35,13 @@
     void claimSent(instant now);
     /// The claim was appended at this offset.
     void claimed(std::int64_t offset);
-    /// The claim was rejected because the topic ends at `end`.
+    /// The topic ends at `end`, with a claim of another node or of an earlier process of this one.
     void foundEnd(std::int64_t end, instant now);
+    /// The topic ends at `end`, with a claim of this process. No other node has claimed since, so this one may claim
+    /// again without waiting, but the claim that was found is not used.
+    void foundOwnEnd(std::int64_t end);
+    /// The claim was rejected. The end of the topic is not known until foundEnd() or foundOwnEnd().
+    void claimRejected();
     /// The claim failed or its outcome is unknown. The store may still execute it, but the claim is not used.
     void claimFailed(instant now);
 
--- a/libs/serving/include/serving/serving_configuration.h
+++ b/libs/serving/include/serving/serving_configuration.h
@@ -1,9 +1,12 @@
 // The configuration in force as typed values: routes, services and limits.
 #pragma once
 
+#include "accounts/account_directory.h"
 #include "base/clock.h"
 
 #include <cstdint>
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,6 +31,7 @@
     /// resumed at another target.
     bool isRepeatable = false;
     bool carriesPrompt = false; ///< requests carry a description of their prompt
+    bool isPublic = false; ///< callers need no API key
     int maxAttempts = 1; ///< maximum number of targets that may execute a request
     int priority = 0; ///< 0 is the highest
     duration timeout = duration::zero(); ///< maximum time until the response; zero if the route sets no limit
@@ -44,11 +48,22 @@
     int tokensPerEvent = 1; ///< tokens per stream event
 };
 
+/// Bounds and prices for the number of instances of a service whose instances can be ordered.
+struct instance_scaling {
+    int min = 0; ///< in each availability zone, instances of both kinds together
+    int max = 0;
+    duration bootTime = duration::zero(); ///< from the order to the first request
+    /// Price of a spot instance as a share of the price of another one. Empty: there are no spot instances.
+    std::optional<double> spotPrice;
+    std::map<std::string, double> zonePrices; ///< per second of an instance, by availability zone
+};
+
 struct service_profile {
     std::string name;
     int connectionCap = 0; ///< connections of one target, from all nodes together; 0 if no limit is known
     std::string healthPath;
     std::optional<engine_profile> engine; ///< empty for a plain service
+    std::optional<instance_scaling> scaling; ///< empty if the number of instances is fixed
     /// The shortest gap aim over all streaming routes of the service. Zero if no route sets one.
     duration tightestGapAim = duration::zero();
 };
@@ -64,11 +79,15 @@
 /// force.
 class serving_configuration {
 public:
+    /// `accounts` is null if callers need no API key on any route.
     serving_configuration(std::uint64_t version, std::vector<route_rule> routes, std::vector<service_profile> services,
-        caller_limits limits);
+        caller_limits limits, std::shared_ptr<const account_directory> accounts = nullptr);
 
     std::uint64_t version() const { return m_version; }
     const std::vector<route_rule>& routes() const { return m_routes; }
+    const std::vector<service_profile>& services() const { return m_services; }
+    /// Null if callers need no API key on any route.
+    const account_directory* accounts() const { return m_accounts.get(); }
     const caller_limits& limits() const { return m_limits; }
     /// The route of the host with the longest matching path prefix, or null. `host` may include a port.
     const route_rule* findRoute(std::string_view host, std::string_view path) const;
@@ -82,6 +101,7 @@
     std::vector<route_rule> m_routes;
     std::vector<service_profile> m_services;
     caller_limits m_limits;
+    std::shared_ptr<const account_directory> m_accounts;
     std::unordered_map<std::string, std::vector<std::uint32_t>> m_routesByHost; // longest prefix first
     std::unordered_map<std::string, std::uint32_t> m_serviceByName;
 };
--- a/libs/serving/include/serving/serving_request.h
+++ b/libs/serving/include/serving/serving_request.h
@@ -33,6 +33,8 @@
     std::shared_ptr<const serving_configuration> configuration; ///< in force on arrival; owns `route`
     const route_rule* route = nullptr;
     std::string service;
+    std::string account; ///< name of the client account; empty if the route is public or there are no accounts
+    int priority = 0; ///< of the account if it has one, otherwise of the route; 0 is the highest
     duration callerTimeout = duration::zero(); ///< from arrival; after it the caller no longer waits for the answer
     std::optional<prompt> text;
 };
--- a/libs/serving/src/duty_assignment.cpp
+++ b/libs/serving/src/duty_assignment.cpp
@@ -8,6 +8,12 @@
 
 namespace tamarack::serving {
 
+namespace {
+
+    constexpr std::string_view platformDuties = "platform-duties";
+
+}
+
 bool isOnDuty(std::string_view duty, const node_state& self, const std::vector<node_state>& alive, std::size_t count)
 {
     const auto own = rendezvousWeight(self.vm, duty);
@@ -16,6 +22,27 @@
     return static_cast<std::size_t>(heavier) < count;
 }
 
+std::vector<node_state> platformDutyNodes(
+    const node_state& self, const std::vector<node_state>& alive, std::size_t count)
+{
+    std::vector<std::pair<std::uint64_t, const node_state*>> ranked;
+    const auto rank = [&](const node_state& node) {
+        if (node.isReady && !node.isStopping && node.storeReach == store_reach::reached)
+            ranked.emplace_back(rendezvousWeight(node.vm, platformDuties), &node);
+    };
+    rank(self);
+    for (const auto& node : alive) {
+        if (node.vm != self.vm)
+            rank(node);
+    }
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranked.size()));
+    std::partial_sort(ranked.begin(), end, ranked.end(), std::greater<>());
+    std::vector<node_state> out;
+    for (auto item = ranked.begin(); item != end; ++item)
+        out.push_back(*item->second);
+    return out;
+}
+
 namespace {
 
     /// A reader needs a wide link: sending 20 changes at once to 80 peers takes 0.3 s on a link of 10 Mbit/s. Its send
--- a/libs/serving/src/order_lease.cpp
+++ b/libs/serving/src/order_lease.cpp
@@ -42,11 +42,29 @@
 
 void order_lease::foundEnd(std::int64_t end, instant now)
 {
+    // The claim that ends the topic was made before its end was learned for the first time.
+    const bool isKnown = m_hasLearned && !m_isOwn && end == m_end;
     m_isPending = false;
     m_isOwn = false;
     m_hasLearned = true;
-    m_learnedAt = now;
+    if (!isKnown)
+        m_learnedAt = now;
+    m_end = end;
+}
+
+void order_lease::foundOwnEnd(std::int64_t end)
+{
+    m_isPending = false;
+    m_isOwn = true;
     m_end = end;
+    m_sentAt = instant();
+}
+
+void order_lease::claimRejected()
+{
+    m_isPending = false;
+    m_isOwn = false;
+    m_hasLearned = false;
 }
 
 // The known end is tried again. If the failed claim was executed after all, the store returns the new end.
--- a/libs/serving/src/serving_configuration.cpp
+++ b/libs/serving/src/serving_configuration.cpp
@@ -20,12 +20,13 @@
 
 }
 
-serving_configuration::serving_configuration(
-    std::uint64_t version, std::vector<route_rule> routes, std::vector<service_profile> services, caller_limits limits)
+serving_configuration::serving_configuration(std::uint64_t version, std::vector<route_rule> routes,
+    std::vector<service_profile> services, caller_limits limits, std::shared_ptr<const account_directory> accounts)
     : m_version(version)
     , m_routes(std::move(routes))
     , m_services(std::move(services))
     , m_limits(limits)
+    , m_accounts(std::move(accounts))
 {
     for (std::uint32_t i = 0; i < m_routes.size(); ++i)
         m_routesByHost[m_routes[i].host].push_back(i);
