Client accounts with keys, usage reports and spot instances on the users' platform

Cause: no code read accounts, duties or scaling; callers' keys went on to targets.

A request needs a known key where the configuration has accounts, or gets 401 with the reason before anything is sent; the key is removed at admission and the target gets the account's name. A node that the platform's settings make strict refuses what needs a key once it could not confirm its configuration for the bound. Each node counts the requests that targets began and sends the counts to the three nodes that are first for the duties; the first one reports a window when all nodes alive have sent their final counts. It also replaces regular instances by spot ones, half as many again as there were, since one zone's spot instances may leave at once.

--- a/apps/tamarackrelay/platform_program.cpp
+++ b/apps/tamarackrelay/platform_program.cpp
@@ -6,6 +6,7 @@
 
 #include "gateway/gateway.h"
 #include "users_platform/callers.h"
+#include "users_platform/duties.h"
 #include "users_platform/records.h"
 #include "users_platform/settings_file.h"
 #include "users_platform/store.h"
@@ -88,7 +89,9 @@
         const users_platform::callers callers;
         const users_platform::targets targets;
         const users_platform::records records;
-        gateway node(initialSettings, { callers, targets, records, store }, client, [] { QCoreApplication::quit(); });
+        const users_platform::duties duties;
+        gateway node(
+            initialSettings, { callers, targets, records, duties, store }, client, [] { QCoreApplication::quit(); });
         running = &node;
         if (const auto failure = node.start(); !failure.empty()) {
             std::cerr << "tamarackrelay: " << failure << "; is another process using it?\n";
--- a/libs/gateway/include/gateway/caller_protocol.h
+++ b/libs/gateway/include/gateway/caller_protocol.h
@@ -2,6 +2,7 @@
 // the responses. Each wire protocol has its own implementation.
 #pragma once
 
+#include "accounts/caller_access.h"
 #include "base/error_kind.h"
 #include "http/http_message.h"
 #include "serving/serving_request.h"
@@ -22,6 +23,7 @@
     std::optional<duration> timeLeft; ///< time until the caller's deadline; empty if the caller sent none
     std::optional<serving::prompt> text; ///< set for requests that carry a prompt
     std::string lastEventId; ///< id of the last event received of a stream to resume; empty: a new stream
+    credential sentCredential;
 };
 
 /// Reason why a request cannot be decoded; names the header or field.
@@ -43,6 +45,8 @@
 public:
     virtual ~caller_protocol() = default;
     virtual std::variant<caller_request, request_fault> decode(const http_request& request) const = 0;
+    /// Removes the headers that carry a credential, so that no key leaves the node with the request.
+    virtual void removeCredentials(http_request& request) const = 0;
     virtual http_response refusal(error_kind kind, std::string_view detail, duration retryAfter) const = 0;
     /// Returns nothing if the request does not ask for entry addresses.
     virtual std::optional<entry_query> decodeEntryQuery(const http_request& request) const = 0;
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway/caller_protocol.h"
+#include "gateway/duty_protocol.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/keyed_log.h"
 #include "gateway/record_decoder.h"
@@ -19,6 +20,7 @@
     const caller_protocol& callers;
     const target_protocol& targets;
     const record_decoder& records;
+    const duty_protocol& duties;
     keyed_log& store;
 };
 
--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -21,6 +21,9 @@
     endpoint peers; ///< address for datagrams between nodes
     std::vector<endpoint> seeds; ///< admin addresses of some nodes, which may be unreachable
     endpoint store;
+    endpoint platformCalls; ///< receives the calls that one node makes for the fleet; port 0: there are none
+    bool reportsUsage = false; ///< the fleet reports the requests of client accounts
+    bool ordersInstances = false; ///< the fleet orders instances of services
     bool isFirstStart = false; ///< the whole system starts for the first time, so no node has had an earlier process
                                ///< requests to targets
 
@@ -30,6 +33,11 @@
     duration stopBound = std::chrono::seconds(8); ///< from SIGTERM to process exit
     duration maxEntryLifetime = std::chrono::seconds(5); ///< longest time for which callers may cache entry addresses
     duration orderHandoverInterval = std::chrono::seconds(3); ///< between orders of two nodes to one engine
+    duration usageWindow = std::chrono::seconds(5); ///< usage is reported by windows of this length
+    duration usageLateness = std::chrono::seconds(10); ///< a window is reported within this time after its end
+    /// Whether a node that cannot confirm its configuration for revocationBound refuses requests that need a key.
+    bool isRevocationStrict = false;
+    duration revocationBound = std::chrono::seconds(5);
     double retryRatio = 0.2;
     double retrySlack = 0;
     duration retryWindow = std::chrono::seconds(10);
--- a/libs/gateway/include/gateway/keyed_log.h
+++ b/libs/gateway/include/gateway/keyed_log.h
@@ -18,7 +18,8 @@
     targets,
     nodes,
     orders, ///< claims of the lease for role orders; its records have no keys
-    quarantine ///< requests that crash their targets
+    quarantine, ///< requests that crash their targets
+    duties ///< what is reported and ordered at the platform for the fleet
 };
 
 struct keyed_record {
@@ -73,9 +74,10 @@
     virtual void append(
         store_topic topic, const std::string& key, const std::string& value, store_handler<std::int64_t> done)
         = 0;
-    /// Appends a record only if the topic ends at `at`. After `unreachable` it may still be appended.
-    virtual void appendAt(
-        store_topic topic, std::int64_t at, const std::string& record, store_handler<placed_append> done)
+    /// Appends a record only if the topic ends at `at`. After `unreachable` it may still be appended. `key` is empty in
+    /// topics whose records have no keys.
+    virtual void appendAt(store_topic topic, std::int64_t at, const std::string& key, const std::string& value,
+        store_handler<placed_append> done)
         = 0;
 };
 
--- a/libs/gateway/include/gateway/target_protocol.h
+++ b/libs/gateway/include/gateway/target_protocol.h
@@ -25,6 +25,7 @@
     int urgency = 0; ///< 0 is the most urgent
     std::string_view resumeAfter; ///< id of the last event that the caller has received; empty: none
     bool hasPrompt = false;
+    std::string_view account; ///< name of the client account; empty: none
 };
 
 /// Request counts that a target reports with a response.
--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -4,6 +4,7 @@
 #include "base/contract.h"
 
 #include <array>
+#include <utility>
 
 namespace tamarack {
 
@@ -44,10 +45,11 @@
 std::string_view toString(flow_end end) { return endNames[static_cast<std::size_t>(end)]; }
 
 caller_flow::caller_flow(flow_services& services, http_request request, caller_request decoded,
-    const serving::route_rule& route, std::shared_ptr<response_writer> caller)
+    const serving::route_rule& route, std::string account, std::shared_ptr<response_writer> caller)
     : m_services(services)
     , m_request(std::move(request))
     , m_decoded(std::move(decoded))
+    , m_account(std::move(account))
     , m_routeName(route.name)
     , m_isRepeatable(route.isRepeatable)
     , m_isStream(route.isStream)
@@ -67,8 +69,8 @@
 {
     m_digest = toString(request.digest);
     m_services.log.write(log_event::request_taken,
-        { { "request", m_decoded.id }, { "digest", m_digest }, { "route", m_routeName }, { "service", request.service },
-            { "version", request.configuration->version() },
+        { { "request", m_decoded.id }, { "digest", m_digest }, { "account", m_account }, { "route", m_routeName },
+            { "service", request.service }, { "version", request.configuration->version() },
             { "left_ms", m_decoded.timeLeft ? milliseconds(*m_decoded.timeLeft) : -1 },
             { "tokens", m_decoded.text ? m_decoded.text->inputTokens : 0 },
             { "aim_ms", milliseconds(request.route->aim) }, { "gap_aim_ms", milliseconds(request.route->gapAim) } });
@@ -106,6 +108,7 @@
     spec.urgency = command.urgency;
     spec.resumeAfter = m_lastEvent;
     spec.hasPrompt = m_decoded.text.has_value();
+    spec.account = m_account;
     return spec;
 }
 
@@ -180,6 +183,8 @@
         return conclude(attempt, attempt_result::misdirected);
     if (attempt->answer.hasNotRun)
         return conclude(attempt, attempt_result::rejected);
+    if (!m_isStream && attempt->command.stage != attempt_stage::prefill)
+        requestBegan();
     if (!attempt->answer.isGenuine && attempt->command.stage != attempt_stage::prefill)
         return conclude(attempt, attempt_result::broken);
     if (attempt->command.stage != attempt_stage::prefill && !isFailure(attempt->answer) && !m_isStream)
@@ -207,6 +212,12 @@
     conclude(attempt, attempt_result::broken);
 }
 
+void caller_flow::requestBegan()
+{
+    if (!std::exchange(m_hasBegun, true))
+        m_services.onRequestBegan(m_account);
+}
+
 void caller_flow::relayBuffered(const attempt_ptr& attempt)
 {
     beginAnswer(attempt);
@@ -232,6 +243,7 @@
 {
     if (attempt != m_attempt)
         return;
+    requestBegan();
     if (!attempt->isRelayed) {
         attempt->firstMs = millisecondsSince(attempt->startedAt);
         m_services.decisions.firstByteReceived(m_id, attempt->command.attempt, boot_clock::now());
@@ -306,6 +318,9 @@
         return conclude(attempt, attempt_result::unreached);
     if (failure.isClosedByPeer)
         m_services.decisions.targetClosedConnection(m_id, attempt->command.attempt, boot_clock::now());
+    // A plain target begins at once, so it has most likely run a request whose answer is lost.
+    if (!m_isStream)
+        requestBegan();
     conclude(attempt, m_caller->hasStarted() ? attempt_result::cut : attempt_result::broken);
 }
 
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -25,6 +25,7 @@
     const target_protocol& targets;
     metrics& counters;
     const logger& log;
+    std::function<void(const std::string& account)> onRequestBegan; ///< a target has begun to run a request
 };
 
 /// Outcome of a request from the caller's point of view.
@@ -42,7 +43,7 @@
     };
 
     caller_flow(flow_services& services, http_request request, caller_request decoded, const serving::route_rule& route,
-        std::shared_ptr<response_writer> caller);
+        std::string account, std::shared_ptr<response_writer> caller);
     ~caller_flow();
 
     /// Logs that the request was accepted.
@@ -79,6 +80,8 @@
     void onEnd(const attempt_ptr& attempt);
     void onFailure(const attempt_ptr& attempt, const exchange_failure& failure);
     void onEvent(const attempt_ptr& attempt, const stream_event& event);
+    /// Called when the target shows that it runs the request; only the first call counts.
+    void requestBegan();
     void relayBuffered(const attempt_ptr& attempt);
     void beginAnswer(const attempt_ptr& attempt);
     void conclude(const attempt_ptr& attempt, serving::attempt_result result, const std::string& cacheName = {});
@@ -94,7 +97,7 @@
     http_request m_request; // as received from the caller
     caller_request m_decoded;
     std::string m_digest; // for the log
-    std::string m_service; // label of metrics
+    std::string m_account; // name of the client account; empty: none
     std::string m_routeName;
     bool m_isRepeatable;
     bool m_isStream;
@@ -110,6 +113,7 @@
     std::int64_t m_firstMs = -1; // time from the request to the first event; -1: none yet
     instant m_lastEventAt;
     duration m_longestGap = duration::zero(); // longest time between two events
+    bool m_hasBegun = false; // a target has begun to run the request
     bool m_isFinished = false;
     bool m_isPaused = false;
 };
--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -25,10 +25,16 @@
 {
     serving::serving_request out;
     out.id = routed.decoded.id;
-    out.digest = digestOf(routed.decoded.host, routed.request.method, routed.request.target, routed.request.body);
+    const auto& account = routed.account ? routed.account->name : routed.decoded.host;
+    out.digest = digestOf(account, routed.request.method, routed.request.target, routed.request.body);
     out.configuration = routed.configuration;
     out.route = routed.route;
     out.service = serving::chooseService(*routed.route, routed.decoded.id);
+    out.priority = routed.route->priority;
+    if (routed.account) {
+        out.account = routed.account->name;
+        out.priority = routed.account->priority.value_or(out.priority);
+    }
     out.callerTimeout = routed.decoded.timeLeft.value_or(defaultTimeLeft);
     out.text = routed.decoded.text;
     return out;
@@ -50,8 +56,8 @@
 void flow_table::submit(routed_request routed)
 {
     auto request = servingRequest(routed);
-    auto flow = std::make_shared<caller_flow>(
-        m_services, std::move(routed.request), std::move(routed.decoded), *routed.route, std::move(routed.caller));
+    auto flow = std::make_shared<caller_flow>(m_services, std::move(routed.request), std::move(routed.decoded),
+        *routed.route, request.account, std::move(routed.caller));
     flow->logAccepted(request);
     serving::command_list commands;
     const request_id id = m_services.decisions.submit(std::move(request), boot_clock::now(), commands);
--- a/libs/gateway/src/flow_table.h
+++ b/libs/gateway/src/flow_table.h
@@ -16,6 +16,7 @@
     caller_request decoded;
     std::shared_ptr<const serving::serving_configuration> configuration; ///< in force on arrival; owns `route`
     const serving::route_rule* route = nullptr;
+    const client_account* account = nullptr; ///< owned by the configuration; null: none
     std::shared_ptr<response_writer> caller;
 };
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 
 #include "cache_monitor.h"
 #include "cluster_view.h"
+#include "duty_coordinator.h"
 #include "flow_table.h"
 #include "node_endpoints.h"
 #include "peer_messenger.h"
@@ -10,6 +11,7 @@
 #include "registration.h"
 #include "role_coordinator.h"
 #include "state_pull.h"
+#include "usage_collection.h"
 
 #include "base/hash.h"
 #include "http/http_server.h"
@@ -75,6 +77,8 @@
 
     void handleCaller(http_request request, std::shared_ptr<response_writer> caller);
     void refuse(const std::shared_ptr<response_writer>& caller, error_kind kind, std::string_view detail);
+    /// Refuses a request whose credential gives no access to its route.
+    void deny(const std::shared_ptr<response_writer>& caller, const caller_request& call, std::string_view reason);
 
     bool release(const request_digest& digest);
     void tick();
@@ -105,6 +109,8 @@
     node_endpoints pages;
     flow_table flows;
     quarantine_sync quarantine;
+    usage_collection usage;
+    duty_coordinator duties;
     QTimer decisionTimer;
     instant drainingSince; // set by drain()
     instant nextMetricsAt;
@@ -130,6 +136,9 @@
         return out;
     }
 
+    /// Distinguishes the processes of a VM.
+    std::int64_t processId() { return wallMilliseconds(); }
+
     serving::order_lease_settings leaseSettings(const gateway_settings& settings)
     {
         serving::order_lease_settings out;
@@ -169,14 +178,16 @@
           pullInterval, settings.seeds)
     , nodeRegistration(
           ports.store, [this] { return self(); }, log, [this] { view.onNodeRegistered(); })
-    , services { client, decisions, ports.callers, ports.targets, counters, log }
+    , services { client, decisions, ports.callers, ports.targets, counters, log,
+        [this](const std::string& account) { usage.requestBegan(account); } }
     , caches(client, ports.targets, decisions, counters, log,
           [this](std::vector<cache_update> updates) { peers.broadcastCacheUpdates(std::move(updates)); })
     , roles({ client, ports.targets, ports.store, decisions, counters, log, [this] { peers.sendHeartbeat(); },
                 [this] { view.checkStoreReach(); } },
           settings.vm, leaseSettings(settings))
     , peers({ decisions, nodes, view, caches, roles, log, [this] { return self(); },
-          [this](const auto& records) { quarantine.apply(records); } })
+          [this](const auto& records) { quarantine.apply(records); },
+          [this](const usage_report& report) { usage.apply(report); } })
     , callers(
           {},
           [this](http_request request, std::shared_ptr<response_writer> caller) {
@@ -193,6 +204,10 @@
     , flows(services, [this] { peers.scheduleJobAnnouncement(); })
     , quarantine({ ports.store, decisions, log,
           [this](serving::command_list commands) { flows.execute(std::move(commands)); } })
+    , usage(settings.vm, processId(), settings.reportsUsage ? settings.usageWindow : duration::zero(),
+          [this](const auto& nodes, const auto& reports) { peers.sendUsage(nodes, reports); })
+    , duties({ client, ports.duties, ports.store, decisions, usage, counters, log, [this] { view.checkStoreReach(); } },
+          settings, processId())
 {
     QObject::connect(&decisionTimer, &QTimer::timeout, [this] { tick(); });
 }
@@ -249,8 +264,9 @@
     return out;
 }
 
-void gateway::state::configure(const std::shared_ptr<const serving::serving_configuration>&)
+void gateway::state::configure(const std::shared_ptr<const serving::serving_configuration>& configuration)
 {
+    usage.configure(*configuration);
     callers.setLimits(limits());
     if (view.sharesReads())
         peers.sendHeartbeat(); // announces the version to peers at once
@@ -297,6 +313,16 @@
     caller->sendWhole(ports.callers.refusal(kind, detail, answerFor(kind).retryAfter));
 }
 
+void gateway::state::deny(
+    const std::shared_ptr<response_writer>& caller, const caller_request& call, std::string_view reason)
+{
+    log.write(log_event::request_denied,
+        { { "request", call.id }, { "host", call.host }, { "path", call.path }, { "reason", reason },
+            { "version", view.configuration()->version() },
+            { "age_ms", milliseconds(view.configurationAge(boot_clock::now())) } });
+    refuse(caller, error_kind::unauthorized, reason);
+}
+
 void gateway::state::handleCaller(http_request request, std::shared_ptr<response_writer> caller)
 {
     // Without a configuration the routes are unknown, so this check precedes all others.
@@ -314,7 +340,20 @@
                 { "age_ms", milliseconds(view.configurationAge(boot_clock::now())) } });
         return refuse(caller, error_kind::unknown_service, "no route for " + call.path);
     }
-    flows.submit({ std::move(request), std::move(call), view.configuration(), route, std::move(caller) });
+    const client_account* account = nullptr;
+    if (const auto* accounts = view.configuration()->accounts()) {
+        // A node that was cut off may not know that a key was revoked.
+        if (settings.isRevocationStrict && !route->isPublic
+            && view.configurationAge(boot_clock::now()) > settings.revocationBound)
+            return refuse(caller, error_kind::not_ready, "this node cannot confirm which keys are valid");
+        const auto access = decideAccess(*accounts, call.sentCredential, route->isPublic);
+        if (!access.isAllowed)
+            return deny(caller, call, access.reason);
+        account = access.account;
+        ports.callers.removeCredentials(request);
+    }
+    call.sentCredential = {};
+    flows.submit({ std::move(request), std::move(call), view.configuration(), route, account, std::move(caller) });
 }
 
 bool gateway::state::release(const request_digest& digest)
@@ -356,6 +395,8 @@
     assignStoreReading(me, alive, now);
     caches.tick(me, alive, now);
     roles.tick(me, alive, now);
+    usage.tick(me, alive, now);
+    duties.tick(me, alive, view.configuration().get(), now);
 }
 
 void gateway::state::assignStoreReading(
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -190,6 +190,14 @@
 
 template <class Archive> void serialize(Archive& archive, quarantine_note& m) { archiveShort(archive, m.records); }
 
+template <class Archive> void serialize(Archive& archive, usage_count& m) { archive(m.account, m.requests); }
+
+template <class Archive> void serialize(Archive& archive, usage_report& m)
+{
+    archive(m.node, m.process, m.window, m.isFinal, m.total);
+    archiveShort(archive, m.counts);
+}
+
 template <class Archive> void serialize(Archive& archive, cache_update& m) { archive(m.target, m.part, m.tokens); }
 
 template <class Archive> void serialize(Archive& archive, node_heartbeat& m)
--- a/libs/gateway/src/peer_messenger.cpp
+++ b/libs/gateway/src/peer_messenger.cpp
@@ -97,6 +97,17 @@
     m_peerSocket.send(datagram);
 }
 
+void peer_messenger::sendUsage(const std::vector<serving::node_state>& nodes, const std::vector<usage_report>& reports)
+{
+    for (const auto& report : reports) {
+        serving::relay_datagram datagram;
+        for (const auto& node : nodes)
+            datagram.to.push_back({ node.address, node.peerPort });
+        datagram.payload.messages.push_back(encodeDatagram(report));
+        m_peerSocket.send(datagram);
+    }
+}
+
 void peer_messenger::send(const std::vector<serving::relay_datagram>& datagrams)
 {
     for (const auto& datagram : datagrams)
@@ -206,6 +217,8 @@
         onReadProgress(*read);
     else if (const auto* quarantine = std::get_if<quarantine_note>(&message))
         m_parts.onQuarantine(quarantine->records);
+    else if (const auto* usage = std::get_if<usage_report>(&message))
+        m_parts.onUsage(*usage);
     else
         onProbe(std::get<node_probe>(message));
 }
--- a/libs/gateway/src/peer_messenger.h
+++ b/libs/gateway/src/peer_messenger.h
@@ -31,6 +31,7 @@
         const logger& log;
         std::function<serving::node_state()> self;
         std::function<void(const std::vector<quarantine_record>&)> onQuarantine;
+        std::function<void(const usage_report&)> onUsage;
     };
 
     explicit peer_messenger(dependencies parts);
@@ -46,6 +47,8 @@
     void broadcastReadProgress();
     /// Sends the updates found by a full cache listing.
     void broadcastCacheUpdates(std::vector<cache_update> caches);
+    /// Sends the reports to these nodes only.
+    void sendUsage(const std::vector<serving::node_state>& nodes, const std::vector<usage_report>& reports);
     /// Chooses the nodes that relay messages. Called periodically.
     void planRelays(const serving::node_state& self, const std::vector<serving::node_state>& alive);
     const datagram_counts& counts() const { return m_peerSocket.counts(); }
--- a/libs/gateway/src/role_coordinator.cpp
+++ b/libs/gateway/src/role_coordinator.cpp
@@ -85,8 +85,8 @@
     if (!at)
         return;
     m_lease.claimSent(now);
-    m_parts.store.appendAt(
-        store_topic::orders, *at, m_vm, [this](const store_result<placed_append>& result) { onClaimResponse(result); });
+    m_parts.store.appendAt(store_topic::orders, *at, {}, m_vm,
+        [this](const store_result<placed_append>& result) { onClaimResponse(result); });
 }
 
 void role_coordinator::onClaimResponse(const store_result<placed_append>& result)
--- a/libs/gateway/tests/fake_ports.h
+++ b/libs/gateway/tests/fake_ports.h
@@ -64,10 +64,11 @@
     {
         calls.push_back({ "append", topic, 0, {}, key, nullptr, nullptr, std::move(done), nullptr });
     }
-    void appendAt(
-        store_topic topic, std::int64_t at, const std::string& record, store_handler<placed_append> done) override
+    void appendAt(store_topic topic, std::int64_t at, const std::string& key, const std::string& value,
+        store_handler<placed_append> done) override
     {
-        calls.push_back({ "appendAt", topic, at, {}, record, nullptr, nullptr, nullptr, std::move(done) });
+        calls.push_back(
+            { "appendAt", topic, at, {}, key.empty() ? value : key, nullptr, nullptr, nullptr, std::move(done) });
     }
 
     std::size_t count(const std::string& what, store_topic topic) const
@@ -113,12 +114,33 @@
 class fake_callers : public caller_protocol {
 public:
     std::variant<caller_request, request_fault> decode(const http_request&) const override { return caller_request {}; }
+    void removeCredentials(http_request&) const override { }
     http_response refusal(error_kind, std::string_view, duration) const override { return {}; }
     std::optional<entry_query> decodeEntryQuery(const http_request&) const override { return {}; }
     http_response entries(const entry_answer&) const override { return {}; }
     bool isReadinessProbe(const http_request&) const override { return false; }
 };
 
+class fake_duties : public duty_protocol {
+public:
+    http_request reportUsage(const duty_authority& authority, const usage_statement& usage) const override
+    {
+        return { "POST", "/usage/" + std::to_string(usage.window) + "/" + std::to_string(authority.fencingNumber), {},
+            {} };
+    }
+    http_request orderInstances(const duty_authority& authority, const instance_order& order) const override
+    {
+        return { "POST",
+            "/instances/" + order.availabilityZone + "/" + std::to_string(order.desired) + (order.isSpot ? "s" : "r")
+                + "/" + std::to_string(authority.fencingNumber),
+            {}, {} };
+    }
+    duty_answer decodeAnswer(int status) const override
+    {
+        return status == 200 ? duty_answer::accepted : status == 409 ? duty_answer::unavailable : duty_answer::refused;
+    }
+};
+
 class fake_targets : public target_protocol {
 public:
     http_request attempt(const http_request& fromCaller, const attempt_spec&) const override { return fromCaller; }
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -16,11 +16,12 @@
     const fake_decoder decoder;
     const fake_callers callers;
     const fake_targets targets;
+    const fake_duties duties;
     http_client client;
     gateway_settings settings;
     settings.vm = "n1";
     settings.peers = { "127.0.0.1", 0 };
-    gateway node(settings, { callers, targets, decoder, store }, client, [] {});
+    gateway node(settings, { callers, targets, decoder, duties, store }, client, [] {});
     REQUIRE(node.start().empty());
     REQUIRE(spinUntil([&] { return store.count("append", store_topic::nodes) == 1; }));
     CHECK(store.count("newest", store_topic::nodes) == 0);
@@ -37,11 +38,12 @@
     const fake_decoder decoder;
     const fake_callers callers;
     const fake_targets targets;
+    const fake_duties duties;
     http_client client;
     gateway_settings settings;
     settings.vm = "n1";
     settings.peers = { "127.0.0.1", 0 };
-    gateway node(settings, { callers, targets, decoder, store }, client, [] {});
+    gateway node(settings, { callers, targets, decoder, duties, store }, client, [] {});
     REQUIRE(node.start().empty());
     for (const auto& call : std::vector<fake_store::call>(store.calls)) {
         if (call.what == "append")
@@ -56,6 +58,7 @@
     const fake_decoder decoder;
     const fake_callers callers;
     const fake_targets targets;
+    const fake_duties duties;
     http_client client;
     const request_digest harmful { 1, 2 };
     const auto freePort = [] {
@@ -80,14 +83,14 @@
     };
     fake_store storeOfFirst;
     const auto first = settingsOf("n1");
-    gateway firstNode(first, { callers, targets, decoder, storeOfFirst }, client, [] {});
+    gateway firstNode(first, { callers, targets, decoder, duties, storeOfFirst }, client, [] {});
     REQUIRE(firstNode.start().empty());
     const auto record = encodeQuarantine({ harmful, 0, { 1, 2, 3 }, std::chrono::seconds(0), true });
     answerNewest(storeOfFirst, store_topic::quarantine, { { { 0, toString(harmful), record } }, 1, false });
 
     fake_store storeOfSecond;
     const auto second = settingsOf("n2");
-    gateway secondNode(second, { callers, targets, decoder, storeOfSecond }, client, [] {});
+    gateway secondNode(second, { callers, targets, decoder, duties, storeOfSecond }, client, [] {});
     REQUIRE(secondNode.start().empty());
     for (const auto& call : std::vector<fake_store::call>(storeOfSecond.calls)) {
         if (call.what == "append")
--- a/libs/observe/src/log_story.cpp
+++ b/libs/observe/src/log_story.cpp
@@ -103,11 +103,13 @@
         if (line.is("attempt_failed"))
             attempts[id] = causeOf(line);
         const bool isRefusal = line.is("request_refused");
-        if (!isRefusal && !line.is("request_failed") && !line.is("request_without_route"))
+        if (!isRefusal && !line.is("request_failed") && !line.is("request_without_route") && !line.is("request_denied"))
             continue;
         ++failed;
         std::string cause = line.text("route") + "  ";
-        if (isRefusal)
+        if (line.is("request_denied"))
+            cause += "denied: " + line.text("reason") + ", by version " + line.text("version");
+        else if (isRefusal)
             cause += "refused: " + line.text("kind");
         else
             cause += line.is("request_failed") ? line.text("outcome") : "no route in version " + line.text("version");
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -362,8 +362,8 @@
         const auto rowB = m_book.row(b);
         if (rowA < 0 || rowB < 0)
             return rowA < rowB;
-        return m_book.request[static_cast<std::size_t>(rowA)].route->priority
-            < m_book.request[static_cast<std::size_t>(rowB)].route->priority;
+        return m_book.request[static_cast<std::size_t>(rowA)].priority
+            < m_book.request[static_cast<std::size_t>(rowB)].priority;
     });
     for (const auto id : waiting) {
         const auto row = m_book.row(id);
