A first decision is found in time and never cuts the fleet: the instances found stand in the statement

The holder of the duties changed while the target list was still arriving. Its successor knew only the spot instances ordered so far (2, 6 and 2), took the fleet for three instances a zone and let all regular ones go.

Change: a statement also says how many regular instances were found in each zone; at most as many spot instances are listed as were ordered, so the rest is found even by a node that knows nothing else. Regular instances go when nine tenths of their replacements are listed and the count has not changed for 2 s. Both failures have tests, which fail on the code before.

--- a/libs/duties/include/duties/duty_statement.h
+++ b/libs/duties/include/duties/duty_statement.h
@@ -25,6 +25,9 @@
     std::string availabilityZone;
     bool isSpot = false;
     int desired = 0;
+    /// The instances were found there and are neither ordered nor let go. The platform is not called for this entry; it
+    /// tells a later holder of the duty how many there were.
+    bool isObserved = false;
 
     bool operator==(const instance_order&) const = default;
 };
--- a/libs/duties/src/duty_statement.cpp
+++ b/libs/duties/src/duty_statement.cpp
@@ -23,7 +23,7 @@
         json orders = json::array();
         for (const auto& order : statement.orders)
             orders.push_back({ { "service", order.service }, { "zone", order.availabilityZone },
-                { "spot", order.isSpot }, { "desired", order.desired } });
+                { "spot", order.isSpot }, { "desired", order.desired }, { "observed", order.isObserved } });
         return { { "orders", orders } };
     }
 
@@ -40,7 +40,7 @@
         instance_statement out;
         for (const auto& order : body.at("orders"))
             out.orders.push_back({ order.at("service").get<std::string>(), order.at("zone").get<std::string>(),
-                order.at("spot").get<bool>(), order.at("desired").get<int>() });
+                order.at("spot").get<bool>(), order.at("desired").get<int>(), order.value("observed", false) });
         return out;
     }
 
--- a/libs/gateway/src/duty_coordinator.cpp
+++ b/libs/gateway/src/duty_coordinator.cpp
@@ -262,6 +262,8 @@
     std::vector<order_call> calls;
     if (const auto* stated = m_log.instances()) {
         for (const auto& order : stated->orders) {
+            if (order.isObserved)
+                continue;
             const auto* known = findCall(order);
             calls.push_back(known ? *known : order_call { order, false, {} });
         }
--- a/libs/scaling/include/scaling/instance_plan.h
+++ b/libs/scaling/include/scaling/instance_plan.h
@@ -31,23 +31,20 @@
     /// Instances of a service in one availability zone.
     struct zone_state {
         int listed = 0; ///< accepting work
-        std::optional<int> regular; ///< ordered
         int spot = 0; ///< ordered
+        std::optional<int> regular; ///< ordered; empty while the instances found there are kept
+        int found = 0; ///< regular instances that were there before anything was ordered, as far as they were seen
     };
     using zone_states = std::map<std::string, zone_state>;
 
     struct service_state {
-        /// The instances that a zone had before anything was ordered: what operators found enough.
-        std::map<std::string, int> initial;
-        instant grownAt; // when `initial` last grew
-        std::optional<instant> orderedAt; // when spot instances were first seen in force
-        bool isAdopted = false; // another node has ordered before
+        int found = 0; // in all zones
+        instant foundChangedAt;
+        instant spotListedFrom; // no spot instance can be listed before; set by the holder that orders the first ones
     };
 
-    zone_states countInstances(
-        const serving::service_profile& service, const std::vector<instance_order>& inForce) const;
-    void updateInitial(
-        service_state& state, const zone_states& zones, const serving::instance_scaling& scaling, instant now) const;
+    zone_states countInstances(const serving::service_profile& service, const std::vector<instance_order>& inForce,
+        const service_state& state, instant now) const;
 
     const serving::fleet_table& m_fleet;
     std::map<std::string, service_state> m_services;
--- a/libs/scaling/src/instance_plan.cpp
+++ b/libs/scaling/src/instance_plan.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
+#include <utility>
 
 namespace tamarack {
 
@@ -33,8 +35,8 @@
 {
 }
 
-instance_plan::zone_states instance_plan::countInstances(
-    const serving::service_profile& service, const std::vector<instance_order>& inForce) const
+instance_plan::zone_states instance_plan::countInstances(const serving::service_profile& service,
+    const std::vector<instance_order>& inForce, const service_state& state, instant now) const
 {
     zone_states out;
     for (const auto row : m_fleet.rowsOf(service.name))
@@ -45,35 +47,18 @@
         auto& zone = out[order.availabilityZone];
         if (order.isSpot)
             zone.spot = order.desired;
+        else if (order.isObserved)
+            zone.found = order.desired;
         else
             zone.regular = order.desired;
     }
-    return out;
-}
-
-// The first spot instance is listed a boot time after its order, so until then all listed instances are regular ones.
-void instance_plan::updateInitial(
-    service_state& state, const zone_states& zones, const serving::instance_scaling& scaling, instant now) const
-{
-    const bool isOrdered
-        = std::any_of(zones.begin(), zones.end(), [](const auto& item) { return item.second.spot > 0; });
-    if (isOrdered && !state.orderedAt) {
-        state.orderedAt = now;
-        state.isAdopted = state.initial.empty();
-        for (const auto& [name, zone] : zones) {
-            if (state.isAdopted)
-                state.initial[name] = static_cast<int>(std::lround(zone.spot / reserveFactor(zones.size())));
-        }
-    }
-    if (state.isAdopted || (isOrdered && now >= *state.orderedAt + scaling.bootTime))
-        return;
-    for (const auto& [name, zone] : zones) {
-        auto& initial = state.initial[name];
-        if (zone.listed > initial) {
-            initial = zone.listed;
-            state.grownAt = now;
-        }
+    // At most as many spot instances are listed as were ordered; the others are regular ones.
+    for (auto& [name, zone] : out) {
+        const int spotListed = now < state.spotListedFrom ? 0 : zone.spot;
+        if (!zone.regular)
+            zone.found = std::max(zone.found, zone.listed - spotListed);
     }
+    return out;
 }
 
 std::vector<instance_order> instance_plan::decide(
@@ -83,23 +68,31 @@
     for (const auto& service : configuration.services()) {
         if (!service.scaling)
             continue;
-        const auto zones = countInstances(service, inForce);
+        auto& state = m_services[service.name];
+        const auto zones = countInstances(service, inForce, state, now);
         if (!isSpotWorthwhile(*service.scaling, zones.size()))
             continue;
-        auto& state = m_services[service.name];
-        updateInitial(state, zones, *service.scaling, now);
-        const bool hasSettled = now >= state.grownAt + settleTime;
+        const int found = std::accumulate(
+            zones.begin(), zones.end(), 0, [](int sum, const auto& item) { return sum + item.second.found; });
+        if (std::exchange(state.found, found) != found)
+            state.foundChangedAt = now;
+        const bool hasSettled = now >= state.foundChangedAt + settleTime;
+        const bool isFirst = std::none_of(
+            inForce.begin(), inForce.end(), [&](const auto& order) { return order.service == service.name; });
+        if (isFirst)
+            state.spotListedFrom = now + service.scaling->bootTime;
         for (const auto& [name, zone] : zones) {
-            const int initial = state.initial[name];
-            const int replaced = initial + static_cast<int>(minReplacedShare * std::min(zone.spot, initial));
-            const bool isReplaced = zone.spot > 0 && zone.listed >= replaced;
-            std::optional<int> regular = zone.regular;
-            if (!regular && hasSettled && isReplaced)
-                regular = 0;
-            const int wanted = static_cast<int>(std::ceil(reserveFactor(zones.size()) * initial));
-            const int most = service.scaling->max - regular.value_or(initial);
-            if (regular)
-                out.push_back({ service.name, name, false, *regular });
+            if (zone.regular) {
+                out.push_back({ service.name, name, false, *zone.regular });
+                out.push_back({ service.name, name, true, zone.spot });
+                continue;
+            }
+            const int wanted = static_cast<int>(std::ceil(reserveFactor(zones.size()) * zone.found));
+            const auto replaced = minReplacedShare * std::min(zone.spot, zone.found);
+            const bool isReplaced = zone.spot > 0 && zone.listed >= zone.found + static_cast<int>(replaced);
+            const bool mayRelease = hasSettled && isReplaced;
+            const int most = service.scaling->max - (mayRelease ? 0 : zone.found);
+            out.push_back({ service.name, name, false, mayRelease ? 0 : zone.found, !mayRelease });
             out.push_back({ service.name, name, true, std::max(zone.spot, std::min(wanted, most)) });
         }
     }
@@ -110,7 +103,7 @@
 {
     int ordered = 0;
     for (const auto& item : inForce) {
-        if (item.service == order.service && item.availabilityZone == order.availabilityZone)
+        if (item.service == order.service && !item.isObserved && item.availabilityZone == order.availabilityZone)
             ordered += item.desired;
     }
     int listed = 0;
--- a/libs/scaling/tests/test_instance_plan.cpp
+++ b/libs/scaling/tests/test_instance_plan.cpp
@@ -40,8 +40,10 @@
     {
         for (const auto end = m_now + length; m_now < end; m_now += 100ms) {
             m_inForce = m_plan->decide(m_configuration, m_inForce, instant(1h) + m_now);
-            for (const auto& order : m_inForce)
-                carryOut(order);
+            for (const auto& order : m_inForce) {
+                if (!order.isObserved)
+                    carryOut(order);
+            }
             for (auto& boot : m_boots) {
                 if (m_now >= boot.due)
                     list(boot.kind, std::exchange(boot.count, 0));
@@ -50,6 +52,8 @@
         }
     }
 
+    const serving::fleet_table& fleet() const { return m_fleet; }
+    const std::vector<instance_order>& inForce() const { return m_inForce; }
     int listed() const { return static_cast<int>(m_fleet.countListed()); }
     int count(const std::string& zone, bool isSpot) const
     {
@@ -200,6 +204,34 @@
     CHECK(world.listed() >= 114);
 }
 
+// Guards against a successor that takes the few instances that its predecessor had seen for the whole fleet.
+TEST_CASE("test_holders_that_change_while_the_list_arrives_let_nothing_go_early")
+{
+    instance_world world(configurationWith(0.22));
+    for (int i = 0; i < 12; ++i) {
+        for (const char* zone : { "a", "b", "c" })
+            world.addInitial(zone, 3);
+        world.run(300ms);
+        world.replaceHolder();
+    }
+    world.fewestListed = world.listed();
+    world.run(20s);
+    CHECK(world.fewestListed >= 108);
+    CHECK(world.count("a", true) >= 38);
+    CHECK(world.count("a", false) == 0);
+}
+
+// Guards against a node that held the duty early and takes spot instances for regular ones when it holds it again.
+TEST_CASE("test_spot_instances_are_never_counted_as_found")
+{
+    three_zones world(0.22);
+    world.run(20s);
+    instance_plan former(world.fleet());
+    former.decide(configurationWith(0.22), {}, instant(1h));
+    const auto again = former.decide(configurationWith(0.22), world.inForce(), instant(2h));
+    CHECK(again == world.inForce());
+}
+
 TEST_CASE("test_the_greatest_permitted_number_is_kept")
 {
     three_zones world(0.22, 40);
