Long prefixes get a copy in a second zone, and are fetched from engines that leave

Change: where the platform may reclaim a zone, a prompt whose prefix has no copy outside of the zone in which it was prefilled is decoded in another one, if that is not dearer than 0.15 s. An engine that has announced that it leaves can still be fetched from.

--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -35,6 +35,7 @@
     /// none.
     target_id fetchFrom;
     bool isFetching = false; ///< whether the target is expected to need the fetch
+    bool isRescuing = false; ///< the prefix is fetched from an engine that leaves, and no other has it
 };
 
 /// The state that placement reads; must outlive it.
@@ -65,6 +66,7 @@
     struct cached_prefix {
         target_id engine;
         std::int64_t tokens = 0;
+        bool isLeaving = false;
     };
 
     /// The targets that accept new requests now. Contains the target to avoid only if there is no other.
@@ -86,7 +88,7 @@
     /// of waiting.
     double pausePenaltySeconds(target_id id, double work, instant now);
     /// Fills m_prefixHolders with the engines that have some of the prompt's prefix cached.
-    void findPrefixHolders(const placement_query& query);
+    void findPrefixHolders(const placement_query& query, instant now);
     /// The engine from which `id` should fetch the prefix; 0 tokens if there is none.
     cached_prefix bestHolderFor(target_id id) const;
     /// Predicts the prefill of the prompt at an engine, with its prefix fetched from another engine where that saves
@@ -99,6 +101,9 @@
     /// so already.
     double addedBlockingSeconds(const target_choice& choice, instant now) const;
     double lateSlotPenaltySeconds(target_id id) const;
+    /// Whether the prompt's shared prefix is long, the instances of a whole zone may leave at once, and no engine of
+    /// another zone has the prefix cached.
+    bool isOnlyCopyIn(const std::string& zone, const serving_request& request) const;
     /// The share of the prompt that the engine has not cached.
     double uncachedShare(target_id id, const serving_request& request) const;
 
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -29,6 +29,11 @@
     /// memory as a fetch. In simulations one fleet earned 0.8927 of its requests' value at 0.06 and 0.8952 at 0.12; the
     /// other fleets differed by at most 0.002.
     constexpr double importPenaltySeconds = 0.12;
+    /// The cost of decoding in the availability zone in which the only copies of a long prefix are, if the instances of
+    /// a whole zone may leave at once. A prefix that has to be prefilled again makes its next request late.
+    constexpr double onlyZonePenaltySeconds = 0.15;
+    /// A shorter prefix is prefilled again in one step of an engine.
+    constexpr std::int64_t minSpreadTokens = 2048;
     /// Above this share of an engine's slots, all of them may be taken before the nodes have exchanged their loads. The
     /// weight is the cost of one full engine's worth of requests above it. In simulations two fleets earned 0.8865 and
     /// 0.921 of their requests' value at 0.7, and 0.8952 and 0.926 at 0.85.
@@ -197,15 +202,20 @@
     return latePenaltySeconds * (ownPauseShare + affected);
 }
 
-void placement::findPrefixHolders(const placement_query& query)
+void placement::findPrefixHolders(const placement_query& query, instant now)
 {
     m_prefixHolders.clear();
     if (!query.request.text)
         return;
-    for (const auto row : m_candidates) {
+    // An engine that leaves takes no requests, but its cached prefixes can be fetched until it is gone.
+    const auto& fleet = m_inputs.fleet;
+    for (const auto row : fleet.rowsOf(query.request.service)) {
+        const bool isLeaving = fleet.isDraining[row];
+        if (!isLeaving && !fleet.acceptsWork({ row }, now))
+            continue;
         const auto tokens = m_inputs.caches.fetchableTokens({ row }, *query.request.text);
         if (tokens > 0)
-            m_prefixHolders.push_back({ { row }, tokens });
+            m_prefixHolders.push_back({ { row }, tokens, isLeaving });
     }
 }
 
@@ -218,7 +228,8 @@
             continue;
         const bool isNearer = best.engine.isValid() && zone[holder.engine.value] == zone[id.value]
             && zone[best.engine.value] != zone[id.value];
-        if (holder.tokens > best.tokens || isNearer)
+        const bool isPreferred = holder.isLeaving == best.isLeaving ? isNearer : best.isLeaving;
+        if (holder.tokens > best.tokens || isPreferred)
             best = holder;
     }
     return best;
@@ -239,6 +250,7 @@
         if (holder.tokens > 0 && holder.tokens >= reusable)
             choice.fetchFrom = holder.engine;
         choice.isFetching = holder.tokens > reusable;
+        choice.isRescuing = choice.isFetching && holder.isLeaving;
         if (choice.isFetching)
             choice.transferSeconds = transferTime(holder.tokens - reusable, holder.engine, id);
         choice.work = prefillWork(std::max(reusable, holder.tokens), text.inputTokens);
@@ -299,7 +311,7 @@
 target_choice placement::chooseEngine(const placement_query& query, instant now)
 {
     const auto& fleet = m_inputs.fleet;
-    findPrefixHolders(query);
+    findPrefixHolders(query, now);
     target_choice best;
     double lowest = std::numeric_limits<double>::max();
     for (const auto row : m_candidates) {
@@ -317,7 +329,7 @@
             cost += pausePenaltySeconds(id, choice.work, now);
         if (!isPrefill)
             cost += slowdownWeight * occupancyShare(id) * m_inputs.queues.prefillSeconds(id, choice.work, now);
-        if (choice.isFetching)
+        if (choice.isFetching && !choice.isRescuing)
             cost += fetchPenaltySeconds;
         cost += occupancyPenaltySeconds(id) + connectionPenaltySeconds(id, now);
         if (choice.stage == attempt_stage::prefill)
@@ -340,10 +352,26 @@
     return 1 - reusable / static_cast<double>(request.text->inputTokens);
 }
 
+bool placement::isOnlyCopyIn(const std::string& zone, const serving_request& request) const
+{
+    const bool mayLoseZone = m_profile && m_profile->scaling && m_profile->scaling->spotPrice;
+    if (!mayLoseZone || !request.text || request.text->parts.size() < 2)
+        return false;
+    const auto& fleet = m_inputs.fleet;
+    const auto shared = request.text->inputTokens - request.text->parts.back().tokens;
+    if (shared < minSpreadTokens)
+        return false;
+    return std::none_of(m_candidates.begin(), m_candidates.end(), [&](std::uint32_t row) {
+        return fleet.zone[row] != zone && m_inputs.caches.reusableTokens({ row }, *request.text) >= shared;
+    });
+}
+
 target_choice placement::chooseDecode(const placement_query& query, target_id source, instant now)
 {
     const auto& fleet = m_inputs.fleet;
     candidates(query, now);
+    const auto& sourceZone = fleet.zone[source.value];
+    const bool mustSpread = isOnlyCopyIn(sourceZone, query.request);
     target_choice best;
     double lowest = std::numeric_limits<double>::max();
     for (const auto row : m_candidates) {
@@ -362,8 +390,10 @@
         cost += occupancyPenaltySeconds(id) + connectionPenaltySeconds(id, now);
         if (m_profile && m_pauses.excessSeconds(id, 0, *m_profile, now) > 0)
             cost += latePenaltySeconds * ownPauseShare;
-        if (fleet.zone[row] != fleet.zone[source.value])
+        if (fleet.zone[row] != sourceZone)
             cost += otherZonePenaltySeconds;
+        else if (mustSpread)
+            cost += onlyZonePenaltySeconds;
         cost += importPenaltySeconds * uncachedShare(id, query.request);
         if (cost >= lowest)
             continue;
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -525,3 +525,70 @@
     CHECK(late.empty());
     CHECK(world.decisions.held() == held);
 }
+
+namespace {
+
+/// Has the prompt prefilled at the engine that the dispatcher chooses, and decoded. Returns the engine of each stage.
+std::pair<std::string, std::string> serve(dispatch_world& world, serving_request request, instant now)
+{
+    const auto begun = begin(world, std::move(request), now);
+    command_list out;
+    world.decisions.attemptEnded(begun.id, begun.start.attempt, attempt_result::prefilled, "kv", now + 300ms, out);
+    const auto* decode = find<start_attempt>(out);
+    REQUIRE(decode);
+    command_list end;
+    world.decisions.firstByteReceived(begun.id, decode->attempt, now + 350ms);
+    world.decisions.attemptEnded(begun.id, decode->attempt, attempt_result::answered, {}, now + 400ms, end);
+    return { world.nameOf(begun.start.target), world.nameOf(decode->target) };
+}
+
+/// The sample configuration with engines of which the platform may reclaim those of a whole zone.
+std::shared_ptr<const serving_configuration> configurationWithSpotEngines()
+{
+    const auto sample = sampleConfiguration();
+    auto services = sample->services();
+    for (auto& service : services) {
+        if (service.engine)
+            service.scaling = instance_scaling { 1, 10, 4s, 0.2, {} };
+    }
+    return std::make_shared<const serving_configuration>(1, sample->routes(), services, sample->limits());
+}
+
+}
+
+// Guards against prefixes that are lost with their engine although it could still hand them out.
+TEST_CASE("test_prefix_is_fetched_from_an_engine_that_leaves")
+{
+    dispatch_world world;
+    world.addEngine("leaving", target_role::decode);
+    const auto first = begin(world, world.makePrompt(summary, 7, 13'000, 4'000), at(0s));
+    command_list out;
+    world.decisions.firstByteReceived(first.id, first.start.attempt, at(300ms));
+    world.decisions.attemptEnded(first.id, first.start.attempt, attempt_result::answered, {}, at(400ms), out);
+    auto draining = targetRecord("leaving", "engines", target_role::decode, 64);
+    draining.isDraining = true;
+    world.decisions.targetListed(draining);
+    world.addEngine("staying", target_role::decode);
+    const auto second = begin(world, world.makePrompt(summary, 7, 13'000, 4'000), at(500ms));
+    CHECK(world.nameOf(second.start.target) == "staying");
+    REQUIRE(second.start.fetchFrom.isValid());
+    CHECK(world.nameOf(second.start.fetchFrom) == "leaving");
+    world.decisions.targetGone("leaving", at(600ms));
+    CHECK_FALSE(begin(world, world.makePrompt(summary, 8, 13'000, 4'000), at(700ms)).start.fetchFrom.isValid());
+}
+
+// Guards against prefixes that are all lost when the spot engines of one zone are reclaimed.
+TEST_CASE("test_long_prefix_is_decoded_in_a_zone_that_has_no_copy")
+{
+    for (const bool areSpot : { true, false }) {
+        dispatch_world world;
+        if (areSpot)
+            world.configuration = configurationWithSpotEngines();
+        world.addEngine("prefill-a", target_role::prefill, "a");
+        world.addEngine("decode-a", target_role::decode, "a");
+        world.addEngine("decode-b", target_role::decode, "b");
+        const auto served = serve(world, world.makePrompt(summary, 7, 13'000, 4'000), at(0s));
+        CHECK(served.first == "prefill-a");
+        CHECK(served.second == (areSpot ? "decode-b" : "decode-a"));
+    }
+}
