--- a/libs/duties/include/duties/duty_statement.h
+++ b/libs/duties/include/duties/duty_statement.h
@@ -48,7 +48,10 @@
     duty_statement statement;
 };
 
-/// Key of the statement in the store. The newest few usage statements are kept.
+/// Number of usage statements that the store keeps; older ones are replaced.
+inline constexpr std::int64_t keptUsageStatements = 16;
+
+/// Key of the statement in the store.
 std::string dutyKey(const duty_statement& statement);
 /// JSON with a format number. Readers ignore fields that they do not know.
 std::string encodeDutyRecord(const duty_record& record);
--- a/libs/duties/src/duty_statement.cpp
+++ b/libs/duties/src/duty_statement.cpp
@@ -10,8 +10,6 @@
     using nlohmann::json;
 
     constexpr int recordFormat = 1;
-    /// More windows than can be due at a time.
-    constexpr std::int64_t keptUsageStatements = 8;
 
     json encode(const usage_statement& statement)
     {
--- a/libs/duties/tests/test_duty_statement.cpp
+++ b/libs/duties/tests/test_duty_statement.cpp
@@ -19,7 +19,8 @@
 
 TEST_CASE("test_statements_of_neighbouring_windows_have_different_keys")
 {
-    CHECK(dutyKey(usage_statement { 8, {} }) != dutyKey(usage_statement { 9, {} }));
+    for (std::int64_t other = 9; other < 8 + keptUsageStatements; ++other)
+        CHECK(dutyKey(usage_statement { 8, {} }) != dutyKey(usage_statement { other, {} }));
     CHECK(dutyKey(usage_statement { 8, {} }) != dutyKey(instance_statement {}));
 }
 
--- a/libs/gateway/src/duty_coordinator.cpp
+++ b/libs/gateway/src/duty_coordinator.cpp
@@ -31,7 +31,8 @@
     constexpr double stragglerShare = 0.45;
     /// A report is given up so long before it would be late.
     constexpr std::int64_t lastCallMilliseconds = 200;
-    constexpr std::int64_t maxDueWindows = 8;
+    /// Of older windows the store may not keep the statement any more.
+    constexpr std::int64_t maxDueWindows = keptUsageStatements - 2;
 
     exchange_options callOptions()
     {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -205,7 +205,7 @@
     , quarantine({ ports.store, decisions, log,
           [this](serving::command_list commands) { flows.execute(std::move(commands)); } })
     , usage(settings.vm, processId(), settings.reportsUsage ? settings.usageWindow : duration::zero(),
-          [this](const auto& nodes, const auto& reports) { peers.sendUsage(nodes, reports); })
+          settings.usageLateness, [this](const auto& nodes, const auto& reports) { peers.sendUsage(nodes, reports); })
     , duties({ client, ports.duties, ports.store, decisions, usage, counters, log, [this] { view.checkStoreReach(); } },
           settings, processId())
 {
--- a/libs/gateway/src/usage_collection.cpp
+++ b/libs/gateway/src/usage_collection.cpp
@@ -20,8 +20,6 @@
     constexpr duration reportInterval = 500ms;
     /// Reports that a collector receives per second; with more nodes they are sent less often.
     constexpr double maxReportsPerSecond = 200;
-    /// Ended windows that may still have to be reported.
-    constexpr int keptWindows = 3;
     /// Account names beyond those of the configuration in force.
     constexpr std::size_t maxFormerNames = 1000;
 
@@ -29,11 +27,13 @@
 
 }
 
-usage_collection::usage_collection(const std::string& vm, std::int64_t process, duration window, report_sender send)
+usage_collection::usage_collection(
+    const std::string& vm, std::int64_t process, duration window, duration lateness, report_sender send)
     : m_isEnabled(window > duration::zero())
     , m_windows(std::max<std::int64_t>(1, milliseconds(window)))
+    , m_keptWindows(static_cast<int>(m_windows.at(milliseconds(lateness))) + 1)
     , m_ownHash(serving::shortHash(vm))
-    , m_counter(m_ownHash, process, m_windows, keptWindows)
+    , m_counter(m_ownHash, process, m_windows, m_keptWindows)
     , m_send(std::move(send))
 {
 }
@@ -66,7 +66,7 @@
     m_lastWindow = window;
     const double crowded = static_cast<double>(alive.size() + 1) / maxReportsPerSecond;
     m_nextReportAt = now + std::max(reportInterval, fromSeconds(crowded));
-    m_ledger.forgetBefore(window - keptWindows);
+    m_ledger.forgetBefore(window - m_keptWindows);
     auto collectors = serving::platformDutyNodes(self, alive, collectorCount);
     std::vector<std::string> names;
     for (const auto& node : collectors)
--- a/libs/gateway/src/usage_collection.h
+++ b/libs/gateway/src/usage_collection.h
@@ -24,8 +24,10 @@
     using report_sender
         = std::function<void(const std::vector<serving::node_state>& to, const std::vector<usage_report>& reports)>;
 
-    /// `window` is the length of a window; zero: nothing is counted.
-    usage_collection(const std::string& vm, std::int64_t process, duration window, report_sender send);
+    /// `window` is the length of a window; zero: nothing is counted. `lateness` is the time for which counts are kept
+    /// after the end of their window.
+    usage_collection(
+        const std::string& vm, std::int64_t process, duration window, duration lateness, report_sender send);
 
     bool isEnabled() const { return m_isEnabled; }
     /// A target has begun to run a request of the account.
@@ -48,6 +50,7 @@
 private:
     bool m_isEnabled;
     usage_windows m_windows;
+    int m_keptWindows;
     std::uint32_t m_ownHash;
     usage_counter m_counter;
     usage_ledger m_ledger;
--- a/libs/gateway/tests/test_duty_coordinator.cpp
+++ b/libs/gateway/tests/test_duty_coordinator.cpp
@@ -47,7 +47,7 @@
     explicit duty_node(fake_platform& platform, std::string vm = "n1")
         : m_settings(settingsFor(platform, std::move(vm)))
         , m_decisions({ m_settings.vm, "a", 1, {}, {}, 1s })
-        , usage(m_settings.vm, 1, m_settings.usageWindow, [](const auto&, const auto&) {})
+        , usage(m_settings.vm, 1, m_settings.usageWindow, m_settings.usageLateness, [](const auto&, const auto&) {})
         , m_duties({ m_client, m_protocol, store, m_decisions, usage, m_counters, m_log, [this] { ++failedCalls; } },
               m_settings, 1)
     {
--- a/libs/serving/include/serving/duty_assignment.h
+++ b/libs/serving/include/serving/duty_assignment.h
@@ -17,8 +17,8 @@
 /// assigned, which costs a redundant call, so duties must be idempotent.
 bool isOnDuty(std::string_view duty, const node_state& self, const std::vector<node_state>& alive, std::size_t count);
 
-/// The nodes that may call the platform for the fleet, at most `count`, the one that is assigned first. Nodes with
-/// different views may assign different ones, so the calls need a lease.
+/// The nodes that may call the platform for the fleet, at most `count`, the one that is assigned first. Readers of the
+/// store come before the others. Nodes with different views may assign different ones, so the calls need a lease.
 std::vector<node_state> platformDutyNodes(
     const node_state& self, const std::vector<node_state>& alive, std::size_t count);
 
--- a/libs/serving/src/duty_assignment.cpp
+++ b/libs/serving/src/duty_assignment.cpp
@@ -25,10 +25,12 @@
 std::vector<node_state> platformDutyNodes(
     const node_state& self, const std::vector<node_state>& alive, std::size_t count)
 {
-    std::vector<std::pair<std::uint64_t, const node_state*>> ranked;
+    // After an outage of the store the other nodes find out one after the other that it is back. Each of them would
+    // take the duties over, and each change costs a lease.
+    std::vector<std::tuple<bool, std::uint64_t, const node_state*>> ranked;
     const auto rank = [&](const node_state& node) {
         if (node.isReady && !node.isStopping && node.storeReach == store_reach::reached)
-            ranked.emplace_back(rendezvousWeight(node.vm, platformDuties), &node);
+            ranked.emplace_back(node.readsForOthers, rendezvousWeight(node.vm, platformDuties), &node);
     };
     rank(self);
     for (const auto& node : alive) {
@@ -39,7 +41,7 @@
     std::partial_sort(ranked.begin(), end, ranked.end(), std::greater<>());
     std::vector<node_state> out;
     for (auto item = ranked.begin(); item != end; ++item)
-        out.push_back(*item->second);
+        out.push_back(*std::get<const node_state*>(*item));
     return out;
 }
 
--- a/libs/serving/tests/test_duty_assignment.cpp
+++ b/libs/serving/tests/test_duty_assignment.cpp
@@ -182,3 +182,31 @@
         }
     }
 }
+
+// Guards against a holder that changes with each node that finds the store again after an outage.
+TEST_CASE("test_platform_duties_stay_with_the_readers_of_the_store")
+{
+    std::vector<node_state> nodes;
+    for (int i = 0; i < 20; ++i) {
+        node_state node;
+        node.vm = "vm-" + std::to_string(i);
+        node.isReady = true;
+        node.storeReach = store_reach::lost;
+        nodes.push_back(node);
+    }
+    CHECK(platformDutyNodes(nodes[0], nodes, 3).empty());
+    nodes[3].readsForOthers = true;
+    nodes[3].storeReach = store_reach::reached;
+    for (auto& node : nodes) {
+        node.storeReach = store_reach::reached;
+        const auto assigned = platformDutyNodes(nodes[0], nodes, 3);
+        REQUIRE_FALSE(assigned.empty());
+        CHECK(assigned.front().vm == "vm-3");
+    }
+    nodes[3].isStopping = true;
+    const auto successors = platformDutyNodes(nodes[0], nodes, 3);
+    CHECK(successors.size() == 3);
+    CHECK(successors.front().vm != "vm-3");
+    for (const auto& node : nodes)
+        CHECK(platformDutyNodes(node, nodes, 1).front().vm == successors.front().vm);
+}
