Fleets of thousands of instances are not replaced by spot ones

In its first seconds 3,000 engines were replaced by 4,500, and all nodes have to learn of each one that comes or goes: 7.5 MB a second at the busiest node.

Change: where a zone has more than 100 regular instances, they are kept. Replacing such a fleet in steps is not built.

--- a/libs/scaling/src/instance_plan.cpp
+++ b/libs/scaling/src/instance_plan.cpp
@@ -17,6 +17,9 @@
     constexpr duration settleTime = 2s;
     /// Spot instances with their reserve must cost less than this share of the regular instances that they replace.
     constexpr double maxReplacementCost = 0.6;
+    /// Where a zone has more regular instances, they are kept: every node learns of each instance that comes or goes,
+    /// and the messages about thousands of them take up the nodes' links for many seconds.
+    constexpr int maxReplacedPerZone = 100;
     /// Regular instances are let go when this share of their replacements is listed.
     constexpr double minReplacedShare = 0.9;
 
@@ -72,6 +75,13 @@
         const auto zones = countInstances(service, inForce, state, now);
         if (!isSpotWorthwhile(*service.scaling, zones.size()))
             continue;
+        const bool isTooLarge = std::any_of(
+            zones.begin(), zones.end(), [](const auto& item) { return item.second.found > maxReplacedPerZone; });
+        if (isTooLarge) {
+            std::copy_if(inForce.begin(), inForce.end(), std::back_inserter(out),
+                [&](const auto& order) { return order.service == service.name; });
+            continue;
+        }
         const int found = std::accumulate(
             zones.begin(), zones.end(), 0, [](int sum, const auto& item) { return sum + item.second.found; });
         if (std::exchange(state.found, found) != found)
--- a/libs/scaling/tests/test_instance_plan.cpp
+++ b/libs/scaling/tests/test_instance_plan.cpp
@@ -232,6 +232,17 @@
     CHECK(again == world.inForce());
 }
 
+// Guards against thousands of changes of the target list at once, which all nodes have to learn.
+TEST_CASE("test_a_fleet_of_thousands_is_not_replaced")
+{
+    instance_world world(configurationWith(0.22, 2000));
+    for (const char* zone : { "a", "b", "c" })
+        world.addInitial(zone, 1000);
+    world.run(20s);
+    CHECK(world.listed() == 3000);
+    CHECK(world.count("a", true) == 0);
+}
+
 TEST_CASE("test_the_greatest_permitted_number_is_kept")
 {
     three_zones world(0.22, 40);
