Log what ends a request without an answer: stopped attempts and discarded input

Nothing in the logs told the hypotheses about LOST apart. An attempt that the dispatcher cancels left no line, so neither a target's silence nor a deadline could be seen; bytes that arrive on a connection which the node has closed were dropped without a line or a count; request_failed said cut and not why.

attempt_stopped has the reason, the silence and the number of events; input_discarded the reason of the close, the bytes and how long after the close they came; request_failed has the kind of the error in detail. Two counters by reason: tamarack_attempts_stopped_total, tamarack_input_discarded_total. tamarackctl failures and late read the new lines.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -28,6 +28,8 @@
     constexpr std::array<std::string_view, static_cast<std::size_t>(attempt_result::count)> resultNames { "answered",
         "prefilled", "unreached", "rejected", "misdirected", "failure_answer", "broken", "cut" };
     constexpr std::array<std::string_view, 3> stageNames { "whole", "prefill", "decode" };
+    constexpr std::array<std::string_view, static_cast<std::size_t>(serving::stop_reason::count)> stopNames { "silent",
+        "refused", "caller_gone" };
     constexpr std::array<std::string_view, static_cast<std::size_t>(flow_end::count)> endNames { "answered",
         "target_failure", "refused", "cut", "caller_gone" };
 
@@ -160,6 +162,7 @@
             { "urgency", command.urgency }, { "left_ms", milliseconds(command.timeLeft) } });
     const auto& address = fleet.address[command.target.value];
     attempt->startedAt = boot_clock::now();
+    attempt->lastBytesAt = attempt->startedAt;
     attempt->exchange = m_services.client.start(
         parseEndpoint(address), m_services.targets.attempt(m_request, specOf(command)), options, std::move(handlers));
 }
@@ -175,6 +178,7 @@
 {
     if (attempt != m_attempt)
         return;
+    attempt->lastBytesAt = boot_clock::now();
     attempt->answer = m_services.targets.decode(head);
     if (const auto& load = attempt->answer.load)
         m_services.decisions.updateTargetLoad(
@@ -195,6 +199,7 @@
 {
     if (attempt != m_attempt)
         return;
+    attempt->lastBytesAt = boot_clock::now();
     if (isEventStream(attempt)) {
         attempt->splitter.feed(bytes, [&](const stream_event& event) { onEvent(attempt, event); });
         return applyBackPressure();
@@ -359,13 +364,20 @@
         m_on.onAttemptEnded(attempt->command.attempt, result, cacheName);
 }
 
-void caller_flow::stop(attempt_id attempt)
+void caller_flow::stop(attempt_id attempt, serving::stop_reason reason)
 {
     if (!m_attempt || m_attempt->command.attempt != attempt)
         return;
     m_attempt->exchange->cancel();
-    // The connection may be dead rather than the target, in which case the other pooled connections are dead as well.
     const auto& fleet = m_services.decisions.fleet();
+    m_services.counters.count("tamarack_attempts_stopped_total", { { "reason", nameOf(stopNames, reason) } });
+    m_services.log.write(log_event::attempt_stopped,
+        { { "request", m_decoded.id }, { "digest", m_digest },
+            { "target", fleet.instance[m_attempt->command.target.value] },
+            { "stage", nameOf(stageNames, m_attempt->command.stage) }, { "reason", nameOf(stopNames, reason) },
+            { "silent_ms", millisecondsSince(m_attempt->lastBytesAt) }, { "events", m_events },
+            { "took_ms", millisecondsSince(m_attempt->startedAt) } });
+    // The connection may be dead rather than the target, in which case the other pooled connections are dead as well.
     m_services.client.closeIdleConnections(parseEndpoint(fleet.address[m_attempt->command.target.value]));
     m_attempt = nullptr;
 }
@@ -378,7 +390,7 @@
     if (m_caller->hasStarted()) {
         // The head has been sent already, so only the truncated body can signal that the response is incomplete.
         m_caller->abortWhenWritten();
-        return finish(flow_end::cut);
+        return finish(flow_end::cut, answerFor(kind).type);
     }
     m_services.log.write(log_event::request_refused,
         { { "request", m_decoded.id }, { "route", m_routeName }, { "kind", answerFor(kind).type },
@@ -395,7 +407,7 @@
     TAMARACK_ASSERT(m_failure != nullptr, "a failure response must exist before it is forwarded");
     if (m_caller->hasStarted()) {
         m_caller->abortWhenWritten();
-        return finish(flow_end::cut);
+        return finish(flow_end::cut, "failure answer");
     }
     const auto& answer = m_failure->answer;
     m_caller->sendWhole({ answer.status, answer.forCaller, m_failure->body });
@@ -404,7 +416,7 @@
 
 void caller_flow::abandon() { finish(flow_end::caller_gone); }
 
-void caller_flow::finish(flow_end end)
+void caller_flow::finish(flow_end end, std::string_view detail)
 {
     if (m_isFinished)
         return;
@@ -421,7 +433,8 @@
                 { "longest_pause_ms", milliseconds(m_longestGap) } });
     } else if (end != flow_end::refused) {
         m_services.log.write(log_event::request_failed,
-            { { "request", m_decoded.id }, { "route", m_routeName }, { "outcome", name }, { "first_ms", m_firstMs },
+            { { "request", m_decoded.id }, { "route", m_routeName }, { "outcome", name },
+                { "detail", std::string(detail) }, { "first_ms", m_firstMs },
                 { "took_ms", millisecondsSince(m_startedAt) }, { "events", m_events }, { "attempts", m_attempts },
                 { "longest_pause_ms", milliseconds(m_longestGap) } });
     }
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -50,7 +50,7 @@
     void logAccepted(const serving::serving_request& request);
     void bind(request_id id, callbacks handlers);
     void start(const serving::start_attempt& command);
-    void stop(attempt_id attempt);
+    void stop(attempt_id attempt, serving::stop_reason reason);
     void refuse(error_kind kind, duration retryAfter);
     void forwardFailure();
     /// Ends the flow after the caller has disconnected and its attempt was cancelled.
@@ -69,6 +69,7 @@
         event_splitter splitter;
         bool isRelayed = false; // part of the response was sent to the caller
         instant startedAt;
+        instant lastBytesAt; // startedAt until the first bytes of the answer
         std::int64_t firstMs = -1; // time from the start of the attempt to the first event of a stream; -1: none yet
         std::string failureReason;
     };
@@ -85,7 +86,8 @@
     void relayBuffered(const attempt_ptr& attempt);
     void beginAnswer(const attempt_ptr& attempt);
     void conclude(const attempt_ptr& attempt, serving::attempt_result result, const std::string& cacheName = {});
-    void finish(flow_end end);
+    /// `detail` says why, for the log.
+    void finish(flow_end end, std::string_view detail = {});
     /// Updates the event count, the time to the first event and the longest gap; called for each event sent to the
     /// caller.
     void recordEvent();
--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -115,7 +115,7 @@
             flow->start(*start);
     } else if (const auto* stop = std::get_if<serving::stop_attempt>(&command)) {
         if (const auto flow = find(stop->request))
-            flow->stop(stop->attempt);
+            flow->stop(stop->attempt, stop->reason);
     } else if (const auto* refusal = std::get_if<serving::refuse_request>(&command)) {
         if (const auto flow = find(refusal->request))
             flow->refuse(refusal->kind, refusal->retryAfter);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -89,6 +89,7 @@
     void logReadiness();
     void logLostPeers(const std::vector<serving::lost_node>& lost);
     void logHealth(const serving::health_change& change);
+    void logDiscarded(const discarded_input& input);
 
     gateway_settings settings;
     gateway_ports ports;
@@ -195,7 +196,8 @@
           },
           [this](error_kind kind, std::string_view detail) {
               return ports.callers.refusal(kind, detail, answerFor(kind).retryAfter);
-          })
+          },
+          [this](const discarded_input& input) { logDiscarded(input); })
     , pages({ ports.callers, nodes, counters, [this] { return self(); }, [this] { return encodedState(); },
           [this] { return encodeState(view.exportConfiguration()); },
           [this] { return encodeCaches(caches.snapshot(boot_clock::now())); },
@@ -470,6 +472,15 @@
             { "for_ms", milliseconds(change.blockedFor) } });
 }
 
+void gateway::state::logDiscarded(const discarded_input& input)
+{
+    const auto reason = std::string(toString(input.reason));
+    counters.count("tamarack_input_discarded_total", { { "reason", reason } });
+    log.write(log_event::input_discarded,
+        { { "reason", reason }, { "bytes", static_cast<std::int64_t>(input.bytes) },
+            { "delay_ms", milliseconds(input.delay) } });
+}
+
 void gateway::state::logReadiness()
 {
     if (wasReady == isReady())
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -8,6 +8,7 @@
 #include <QHostAddress>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace tamarack {
 
@@ -23,6 +24,26 @@
     until_close ///< by the end of the connection
 };
 
+/// Why the server has closed a connection.
+enum class close_reason : unsigned char {
+    idle, ///< no request came within the idle timeout
+    drained, ///< the server is stopping
+    answered, ///< the last response announced the close
+    refused, ///< the input was malformed or exceeded a limit
+    truncated, ///< the response ended early
+    count
+};
+
+std::string_view toString(close_reason);
+
+/// Input that arrived on a connection that the server had closed. It is not processed.
+struct discarded_input {
+    close_reason reason = close_reason::idle;
+    std::size_t bytes = 0;
+    /// From the close to the first of these bytes; zero if they had arrived before the close.
+    duration delay = duration::zero();
+};
+
 /// Writes one response. Every call is safe after the caller has disconnected and has no effect then.
 /// Threading: the event loop's thread only.
 class response_writer {
@@ -78,8 +99,11 @@
     using request_handler = std::function<void(http_request, std::shared_ptr<response_writer>)>;
     /// Creates the response to input that is malformed or exceeds a limit.
     using refusal_handler = std::function<http_response(error_kind, std::string_view detail)>;
+    /// Called at the end of a connection on which input was discarded.
+    using discard_handler = std::function<void(const discarded_input&)>;
 
-    http_server(http_server_limits limits, request_handler onRequest, refusal_handler onRefusal);
+    http_server(http_server_limits limits, request_handler onRequest, refusal_handler onRefusal,
+        discard_handler onDiscarded = {});
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -4,6 +4,7 @@
 #include "server_connection.h"
 
 #include <QTcpServer>
+#include <array>
 #include <unistd.h>
 
 namespace tamarack {
@@ -91,12 +92,21 @@
     }
 };
 
-http_server::http_server(http_server_limits limits, request_handler onRequest, refusal_handler onRefusal)
+std::string_view toString(close_reason reason)
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t>(close_reason::count)> names { "idle", "drained",
+        "answered", "refused", "truncated" };
+    return names[static_cast<std::size_t>(reason)];
+}
+
+http_server::http_server(
+    http_server_limits limits, request_handler onRequest, refusal_handler onRefusal, discard_handler onDiscarded)
     : m_state(std::make_unique<state>())
 {
     m_state->shared->limits = limits;
     m_state->shared->onRequest = std::move(onRequest);
     m_state->shared->onRefusal = std::move(onRefusal);
+    m_state->shared->onDiscarded = std::move(onDiscarded);
     m_state->server.onAccepted = [this](int descriptor) { m_state->accepted(descriptor); };
 }
 
@@ -121,7 +131,7 @@
     for (QObject* child : m_state->connections.children()) {
         auto* connection = static_cast<detail::server_connection*>(child);
         if (connection->isIdle())
-            connection->closeGracefully();
+            connection->closeGracefully(close_reason::drained);
     }
 }
 
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -78,7 +78,7 @@
 {
     const auto end = m_socket.read(m_input);
     if (m_isLingering)
-        m_input.clear();
+        discardInput();
     if (end != stream_end::none)
         return handleClosed();
     if (m_writer && m_input.size() > maxPipelinedBytes)
@@ -132,6 +132,7 @@
     m_timer.stop();
     updateBodyBytes(0);
     m_keepsAlive = false;
+    m_isRefusing = true;
     m_input.clear();
     m_writer = std::make_shared<response_writer>(this);
     const auto writer = m_writer;
@@ -147,7 +148,7 @@
     const auto state = m_reader.state();
     if (state == reader_state::head || state == reader_state::body)
         return refuse(error_kind::request_timeout, "the rest of the request did not come");
-    closeGracefully();
+    closeGracefully(close_reason::idle);
 }
 
 void server_connection::sendHead(const http_response_head& head, response_framing framing, std::uint64_t length)
@@ -206,7 +207,7 @@
     detachWriter();
     if (m_keepsAlive)
         return readNextRequest();
-    closeGracefully();
+    closeGracefully(m_isRefusing ? close_reason::refused : close_reason::answered);
 }
 
 void server_connection::readNextRequest()
@@ -229,23 +230,36 @@
     // A response that is delimited by the end of the connection needs a reset, since an orderly close would make it
     // look complete. With any other framing the caller detects the missing part.
     if (whenWritten && m_framing != response_framing::until_close)
-        return closeGracefully();
+        return closeGracefully(close_reason::truncated);
     m_socket.reset();
     deleteLater();
 }
 
-void server_connection::closeGracefully()
+void server_connection::closeGracefully(close_reason reason)
 {
     m_isLingering = true;
-    m_input.clear();
+    m_closedAt = boot_clock::now();
+    m_discarded.reason = reason;
+    discardInput();
     m_socket.finishWriting();
     m_socket.setReading(true);
     m_timer.start(lingerTime);
 }
 
+void server_connection::discardInput()
+{
+    if (m_discarded.bytes == 0)
+        m_discarded.delay = boot_clock::now() - m_closedAt;
+    m_discarded.bytes += m_input.size();
+    m_input.clear();
+}
+
 void server_connection::handleClosed()
 {
     m_timer.stop();
+    if (m_discarded.bytes > 0 && m_shared->onDiscarded)
+        m_shared->onDiscarded(m_discarded);
+    m_discarded.bytes = 0;
     m_socket.reset();
     if (const auto writer = detachWriter(); writer && writer->onClosed)
         writer->onClosed();
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -15,6 +15,7 @@
     http_server_limits limits;
     http_server::request_handler onRequest;
     http_server::refusal_handler onRefusal;
+    http_server::discard_handler onDiscarded;
     int connections = 0;
     std::uint64_t totalBodyBytes = 0; ///< size of all bodies being received
     bool isDraining = false;
@@ -34,7 +35,7 @@
     void abortAnswer(bool whenWritten);
     bool isIdle() const { return !m_writer && m_reader.state() == reader_state::empty && !m_isLingering; }
     /// Closes the connection with an orderly TCP shutdown after all queued bytes have been sent.
-    void closeGracefully();
+    void closeGracefully(close_reason reason);
 
 private:
     void onReadable() override;
@@ -50,6 +51,7 @@
     void readNextRequest();
     void updateBodyBytes(std::size_t buffered);
     void handleClosed();
+    void discardInput();
     std::shared_ptr<response_writer> detachWriter();
 
     std::shared_ptr<server_shared> m_shared;
@@ -66,6 +68,9 @@
     bool m_isHttp10 = false;
     bool m_isHead = false; // the response to HEAD has no body
     bool m_sentContinue = false;
+    bool m_isRefusing = false; // the response says that the input was malformed or exceeded a limit
+    discarded_input m_discarded; // its reason is set once the connection lingers
+    instant m_closedAt; // begin of the lingering
     bool m_isLingering = false; // the response is complete; further bytes of the caller are discarded
 };
 
--- a/libs/http/tests/test_http_server.cpp
+++ b/libs/http/tests/test_http_server.cpp
@@ -1,6 +1,10 @@
 // Tests of the HTTP server with callers that are slow, idle, or send requests with ambiguous framing.
 #include "http_fixture.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace tamarack;
 using namespace tamarack::tests;
 using namespace std::chrono_literals;
@@ -10,6 +14,7 @@
 /// A server that counts the requests passed to its handler, and responds to refused input with the status of the error.
 struct counting_server {
     int requests = 0;
+    std::vector<discarded_input> discarded;
     http_server server;
 
     explicit counting_server(http_server_limits limits = {})
@@ -21,7 +26,8 @@
             },
             [](error_kind kind, std::string_view detail) {
                 return http_response { answerFor(kind).status, {}, std::string(detail) };
-            })
+            },
+            [this](const discarded_input& input) { discarded.push_back(input); })
     {
         REQUIRE(server.listen(QHostAddress::LocalHost, 0));
     }
@@ -105,6 +111,54 @@
     CHECK(server.requests == 1);
 }
 
+namespace {
+
+/// A connection that sends although the server has closed its side; QTcpSocket closes its own side then.
+class late_sender {
+public:
+    explicit late_sender(quint16 port)
+        : m_descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::connect(m_descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    }
+    ~late_sender() { ::close(m_descriptor); }
+    late_sender(const late_sender&) = delete;
+    late_sender& operator=(const late_sender&) = delete;
+    void send(std::string_view bytes) const
+    {
+        REQUIRE(::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+    }
+
+private:
+    int m_descriptor;
+};
+
+}
+
+TEST_CASE("test_input_that_arrives_after_the_close_is_reported")
+{
+    counting_server server;
+    const late_sender caller(server.server.port());
+    const std::string request = "GET /late HTTP/1.1\r\nHost: x\r\n\r\n";
+    bool isReported = false;
+    QTimer poll;
+    QObject::connect(&poll, &QTimer::timeout, [&] {
+        server.server.closeIdle();
+        isReported = !server.discarded.empty();
+    });
+    poll.start(1);
+    QTimer::singleShot(200, [&] { caller.send(request); });
+    spin(isReported);
+    CHECK(server.requests == 0);
+    CHECK(server.discarded.front().reason == close_reason::drained);
+    CHECK(server.discarded.front().bytes == request.size());
+    CHECK(server.discarded.front().delay > 100ms);
+}
+
 TEST_CASE("test_draining_server_announces_the_close_of_the_connection")
 {
     counting_server server;
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -69,6 +69,8 @@
     request_without_route,
     request_denied,
     attempt_failed,
+    attempt_stopped,
+    input_discarded,
     foreign_answer_dropped,
     request_taken,
     request_waits,
--- a/libs/observe/src/late_summary.cpp
+++ b/libs/observe/src/late_summary.cpp
@@ -68,7 +68,7 @@
         if (request.attempts.empty())
             return;
         auto& attempt = request.attempts.back();
-        attempt.hasFailed = line.is("attempt_failed");
+        attempt.hasFailed = !line.is("attempt_ended");
         const bool isPrefill = attempt.stage == "prefill";
         attempt.tookMs = line.number(isPrefill || line.number("first_ms") < 0 ? "took_ms" : "first_ms");
     }
@@ -103,7 +103,7 @@
                 continue; // its request_taken line is not in the files
             if (line.is("attempt_started"))
                 recordAttemptStart(found->second, line);
-            if (line.is("attempt_ended") || line.is("attempt_failed"))
+            if (line.is("attempt_ended") || line.is("attempt_failed") || line.is("attempt_stopped"))
                 recordAttemptEnd(found->second, line);
             if (line.is("request_ended"))
                 recordRequestEnd(found->second, line);
--- a/libs/observe/src/log_story.cpp
+++ b/libs/observe/src/log_story.cpp
@@ -46,6 +46,8 @@
 
     std::string causeOf(const logged_line& attempt)
     {
+        if (attempt.is("attempt_stopped"))
+            return attempt.text("stage") + " stopped (" + attempt.text("reason") + ")";
         auto cause = attempt.text("stage") + " " + attempt.text("result");
         if (const auto reason = attempt.text("reason"); !reason.empty())
             cause += " (" + reason + ")";
@@ -100,7 +102,7 @@
         if (line.is("lines_left_out"))
             leftOut += line.fields.value("lines", 0);
         taken += line.is("request_taken");
-        if (line.is("attempt_failed"))
+        if (line.is("attempt_failed") || line.is("attempt_stopped"))
             attempts[id] = causeOf(line);
         const bool isRefusal = line.is("request_refused");
         if (!isRefusal && !line.is("request_failed") && !line.is("request_without_route") && !line.is("request_denied"))
--- a/libs/serving/include/serving/serving_request.h
+++ b/libs/serving/include/serving/serving_request.h
@@ -71,10 +71,18 @@
     bool isLate = false; ///< the request cannot meet its aim any more
 };
 
+enum class stop_reason : unsigned char {
+    silent, ///< the target has sent nothing for too long, and the request goes elsewhere
+    refused, ///< the request ends with an error, such as at its deadline
+    caller_gone,
+    count
+};
+
 /// Cancel the attempt, because its answer is not needed any more.
 struct stop_attempt {
     request_id request;
     attempt_id attempt;
+    stop_reason reason = stop_reason::refused;
 };
 
 /// Answer the request with an error now; this ends it.
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -61,7 +61,7 @@
     const request_id id = m_book.idOf(row);
     const auto attempt = m_book.current[row].id;
     if (attempt.isValid())
-        out.push_back(stop_attempt { id, attempt });
+        out.push_back(stop_attempt { id, attempt, stop_reason::refused });
     remove(row, out);
     out.push_back(refuse_request { id, kind, retryAfter });
 }
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -347,7 +347,7 @@
         return;
     const auto attempt = m_book.current[static_cast<std::size_t>(row)].id;
     if (attempt.isValid())
-        out.push_back(stop_attempt { request, attempt });
+        out.push_back(stop_attempt { request, attempt, stop_reason::caller_gone });
     abandonAttempt(static_cast<std::size_t>(row), now);
     remove(static_cast<std::size_t>(row), out);
     dispatch(now, out);
@@ -388,7 +388,7 @@
     if (couldRun && (!m_book.request[row].route->isRepeatable || !mayRetry(row, now)))
         return;
     // The target has been silent for far longer than expected, so the request is better sent to another one.
-    out.push_back(stop_attempt { m_book.idOf(row), current.id });
+    out.push_back(stop_attempt { m_book.idOf(row), current.id, stop_reason::silent });
     abandonAttempt(row, now);
     m_connections.forget(current.target); // the connection may be the cause of the silence
     handleAttemptResult(
