Tests that fail: requests that end without an answer, beside versions and silent targets

Eight tests of the two ways by which a request that was read whole ends without an answer.

- libs/http: a connection waits by the idle timeout that held when it began to wait, whatever was set since; no answer says how long its connection is kept; a request that has arrived is discarded when idle connections are closed; the next request on a kept connection is read by limits of before.
- libs/serving: a silent target is let go before another one has room, and then the stream is cut, or the request goes to the same target again; a stream that broke off is cut if no engine has room at that moment.

--- a/libs/http/tests/test_http_server.cpp
+++ b/libs/http/tests/test_http_server.cpp
@@ -3,6 +3,7 @@
 
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace tamarack;
@@ -159,6 +160,122 @@
     CHECK(server.discarded.front().delay > 100ms);
 }
 
+namespace {
+
+/// A caller that sends requests on one connection, each after a given time. Collects what the server answers.
+struct kept_connection {
+    QTcpSocket socket;
+    QByteArray received;
+    bool isClosed = false;
+
+    explicit kept_connection(quint16 port)
+    {
+        QObject::connect(&socket, &QTcpSocket::readyRead, [this] { received += socket.readAll(); });
+        QObject::connect(&socket, &QTcpSocket::disconnected, [this] { isClosed = true; });
+        socket.connectToHost(QHostAddress::LocalHost, port);
+    }
+    void send(const QByteArray& path, const QByteArray& body = {})
+    {
+        socket.write("POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + QByteArray::number(body.size())
+            + "\r\n\r\n" + body);
+    }
+    int answers() const { return received.count("HTTP/1.1 200"); }
+    void waitForAnswers(int wanted)
+    {
+        bool isDone = false;
+        QTimer poll;
+        QObject::connect(&poll, &QTimer::timeout, [&] { isDone = answers() >= wanted || isClosed; });
+        poll.start(1);
+        spin(isDone);
+    }
+};
+
+void wait(std::chrono::milliseconds length)
+{
+    bool isOver = false;
+    QTimer::singleShot(length, [&] { isOver = true; });
+    spin(isOver);
+}
+
+}
+
+TEST_CASE("test_waiting_connections_are_kept_for_a_raised_idle_timeout")
+{
+    // Guards against requests that cross the close of a connection which callers may still use.
+    http_server_limits limits;
+    limits.idleTimeout = 400ms;
+    counting_server server(limits);
+    kept_connection used(server.server.port());
+    kept_connection fresh(server.server.port());
+    used.send("/first");
+    used.waitForAnswers(1);
+    limits.idleTimeout = 4s;
+    server.server.setLimits(limits);
+    wait(1900ms);
+    used.send("/second");
+    fresh.send("/only");
+    used.waitForAnswers(2);
+    fresh.waitForAnswers(1);
+    CHECK(used.answers() == 2);
+    CHECK(fresh.answers() == 1);
+}
+
+TEST_CASE("test_connections_are_kept_for_as_long_as_the_last_answer_says")
+{
+    // Guards against requests that cross the close of a connection after the idle timeout was lowered.
+    http_server_limits limits;
+    limits.idleTimeout = 2500ms;
+    counting_server server(limits);
+    kept_connection caller(server.server.port());
+    caller.send("/first");
+    caller.waitForAnswers(1);
+    CHECK(caller.received.contains("Keep-Alive: timeout=2\r\n"));
+    limits.idleTimeout = 100ms;
+    server.server.setLimits(limits);
+    wait(1900ms);
+    caller.send("/second");
+    caller.waitForAnswers(2);
+    CHECK(caller.answers() == 2);
+    CHECK(server.discarded.empty());
+}
+
+TEST_CASE("test_request_that_has_arrived_when_idle_connections_are_closed_is_answered")
+{
+    // Guards against a request that a stopping server discards although it has arrived.
+    counting_server server;
+    kept_connection caller(server.server.port());
+    caller.send("/first");
+    caller.waitForAnswers(1);
+    caller.send("/second");
+    caller.socket.flush();
+    std::this_thread::sleep_for(20ms);
+    server.server.beginDrain();
+    server.server.closeIdle();
+    caller.waitForAnswers(2);
+    CHECK(caller.answers() == 2);
+    CHECK(caller.received.contains("Connection: close"));
+}
+
+TEST_CASE("test_limits_apply_to_the_next_request_on_a_kept_connection")
+{
+    // Guards against requests that are refused by limits which are no longer in force.
+    http_server_limits limits;
+    limits.bodyBytes = 100;
+    counting_server server(limits);
+    kept_connection used(server.server.port());
+    kept_connection fresh(server.server.port());
+    used.send("/first");
+    used.waitForAnswers(1);
+    limits.bodyBytes = 1000;
+    server.server.setLimits(limits);
+    used.send("/second", QByteArray(500, 'b'));
+    fresh.send("/only", QByteArray(500, 'b'));
+    used.waitForAnswers(2);
+    fresh.waitForAnswers(1);
+    CHECK(used.answers() == 2);
+    CHECK(fresh.answers() == 1);
+}
+
 TEST_CASE("test_draining_server_announces_the_close_of_the_connection")
 {
     counting_server server;
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -511,6 +511,87 @@
     CHECK(again->target != request.start.target);
 }
 
+namespace {
+
+/// Ticks every 20 ms up to `until`.
+command_list tickUntil(dispatch_world& world, duration from, duration until)
+{
+    command_list out;
+    for (auto now = from; now <= until; now += 20ms)
+        world.decisions.tick(at(now), out);
+    return out;
+}
+
+}
+
+TEST_CASE("test_silent_target_keeps_its_request_while_no_other_has_room")
+{
+    // Guards against a stream that ends in its middle because a sound engine was silent for some seconds.
+    dispatch_world world;
+    world.addEngine("d1", target_role::decode);
+    const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
+    world.decisions.firstByteReceived(request.id, request.start.attempt, at(100ms));
+    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.streamEventReceived(request.id, request.start.attempt, at(100ms));
+    CHECK(tickUntil(world, 100ms, 4s).empty());
+    CHECK(world.decisions.isCurrent(request.id, request.start.attempt));
+    command_list out;
+    world.decisions.streamEventReceived(request.id, request.start.attempt, at(4s));
+    world.decisions.attemptEnded(request.id, request.start.attempt, attempt_result::answered, {}, at(4s), out);
+    CHECK(out.empty());
+    CHECK(world.decisions.held() == 0);
+}
+
+TEST_CASE("test_silent_target_keeps_a_call_while_no_other_has_room")
+{
+    // Guards against a call that is refused although the silent target would have answered it in time.
+    dispatch_world world;
+    world.addPlain("p1");
+    const auto request = begin(world, world.make(lookUp), at(0s));
+    CHECK(tickUntil(world, 20ms, 500ms).empty());
+    command_list out;
+    world.decisions.attemptEnded(request.id, request.start.attempt, attempt_result::answered, {}, at(510ms), out);
+    CHECK(out.empty());
+    CHECK(world.decisions.held() == 0);
+}
+
+TEST_CASE("test_silent_reader_keeps_its_prompt_while_no_other_has_room")
+{
+    // Guards against a prompt that is refused although the silent engine would have prefilled it in time.
+    dispatch_world world;
+    world.addEngine("p1", target_role::prefill);
+    const auto request = begin(world, world.makePrompt(summary, 7, 13'000, 4'000), at(0s));
+    REQUIRE(request.start.stage == attempt_stage::prefill);
+    CHECK(tickUntil(world, 100ms, 5s).empty());
+    CHECK(world.decisions.isCurrent(request.id, request.start.attempt));
+}
+
+TEST_CASE("test_stream_that_was_cut_waits_for_room")
+{
+    // Guards against a stream that ends in its middle because all engines are full at the moment of a failure.
+    dispatch_world world;
+    world.addEngine("d1", target_role::decode, "a", 1);
+    world.addEngine("d2", target_role::decode, "a", 1);
+    const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
+    world.decisions.firstByteReceived(request.id, request.start.attempt, at(100ms));
+    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.streamEventReceived(request.id, request.start.attempt, at(100ms));
+    std::vector<started_request> others;
+    for (int i = 0; i < 3; ++i)
+        others.push_back(begin(world, world.makePrompt(tag, 8, 90, 290), at(110ms)));
+    command_list out;
+    world.decisions.attemptEnded(request.id, request.start.attempt, attempt_result::cut, {}, at(300ms), out);
+    CHECK(find<refuse_request>(out) == nullptr);
+    out = tickUntil(world, 320ms, 900ms);
+    CHECK(find<refuse_request>(out) == nullptr);
+    out.clear();
+    for (const auto& other : others)
+        world.decisions.attemptEnded(other.id, other.start.attempt, attempt_result::answered, {}, at(1s), out);
+    const auto* again = find<start_attempt>(out);
+    REQUIRE(again);
+    CHECK(again->request == request.id);
+}
+
 TEST_CASE("test_events_of_attempts_that_are_over_have_no_effect")
 {
     dispatch_world world;
