Keep connections for as long as their callers may expect

What callers saw: a request on a connection that the text in force still allowed to use got neither an answer nor a refusal.

Cause: the idle timer ran with the timeout that held when the connection began to wait. A version that changed idleTimeoutMs reached no running timer, so after a raise callers reused connections that the node was closing, and a request that crossed the close was read and discarded. No answer said how long its connection is kept, so callers had nothing but the text, which they and the node come to know at different moments.

Change: an answer states the timeout in Keep-Alive, in whole seconds; a waiting connection is kept for the longest of that, the timeout when it began to wait, and any later one, and for a second more, for what is on its way.

--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -90,7 +90,8 @@
     duration headerTimeout = std::chrono::seconds(30);
     /// Maximum time without received bytes in the middle of a body.
     duration bodyReadTimeout = std::chrono::seconds(10);
-    /// A connection on which no request has started is closed after this time.
+    /// A connection on which no request has started is kept for this time, and for as long as the last response on it
+    /// says in `Keep-Alive`, which is this time in whole seconds when that response begins.
     duration idleTimeout = std::chrono::seconds(120);
 };
 
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -122,7 +122,12 @@
 
 void http_server::stopListening() { m_state->server.close(); }
 
-void http_server::setLimits(const http_server_limits& limits) { m_state->shared->limits = limits; }
+void http_server::setLimits(const http_server_limits& limits)
+{
+    m_state->shared->limits = limits;
+    for (QObject* child : m_state->connections.children())
+        static_cast<detail::server_connection*>(child)->limitsChanged();
+}
 
 void http_server::beginDrain() { m_state->shared->isDraining = true; }
 
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -1,6 +1,7 @@
 // Implements the server side of a connection with request_reader on top of stream_socket.
 #include "server_connection.h"
 
+#include <algorithm>
 #include <boost/beast/http/status.hpp>
 #include <cstdio>
 
@@ -13,6 +14,9 @@
     /// Time for the caller to read the response and close the connection. If the server closed at once while bytes of
     /// the caller are in transit, the kernel would send a reset, which can overtake the response.
     constexpr auto lingerTime = 1s;
+    /// Added to the time for which a connection is kept, so that a request which the caller sends at the end of that
+    /// time still arrives on an open connection.
+    constexpr duration idleMargin = 1s;
     /// Maximum bytes of further requests to buffer while one is being handled. Beyond this limit, reading stops and a
     /// disconnect of the caller is no longer detected. A caller that waits for its responses does not reach it.
     constexpr std::size_t maxPipelinedBytes = 64 * 1024;
@@ -56,7 +60,7 @@
     ++m_shared->connections;
     m_timer.setSingleShot(true);
     connect(&m_timer, &QTimer::timeout, this, [this] { onTimeout(); });
-    m_timer.start(milliseconds(m_shared->limits.idleTimeout));
+    beginIdle();
 }
 
 server_connection::~server_connection()
@@ -168,6 +172,10 @@
         appendHeader(text, "Content-Length", std::to_string(length));
     if (!m_keepsAlive && !head.headers.has("Connection"))
         appendHeader(text, "Connection", "close");
+    const auto idleSeconds = std::chrono::floor<std::chrono::seconds>(m_shared->limits.idleTimeout);
+    m_announcedIdle = m_keepsAlive ? idleSeconds : 0s;
+    if (m_announcedIdle > 0s)
+        appendHeader(text, "Keep-Alive", "timeout=" + std::to_string(idleSeconds.count()));
     if (isBodiless)
         m_framing = response_framing::no_body;
     m_bodyBytesLeft = length;
@@ -216,12 +224,34 @@
     m_sentContinue = false;
     m_framing = response_framing::no_body;
     m_socket.setReading(true);
-    m_timer.start(milliseconds(m_shared->limits.idleTimeout));
+    beginIdle();
     // Deferred, because a handler that responds immediately would otherwise recurse through pipelined requests.
     if (!m_input.empty())
         QTimer::singleShot(0, this, [this] { process(); });
 }
 
+void server_connection::beginIdle()
+{
+    m_idleSince = boot_clock::now();
+    m_idleUntil = {};
+    extendIdle();
+}
+
+// Callers learn of a changed timeout at other moments than this node, and a caller that has an answer goes by what that
+// answer says. A connection is therefore kept for the longest time that its caller may know.
+void server_connection::extendIdle()
+{
+    const auto kept = std::max(m_shared->limits.idleTimeout, m_announcedIdle) + idleMargin;
+    m_idleUntil = std::max(m_idleUntil, m_idleSince + kept);
+    m_timer.start(milliseconds(std::max(duration::zero(), m_idleUntil - boot_clock::now())));
+}
+
+void server_connection::limitsChanged()
+{
+    if (isIdle())
+        extendIdle();
+}
+
 void server_connection::abortAnswer(bool whenWritten)
 {
     detachWriter();
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -34,6 +34,9 @@
     /// `whenWritten` is set, the bytes written so far are sent first where that is possible.
     void abortAnswer(bool whenWritten);
     bool isIdle() const { return !m_writer && m_reader.state() == reader_state::empty && !m_isLingering; }
+    /// Called after the server's limits have changed. A connection that waits for a request is kept for the new idle
+    /// timeout if that is longer, and never shorter than callers may expect.
+    void limitsChanged();
     /// Closes the connection with an orderly TCP shutdown after all queued bytes have been sent.
     void closeGracefully(close_reason reason);
 
@@ -49,6 +52,8 @@
     void refuse(error_kind kind, std::string_view detail);
     void onTimeout();
     void readNextRequest();
+    void beginIdle();
+    void extendIdle();
     void updateBodyBytes(std::size_t buffered);
     void handleClosed();
     void discardInput();
@@ -60,6 +65,9 @@
     std::string m_input; // received, not yet parsed
     std::shared_ptr<response_writer> m_writer; // set while a request is being handled
     QTimer m_timer; // timeout of the next action of the caller
+    duration m_announcedIdle = duration::zero(); // as the last response says in Keep-Alive; zero: it says nothing
+    instant m_idleSince;
+    instant m_idleUntil; // the timer is due then while the connection waits for a request
     std::string m_unsentHead; // sent in one packet with the first bytes of the body
     std::uint64_t m_bodyBytesLeft = 0; // unsent rest of a response with a known length
     std::size_t m_bodyBytes = 0; // this connection's part of server_shared::totalBodyBytes
