Apply changed limits to the next request on a kept connection

What callers saw: 413 or 431 for a request that the version in force allows, until they opened a new connection.

The parser of the next request was given its limits when the answer before it had ended; setLimits reached only connections that came later or were in the middle of a request.

--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -248,8 +248,10 @@
 
 void server_connection::limitsChanged()
 {
-    if (isIdle())
-        extendIdle();
+    if (!isIdle())
+        return;
+    m_reader.restart(m_shared->limits.headerBytes, m_shared->limits.bodyBytes);
+    extendIdle();
 }
 
 void server_connection::abortAnswer(bool whenWritten)
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -34,8 +34,9 @@
     /// `whenWritten` is set, the bytes written so far are sent first where that is possible.
     void abortAnswer(bool whenWritten);
     bool isIdle() const { return !m_writer && m_reader.state() == reader_state::empty && !m_isLingering; }
-    /// Called after the server's limits have changed. A connection that waits for a request is kept for the new idle
-    /// timeout if that is longer, and never shorter than callers may expect.
+    /// Called after the server's limits have changed. They apply to the next request of a connection that waits for
+    /// one. Such a connection is kept for the new idle timeout if that is longer, and never shorter than callers may
+    /// expect.
     void limitsChanged();
     /// Closes the connection with an orderly TCP shutdown after all queued bytes have been sent.
     void closeGracefully(close_reason reason);
