Answer a request that has arrived when its connection is about to be closed

What callers saw: a request sent on a connection that was open got neither an answer nor a refusal, at a planned stop or when the idle timeout ran out while the process was short of processor time.

Cause: the close was decided by what the event loop had read. A request that lay in the kernel was read after the close and discarded.

Change: before an idle connection is closed, what has arrived on it is read and processed. At the end of a drain the node exits only once it has held no request for a moment after the close, and at the stop bound as before.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -120,6 +120,9 @@
     std::string encodedStateText; // last encoded state, served to peers
     instant encodedStateAt;
     bool isDraining = false;
+    instant closedAt; // since when no connections are accepted; set at the end of the drain
+    instant lastHeldAt; // last time at which requests were held, during the drain
+    bool isClosed = false;
     bool isStopped = false;
     bool wasReady = false;
 };
@@ -504,22 +507,31 @@
 }
 
 // Callers that resolved the entry addresses just before the drain keep arriving until their cached answers expire.
-// After that the process exits once it holds no request, and in any case before the platform would kill it.
+// After that the node closes its connections, and exits once it has held no request for a moment: a request may have
+// arrived on a connection just before its close. It exits in any case before the platform would kill it.
 void gateway::state::checkDrain(instant now)
 {
     if (isStopped)
         return;
     const auto noneComesAfter = drainingSince + maxCachedLifetimes * node_endpoints::entryLifetime();
     const auto last = drainingSince + settings.stopBound - stopMargin;
+    if (decisions.held() > 0)
+        lastHeldAt = now;
     const bool isDone = now >= noneComesAfter && decisions.held() == 0;
-    if (!isDone && now < last)
+    if (!isClosed && !isDone && now < last)
+        return;
+    if (!isClosed) {
+        isClosed = true;
+        closedAt = now;
+        callers.stopListening();
+        callers.closeIdle();
+    }
+    if (now < last + finalFlushDelay && now < std::max(closedAt, lastHeldAt) + finalFlushDelay)
         return;
     isStopped = true;
-    callers.stopListening();
-    callers.closeIdle();
     log.write(
         log_event::drain_finished, { { "held", decisions.held() }, { "connections", callers.connectionCount() } });
-    QTimer::singleShot(std::chrono::duration_cast<std::chrono::milliseconds>(finalFlushDelay), [this] { onStopped(); });
+    onStopped();
 }
 
 gateway::gateway(gateway_settings settings, gateway_ports ports, http_client& client, std::function<void()> onStopped)
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -118,7 +118,7 @@
     void setLimits(const http_server_limits& limits);
     /// Starts draining: from now on, each connection is closed after its next response.
     void beginDrain();
-    /// Closes the connections that have no request in progress.
+    /// Closes the connections that have no request in progress. A request that has arrived on one is processed instead.
     void closeIdle();
     int connectionCount() const;
 
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -133,11 +133,8 @@
 
 void http_server::closeIdle()
 {
-    for (QObject* child : m_state->connections.children()) {
-        auto* connection = static_cast<detail::server_connection*>(child);
-        if (connection->isIdle())
-            connection->closeGracefully(close_reason::drained);
-    }
+    for (QObject* child : m_state->connections.children())
+        static_cast<detail::server_connection*>(child)->closeIfIdle(close_reason::drained);
 }
 
 int http_server::connectionCount() const { return m_state->shared->connections; }
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -152,7 +152,7 @@
     const auto state = m_reader.state();
     if (state == reader_state::head || state == reader_state::body)
         return refuse(error_kind::request_timeout, "the rest of the request did not come");
-    closeGracefully(close_reason::idle);
+    closeIfIdle(close_reason::idle);
 }
 
 void server_connection::sendHead(const http_response_head& head, response_framing framing, std::uint64_t length)
@@ -267,6 +267,19 @@
     deleteLater();
 }
 
+// The kernel may hold a request that the event loop has not read yet, such as after the process was stopped for a
+// while.
+void server_connection::closeIfIdle(close_reason reason)
+{
+    if (!isIdle())
+        return;
+    if (m_socket.read(m_input) != stream_end::none)
+        return handleClosed();
+    process();
+    if (isIdle())
+        closeGracefully(reason);
+}
+
 void server_connection::closeGracefully(close_reason reason)
 {
     m_isLingering = true;
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -38,8 +38,9 @@
     /// one. Such a connection is kept for the new idle timeout if that is longer, and never shorter than callers may
     /// expect.
     void limitsChanged();
-    /// Closes the connection with an orderly TCP shutdown after all queued bytes have been sent.
-    void closeGracefully(close_reason reason);
+    /// Closes the connection if it waits for a request, unless bytes of one have arrived already. Those are processed
+    /// instead.
+    void closeIfIdle(close_reason reason);
 
 private:
     void onReadable() override;
@@ -47,6 +48,8 @@
     void onEnded(stream_end) override { handleClosed(); }
 
     void sendBytes(std::string_view bytes);
+    /// Closes the connection with an orderly TCP shutdown after all queued bytes have been sent.
+    void closeGracefully(close_reason reason);
     void process();
     void restartReadTimer(reader_state before);
     void dispatch();
