Leave a silent target only when another one can take its request

What callers saw: a stream ended in its middle, or a call got 504, although its target was sound and went on after a second or so of silence.

Cause: an attempt that was silent for too long was stopped first, and a place for it was looked for afterwards. Where all others were full, or the target was the only one, the time for holding a new request was over by then, so the request ended at that moment: a stream that had begun was cut. Where the target was the only candidate it was sent the same request again.

Change: before the attempt is stopped, another target must have room now, be in time for the deadline, and the route's and the shared limits must allow the send. Otherwise the attempt goes on, and is looked at again after 100 ms.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -115,6 +115,8 @@
     void startOrWait(std::size_t row, instant now, command_list& out);
     /// Whether another attempt that counts against the route's attempt limit may be sent.
     bool mayRetry(std::size_t row, instant now);
+    /// Whether the request could be sent to a target other than its current one now, and be answered there in time.
+    bool canMove(std::size_t row, instant now);
     void countSend(std::size_t row, instant now);
     /// Counts an attempt that may have reached its target. Further ones count against the retry limit shared by all
     /// nodes.
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -24,6 +24,8 @@
     constexpr int streamPauseFactor = 4;
     /// A plain target answers within about 20 ms, and within 75 ms in one of a hundred cases.
     constexpr double plainStallShareOfAim = 0.8;
+    /// Interval at which another target is looked for while an attempt is silent and none has room.
+    constexpr duration silenceCheckInterval = 100ms;
     /// Minimum remaining time for which an attempt is started. Below it no target can answer.
     constexpr duration minUsefulTime = 20ms;
     constexpr duration minRetryDelay = 200ms;
@@ -373,6 +375,19 @@
     }
 }
 
+bool dispatcher::canMove(std::size_t row, instant now)
+{
+    const auto& request = m_book.request[row];
+    if (!mayRetry(row, now) || !retryLimiterOf(request.service).maySend(m_knownNodes, now))
+        return false;
+    auto query = needOf(row, now);
+    query.avoid = m_book.current[row].target;
+    const auto choice = m_placement.chooseFirst(query, now);
+    const auto timeLeft = m_book.times[row].answerDeadline - now;
+    return choice.target.isValid() && choice.target != query.avoid
+        && fromSeconds(choice.seconds) + minUsefulTime <= timeLeft;
+}
+
 void dispatcher::checkTimes(std::size_t row, instant now, command_list& out)
 {
     const auto& current = m_book.current[row];
@@ -385,9 +400,13 @@
     if (!current.id.isValid() || !isSilent || now < current.silenceDeadline)
         return;
     const bool couldRun = current.stage != attempt_stage::prefill;
-    if (couldRun && (!m_book.request[row].route->isRepeatable || !mayRetry(row, now)))
+    if (couldRun && !m_book.request[row].route->isRepeatable)
         return;
-    // The target has been silent for far longer than expected, so the request is better sent to another one.
+    // A silent target may still answer, so it keeps the request until another one can take it.
+    if (!canMove(row, now)) {
+        m_book.current[row].silenceDeadline = now + silenceCheckInterval;
+        return;
+    }
     out.push_back(stop_attempt { m_book.idOf(row), current.id, stop_reason::silent });
     abandonAttempt(row, now);
     m_connections.forget(current.target); // the connection may be the cause of the silence
