A stream that broke off waits for room as long as its caller does

What callers saw: a resumable stream whose engine broke off ended at that moment if all other engines were full just then.

Cause: the time for holding a request without a target is half of the aim from its arrival, which is over for a stream that has begun. So the rest of the stream was not waited for at all.

Change: once a part of the answer has gone to the caller, the request waits until the caller would abandon the stream.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -138,6 +138,7 @@
     void releaseCache(std::size_t row, command_list& out);
     void checkTimes(std::size_t row, instant now, command_list& out);
     bool hasRunOrMayRun(std::size_t row) const;
+    /// Whether the request has waited for a target for as long as is of use to its caller.
     bool isHoldTimeOver(std::size_t row, instant now) const;
     duration retryDelay(std::size_t row, instant now);
 
--- a/libs/serving/include/serving/in_flight_requests.h
+++ b/libs/serving/include/serving/in_flight_requests.h
@@ -22,6 +22,7 @@
     bool hasTriedPrefill = false; ///< the first prefill does not count as a send; further ones do
     bool mayHaveRun = false;
     bool hasStarted = false; ///< a part of the answer has gone to the caller
+    instant lastEventAt; ///< of the stream, over all attempts
     bool hasFailed = false; ///< an attempt has failed, so the next one uses a new connection
     bool hasFailureAnswer = false; ///< the last attempt's target gave a failure answer that can be forwarded
     target_id avoid; ///< the target that failed last
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -22,6 +22,11 @@
     /// of eight times `gapAim`.
     constexpr duration maxStreamPause = 1s;
     constexpr int streamPauseFactor = 4;
+    /// Callers abandon a stream after a gap of the longest of these: a fixed time, a multiple of the route's `aim` and
+    /// one of its `gapAim`.
+    constexpr duration minAbandonedGap = 2s;
+    constexpr int abandonedGapInAims = 4;
+    constexpr int abandonedGapInGapAims = 8;
     /// A plain target answers within about 20 ms, and within 75 ms in one of a hundred cases.
     constexpr double plainStallShareOfAim = 0.8;
     /// Interval at which another target is looked for while an attempt is silent and none has room.
@@ -41,6 +46,11 @@
     constexpr int decodeUrgency = 0;
     constexpr int firstUrgency = 1;
 
+    duration abandonedGap(const route_rule& route)
+    {
+        return std::max({ minAbandonedGap, abandonedGapInAims * route.aim, abandonedGapInGapAims * route.gapAim });
+    }
+
     int urgencyOf(const target_choice& choice)
     {
         if (choice.stage == attempt_stage::decode)
@@ -148,6 +158,9 @@
 bool dispatcher::isHoldTimeOver(std::size_t row, instant now) const
 {
     const auto& times = m_book.times[row];
+    // The rest of an answer is worth waiting for as long as the caller does.
+    if (m_book.progress[row].hasStarted)
+        return now >= m_book.progress[row].lastEventAt + abandonedGap(*m_book.request[row].route);
     const auto aim = times.aimAt - times.arrivedAt;
     return now >= times.arrivedAt + fromSeconds(holdShareOfAim * seconds(aim));
 }
@@ -332,6 +345,7 @@
     if (current.lastEventAt != instant() && current.tokensPerEvent > 0)
         m_pace.recordStreamEvent(current.target, current.tokensPerEvent, now - current.lastEventAt);
     current.lastEventAt = now;
+    m_book.progress[row].lastEventAt = now;
     // Callers abandon a stream that pauses for too long. A stream that can be resumed elsewhere is moved before that.
     current.silenceDeadline = now + std::max(maxStreamPause, streamPauseFactor * m_book.request[row].route->gapAim);
 }
