Do not continue a partly sent answer of a plain target at another one

What callers would see: for a repeatable call whose answer is larger than what a node buffers, and whose target breaks off in the middle, bytes of two targets' answers in one that looks complete. Found while reading what ends an answer; not seen in any record.

Cause: an attempt that ends after a part of its answer has gone to the caller was sent again wherever the route allows repeats. A stream of events goes on after its last event; a plain answer began anew, behind the part already sent.

Change: only streams go on at another target; the plain answer ends, visibly incomplete.

Evidence: test_partly_sent_answer_of_a_plain_target_is_not_continued_by_another failed before the change (a second attempt was started) and passes now.

--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -175,7 +175,8 @@
         m_health.recordFailure(attempt.target, now);
         progress.mayHaveRun = true;
         releaseCache(row, out);
-        if (!isRepeatable)
+        // Only events tell where another target has to go on.
+        if (!isRepeatable || !m_book.request[row].route->isStream)
             return endWithFailure(row, error_kind::answer_cut, out);
         return retryOrEnd(row, true, error_kind::answer_cut, now, out);
     default:
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -592,6 +592,23 @@
     CHECK(again->request == request.id);
 }
 
+TEST_CASE("test_partly_sent_answer_of_a_plain_target_is_not_continued_by_another")
+{
+    // Guards against an answer that begins with the bytes of one target and goes on with those of another.
+    dispatch_world world;
+    world.addPlain("p1");
+    world.addPlain("p2");
+    const auto request = begin(world, world.make(lookUp), at(0s));
+    command_list out;
+    world.decisions.firstByteReceived(request.id, request.start.attempt, at(5ms));
+    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.attemptEnded(request.id, request.start.attempt, attempt_result::cut, {}, at(10ms), out);
+    CHECK(find<start_attempt>(out) == nullptr);
+    const auto* refused = find<refuse_request>(out);
+    REQUIRE(refused);
+    CHECK(refused->kind == error_kind::answer_cut);
+}
+
 TEST_CASE("test_events_of_attempts_that_are_over_have_no_effect")
 {
     dispatch_world world;
