Keep a connection whose request was answered while its idle timeout ran out

What callers saw: an answer that lets its caller go on using the connection, and then the close of that connection. Of two requests that had arrived together the second got neither an answer nor a refusal.

Cause: before an idle connection is closed, the request that has arrived on it is processed. Where it was answered within that call, such as by a refusal, the connection was idle again by then, so it was closed, and what had been read behind that request was discarded.

Ruled out: the end of a drain. There the answer announces the close.

Change: a connection that has begun to wait for another request is not closed.

--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -275,8 +275,10 @@
         return;
     if (m_socket.read(m_input) != stream_end::none)
         return handleClosed();
+    const auto waitedSince = m_idleSince;
     process();
-    if (isIdle())
+    // If the request has been answered already, the connection waits anew, as the answer has told the caller.
+    if (isIdle() && m_idleSince == waitedSince)
         closeGracefully(reason);
 }
 
--- a/libs/http/tests/test_http_server.cpp
+++ b/libs/http/tests/test_http_server.cpp
@@ -256,6 +256,55 @@
     CHECK(caller.received.contains("Connection: close"));
 }
 
+TEST_CASE("test_connection_that_was_used_while_its_idle_timeout_ran_out_stays_open")
+{
+    // Guards against the close of a connection right after an answer that lets its caller go on using it.
+    int requests = 0;
+    std::function<void(const std::string&)> onRequest = [](const std::string&) {};
+    http_server_limits limits;
+    limits.idleTimeout = 50ms;
+    http_server server(
+        limits,
+        [&](http_request request, std::shared_ptr<response_writer> caller) {
+            ++requests;
+            onRequest(request.target);
+            caller->sendWhole({ 200, {}, "" });
+        },
+        [](error_kind, std::string_view) {
+            return http_response { 400, {}, "" };
+        });
+    REQUIRE(server.listen(QHostAddress::LocalHost, 0));
+    kept_connection caller(server.port());
+    kept_connection other(server.port());
+    caller.send("/first");
+    caller.waitForAnswers(1);
+    wait(200ms);
+    other.send("/warm");
+    other.waitForAnswers(1);
+    // The event loop is held beyond the timeout. Then it finds the timeout and a request of another caller, during
+    // which two requests arrive on the connection.
+    onRequest = [&](const std::string& target) {
+        if (target == "/hold") {
+            other.send("/arrive");
+            other.socket.flush();
+            std::this_thread::sleep_for(1200ms);
+        } else if (target == "/arrive") {
+            caller.send("/second");
+            caller.send("/third");
+            caller.socket.flush();
+            std::this_thread::sleep_for(20ms);
+        }
+    };
+    kept_connection holder(server.port());
+    holder.send("/hold");
+    caller.waitForAnswers(3);
+    CHECK(caller.answers() == 3);
+    caller.send("/fourth");
+    caller.waitForAnswers(4);
+    CHECK(caller.answers() == 4);
+    CHECK(requests == 7);
+}
+
 TEST_CASE("test_limits_apply_to_the_next_request_on_a_kept_connection")
 {
     // Guards against requests that are refused by limits which are no longer in force.
