Do not reset a connection whose caller is still receiving the answer

What callers saw: the end of an answer is missing on a connection that closes after it, such as during a planned stop, where a caller or its link takes more than a second to receive the answer.

Cause: a second after the close the connection is reset, unless bytes of the answer are queued in the process. A reset also discards what the kernel has queued, which was not asked.

Change: the connection lingers as long as the caller has not acknowledged all bytes. A caller that stops receiving is still dropped by the kernel's bound on unacknowledged bytes.

Evidence: test_slow_caller_gets_the_whole_answer_on_a_connection_that_closes failed before the change (4,096 of 200,000 bytes) and passes now.

--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -145,7 +145,7 @@
 
 void server_connection::onTimeout()
 {
-    if (m_isLingering && m_socket.bytesQueued() > 0)
+    if (m_isLingering && m_socket.hasUndelivered())
         return m_timer.start(lingerTime); // the caller is still receiving the response
     if (m_isLingering)
         return handleClosed();
--- a/libs/http/src/stream_socket.cpp
+++ b/libs/http/src/stream_socket.cpp
@@ -7,8 +7,10 @@
 #include <array>
 #include <cerrno>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -182,6 +184,13 @@
     m_listener->onWritten();
 }
 
+bool stream_socket::hasUndelivered() const
+{
+    int unacknowledged = 0;
+    const bool isKnown = m_descriptor >= 0 && ::ioctl(m_descriptor, SIOCOUTQ, &unacknowledged) == 0;
+    return bytesQueued() > 0 || (isKnown && unacknowledged > 0);
+}
+
 void stream_socket::setReading(bool reading)
 {
     m_isReading = reading;
--- a/libs/http/src/stream_socket.h
+++ b/libs/http/src/stream_socket.h
@@ -56,6 +56,8 @@
     /// Passes to the kernel what it accepts now, and queues the rest.
     void write(std::string_view bytes);
     std::size_t bytesQueued() const { return m_outgoing.size() - m_sent; }
+    /// Whether bytes that were written are queued here or in the kernel, or were not acknowledged by the peer yet.
+    bool hasUndelivered() const;
     /// Pauses or resumes the calls of onReadable(). While they are paused, the peer's sends stall and an end of the
     /// connection is not detected.
     void setReading(bool reading);
--- a/libs/http/tests/test_http_server.cpp
+++ b/libs/http/tests/test_http_server.cpp
@@ -1,6 +1,8 @@
 // Tests of the HTTP server with callers that are slow, idle, or send requests with ambiguous framing.
 #include "http_fixture.h"
 
+#include <array>
+#include <cerrno>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
@@ -124,6 +126,8 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const int receiveBuffer = 4096;
+        ::setsockopt(m_descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
         REQUIRE(::connect(m_descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
     }
     ~late_sender() { ::close(m_descriptor); }
@@ -133,6 +137,13 @@
     {
         REQUIRE(::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
     }
+    /// Returns the number of bytes received, 0 at the end of the connection, and -1 if there are none now.
+    ssize_t receive() const
+    {
+        std::array<char, 4096> buffer;
+        const auto count = ::recv(m_descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        return count < 0 && errno != EAGAIN ? 0 : count;
+    }
 
 private:
     int m_descriptor;
@@ -325,6 +336,35 @@
     CHECK(fresh.answers() == 1);
 }
 
+TEST_CASE("test_slow_caller_gets_the_whole_answer_on_a_connection_that_closes")
+{
+    // Guards against an answer whose end is lost because its caller is still receiving it when the connection is reset.
+    const std::string body(200'000, 'b');
+    http_server server(
+        {},
+        [&](http_request, std::shared_ptr<response_writer> caller) {
+            caller->sendWhole({ 200, {}, body });
+        },
+        [](error_kind, std::string_view) {
+            return http_response { 400, {}, "" };
+        });
+    REQUIRE(server.listen(QHostAddress::LocalHost, 0));
+    const late_sender caller(server.port());
+    caller.send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    wait(2500ms);
+    std::size_t received = 0;
+    bool isDone = false;
+    QTimer poll;
+    QObject::connect(&poll, &QTimer::timeout, [&] {
+        const auto count = caller.receive();
+        received += static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+        isDone = count == 0 || received > body.size();
+    });
+    poll.start(1);
+    spin(isDone);
+    CHECK(received > body.size());
+}
+
 TEST_CASE("test_draining_server_announces_the_close_of_the_connection")
 {
     counting_server server;
