Leave a quarantined request at its silent target

What callers would see: a stream ends in its middle, or a call gets 502 or 504, because its sound target is silent for a second or so, although another target has room.

Cause: a request that is quarantined while it runs keeps its attempt, the only one that can still show that it is harmless. The check whether a silent attempt can move did not ask for the quarantine, so the attempt was stopped, and the request was refused when it was to be sent again.

Change: a quarantined request can't move.

Evidence: test_silent_target_keeps_a_request_that_may_not_be_sent_again failed before the change and passes now, with the other four test_silent_* tests.

--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -392,7 +392,8 @@
 bool dispatcher::canMove(std::size_t row, instant now)
 {
     const auto& request = m_book.request[row];
-    if (!mayRetry(row, now) || !retryLimiterOf(request.service).maySend(m_knownNodes, now))
+    if (m_quarantine.isQuarantined(request.digest) || !mayRetry(row, now)
+        || !retryLimiterOf(request.service).maySend(m_knownNodes, now))
         return false;
     auto query = needOf(row, now);
     query.avoid = m_book.current[row].target;
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -566,6 +566,26 @@
     CHECK(world.decisions.isCurrent(request.id, request.start.attempt));
 }
 
+TEST_CASE("test_silent_target_keeps_a_request_that_may_not_be_sent_again")
+{
+    // Guards against a stream that ends in its middle because its request was quarantined while its engine was silent.
+    const request_digest digest { 1, 2 };
+    dispatch_world world;
+    world.addEngine("d1", target_role::decode);
+    world.addEngine("d2", target_role::decode);
+    auto prompt = world.makePrompt(tag, 7, 90, 290);
+    prompt.digest = digest;
+    const auto request = begin(world, std::move(prompt), at(0s));
+    world.decisions.firstByteReceived(request.id, request.start.attempt, at(100ms));
+    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.streamEventReceived(request.id, request.start.attempt, at(100ms));
+    for (std::uint32_t target = 1; target <= 3; ++target)
+        world.decisions.quarantine().targetEnded(digest, target, at(200ms));
+    REQUIRE(world.decisions.quarantine().isQuarantined(digest));
+    CHECK(tickUntil(world, 220ms, 3s).empty());
+    CHECK(world.decisions.isCurrent(request.id, request.start.attempt));
+}
+
 TEST_CASE("test_stream_that_was_cut_waits_for_room")
 {
     // Guards against a stream that ends in its middle because all engines are full at the moment of a failure.
