Move a silent stream only to an engine with a free slot

What callers would see: a stream that ends in its middle after its sound engine was silent for a second or so.

Another engine had room in its queue, so the stream left the silent engine; the other one rejected it, as the loads that nodes know of each other are up to half a second old, and the route allowed no further send.

Change: a stream that has begun leaves a silent engine only for one that has a free slot by what this node knows. Otherwise it stays.

Evidence: test_silent_stream_moves_only_to_an_engine_with_a_free_slot failed before the change and passes now.

--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -398,9 +398,13 @@
     auto query = needOf(row, now);
     query.avoid = m_book.current[row].target;
     const auto choice = m_placement.chooseFirst(query, now);
-    const auto timeLeft = m_book.times[row].answerDeadline - now;
-    return choice.target.isValid() && choice.target != query.avoid
-        && fromSeconds(choice.seconds) + minUsefulTime <= timeLeft;
+    if (!choice.target.isValid() || choice.target == query.avoid)
+        return false;
+    // An engine whose slots are taken may reject the attempt, and a stream that has begun would end with it.
+    const bool hasFreeSlot = m_fleet.running(choice.target) < m_fleet.slots[choice.target.value];
+    if (m_book.progress[row].hasStarted && !hasFreeSlot)
+        return false;
+    return fromSeconds(choice.seconds) + minUsefulTime <= m_book.times[row].answerDeadline - now;
 }
 
 void dispatcher::checkTimes(std::size_t row, instant now, command_list& out)
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -586,6 +586,34 @@
     CHECK(world.decisions.isCurrent(request.id, request.start.attempt));
 }
 
+TEST_CASE("test_silent_stream_moves_only_to_an_engine_with_a_free_slot")
+{
+    // Guards against a stream that leaves a sound engine and ends because the next one rejects it.
+    dispatch_world world;
+    world.addEngine("d1", target_role::decode, "a", 1);
+    world.addEngine("d2", target_role::decode, "a", 1);
+    const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
+    const auto other = begin(world, world.makePrompt(tag, 8, 90, 290), at(0s));
+    REQUIRE(other.start.target != request.start.target);
+    for (const auto& item : { request, other }) {
+        world.decisions.firstByteReceived(item.id, item.start.attempt, at(100ms));
+        world.decisions.responseStarted(item.id, item.start.attempt);
+        world.decisions.streamEventReceived(item.id, item.start.attempt, at(100ms));
+    }
+    for (auto now = 100ms; now <= 2s; now += 20ms) {
+        command_list out;
+        world.decisions.streamEventReceived(other.id, other.start.attempt, at(now));
+        world.decisions.tick(at(now), out);
+        CHECK(out.empty());
+    }
+    command_list out;
+    world.decisions.attemptEnded(other.id, other.start.attempt, attempt_result::answered, {}, at(2s), out);
+    out = tickUntil(world, 2020ms, 2200ms);
+    const auto* again = find<start_attempt>(out);
+    REQUIRE(again);
+    CHECK(again->target == other.start.target);
+}
+
 TEST_CASE("test_stream_that_was_cut_waits_for_room")
 {
     // Guards against a stream that ends in its middle because all engines are full at the moment of a failure.
