Stop only when the last answers have been sent

What callers would see: the end of a long answer is missing when its node stops, where the caller receives more slowly than the node sends.

Cause: a request counts as held until its answer is complete in the process.

Ruled out: bytes that the kernel has accepted; it delivers them after the exit.

Change: the drain also waits until no answer is queued in the process, within the same stop bound.

Evidence: test_stopping_node_sends_its_last_answers_to_slow_callers failed before the change (the node stopped 3.2 s after the begin of the drain, the caller got 3.9 of 33.6 MB) and passes now.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -121,7 +121,7 @@
     instant encodedStateAt;
     bool isDraining = false;
     instant closedAt; // since when no connections are accepted; set at the end of the drain
-    instant lastHeldAt; // last time at which requests were held, during the drain
+    instant lastBusyAt; // last time at which requests were held or answers were queued, during the drain
     bool isClosed = false;
     bool isStopped = false;
     bool wasReady = false;
@@ -507,16 +507,17 @@
 }
 
 // Callers that resolved the entry addresses just before the drain keep arriving until their cached answers expire.
-// After that the node closes its connections, and exits once it has held no request for a moment: a request may have
-// arrived on a connection just before its close. It exits in any case before the platform would kill it.
+// After that the node closes its connections, and exits once it has held no request and has sent all answers for a
+// moment: a request may have arrived on a connection just before its close. It exits in any case before the platform
+// would kill it.
 void gateway::state::checkDrain(instant now)
 {
     if (isStopped)
         return;
     const auto noneComesAfter = drainingSince + maxCachedLifetimes * node_endpoints::entryLifetime();
     const auto last = drainingSince + settings.stopBound - stopMargin;
-    if (decisions.held() > 0)
-        lastHeldAt = now;
+    if (decisions.held() > 0 || callers.bytesQueued() > 0)
+        lastBusyAt = now;
     const bool isDone = now >= noneComesAfter && decisions.held() == 0;
     if (!isClosed && !isDone && now < last)
         return;
@@ -526,7 +527,7 @@
         callers.stopListening();
         callers.closeIdle();
     }
-    if (now < last + finalFlushDelay && now < std::max(closedAt, lastHeldAt) + finalFlushDelay)
+    if (now < last + finalFlushDelay && now < std::max(closedAt, lastBusyAt) + finalFlushDelay)
         return;
     isStopped = true;
     log.write(
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -3,6 +3,7 @@
 #include "node_messages.h"
 
 #include <QTcpServer>
+#include <QTcpSocket>
 
 using namespace tamarack;
 using namespace tamarack::tests;
@@ -114,3 +115,61 @@
     };
     CHECK(spinUntil(knowsQuarantine));
 }
+
+namespace {
+
+/// Refuses every request with a body that is larger than the buffers of the kernel.
+class verbose_callers : public fake_callers {
+public:
+    static constexpr std::size_t bodyBytes = 32 * 1024 * 1024;
+    http_response refusal(error_kind, std::string_view, duration) const override
+    {
+        return { 503, {}, std::string(bodyBytes, 'b') + "end" };
+    }
+};
+
+}
+
+TEST_CASE("test_stopping_node_sends_its_last_answers_to_slow_callers")
+{
+    // Guards against an answer whose end is lost because the process exits while its caller is still receiving it.
+    fake_store store;
+    const fake_decoder decoder;
+    const verbose_callers callers;
+    const fake_targets targets;
+    const fake_duties duties;
+    http_client client;
+    gateway_settings settings;
+    settings.vm = "n1";
+    settings.peers = { "127.0.0.1", 0 };
+    QTcpServer unused;
+    REQUIRE(unused.listen(QHostAddress::LocalHost, 0));
+    settings.callers = { "127.0.0.1", unused.serverPort() };
+    unused.close();
+    bool isStopped = false;
+    auto node = std::make_unique<gateway>(
+        settings, gateway_ports { callers, targets, decoder, duties, store }, client, [&] { isStopped = true; });
+    REQUIRE(node->start().empty());
+    QTcpSocket caller;
+    constexpr qint64 smallBuffer = 4096;
+    caller.setReadBufferSize(smallBuffer);
+    caller.connectToHost(QHostAddress::LocalHost, settings.callers.port);
+    caller.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    node->drain();
+    const auto drainedAt = boot_clock::now();
+    constexpr auto slowness = std::chrono::milliseconds(4500);
+    spinUntil([&] { return isStopped || boot_clock::now() >= drainedAt + slowness; });
+    CHECK_FALSE(isStopped);
+    QByteArray received;
+    caller.setReadBufferSize(0);
+    const bool isEnded = spinUntil([&] {
+        received += caller.readAll();
+        if (isStopped)
+            node = nullptr;
+        const bool isOver = caller.state() == QAbstractSocket::UnconnectedState && caller.bytesAvailable() == 0;
+        return isOver || received.endsWith("end");
+    });
+    CHECK(isEnded);
+    CHECK(received.endsWith("end"));
+    CHECK(spinUntil([&] { return isStopped; }));
+}
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -121,6 +121,8 @@
     /// Closes the connections that have no request in progress. A request that has arrived on one is processed instead.
     void closeIdle();
     int connectionCount() const;
+    /// Returns the bytes of responses that the kernel has not accepted yet. They are lost if the process exits.
+    std::size_t bytesQueued() const;
 
 private:
     struct state;
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -139,4 +139,12 @@
 
 int http_server::connectionCount() const { return m_state->shared->connections; }
 
+std::size_t http_server::bytesQueued() const
+{
+    std::size_t sum = 0;
+    for (const QObject* child : m_state->connections.children())
+        sum += static_cast<const detail::server_connection*>(child)->bytesQueued();
+    return sum;
+}
+
 }
