Tests that fail: the present interface ends requests without an answer

- A call without a deadline of its own ends after 5 s of silence of its target (504, and 502 for a non-idempotent one), not at the default deadline.
- A stream that was cut is given up if a run from its start would miss the deadline, though its rest would meet it.

--- a/libs/decide/tests/test_traffic.cpp
+++ b/libs/decide/tests/test_traffic.cpp
@@ -150,6 +150,23 @@
     }
 }
 
+TEST_CASE("test_answer_that_was_cut_is_resumed_if_its_rest_meets_the_deadline")
+{
+    // Guards against begun answers that are given up because a run from the start would miss the deadline.
+    traffic_fixture f(smallDeployment(1));
+    auto shape = completion();
+    shape.outputTokens = 1000;
+    shape.deadline = 16s;
+    const auto id = f.admit(shape, 1);
+    REQUIRE(f.started());
+    f.traffic.tokensReceived(id, f.started()->attempt, 900);
+    f.end(id, attempt_result::cut, 13);
+    CHECK(f.commands.empty()); // the only target is in its back-off
+    f.traffic.tick(at(13.6), f.commands);
+    CHECK(f.started());
+    CHECK(f.traffic.held() == 1);
+}
+
 TEST_CASE("test_outcome_of_a_sent_non_idempotent_request_is_unknown")
 {
     // The request was sent and the connection broke before an answer. Such a request must not be reported as "not run",
--- a/tests/process/test_failures.cpp
+++ b/tests/process/test_failures.cpp
@@ -178,6 +178,28 @@
     run->thaw(victim);
 }
 
+TEST_CASE("test_process_slow_calls_are_answered_within_the_default_deadline")
+{
+    // Guards against calls that end before the default deadline because their target is silent until it answers.
+    const auto run = startSmall("slow_calls", { { "teren", { { "request_seconds", 7 } } } });
+    const auto node = run->callerAddress(run->vms().front());
+    http_request keyed { "POST", "/services/teren/reports", {}, "{}" };
+    keyed.headers.set("Idempotency-Key", "slow");
+    keyed.headers.set("Tamarack-Home", homeOf(node));
+    exchange_options options;
+    options.silenceTimeout = std::chrono::seconds(40);
+    http_client client;
+    std::vector<int> statuses;
+    for (const auto& request : { http_request { "POST", "/services/teren/valves", {}, "{}" }, keyed }) {
+        client.fetch(node, request, options, [&](const http_response* response, const exchange_failure&) {
+            statuses.push_back(response ? response->status : 0);
+        });
+    }
+    REQUIRE(waitUntil([&] { return statuses.size() == 2; }, std::chrono::seconds(60)));
+    CHECK(statuses == std::vector<int> { 200, 200 });
+    CHECK(runsOf(*run, "slow") == 1);
+}
+
 TEST_CASE("test_process_non_idempotent_calls_run_at_most_once")
 {
     // Symptom: two trucks drive to the same hole.
--- a/tests/standins/service_standin.cpp
+++ b/tests/standins/service_standin.cpp
@@ -100,16 +100,23 @@
                     return callModel(request, caller);
                 --m_running;
                 writeSpan(request, startedAt);
-                constexpr std::size_t largeBytes = 9 * 1024 * 1024;
-                if (request.path() == "/large")
-                    return send(
-                        caller, { { "fill", std::string(largeBytes, 'x') } }, request.headers.find("x-attempt-id"));
+                if (const auto bytes = fillBytes(request.path()); bytes > 0)
+                    return send(caller, { { "fill", std::string(bytes, 'x') } }, request.headers.find("x-attempt-id"));
                 send(caller,
                     { { "service", m_options.name }, { "path", request.target }, { "bytes", request.body.size() } },
                     request.headers.find("x-attempt-id"));
             });
         }
 
+        /// The size of an answer that is longer than most, or 0.
+        static std::size_t fillBytes(std::string_view path)
+        {
+            constexpr std::size_t mebibyte = 1024 * 1024;
+            if (path == "/large")
+                return 9 * mebibyte; // more than a node passes on
+            return path == "/long" ? 7 * mebibyte : 0;
+        }
+
         /// Calls a model through the system, as an application service does in the middle of a call.
         void callModel(const http_request& request, const writer_ptr& caller)
         {
