The present interface: announce and make the close of connections at a planned stop

What callers saw: a request on a connection that was open, and of which no answer had said that it ends, got neither an answer nor a refusal when its node was stopped.

Cause: the node used neither of the drain functions of http_server. Its answers went on to offer their connections for reuse, and idle connections ended by the exit of the process, which resets those on which a request has arrived.

Ruled out: SIGHUP (it is blocked, and has no handler in this interface) and requests of services that a configuration removes (they end with an answer).

Change: from the begin of a drain each answer announces the close. Once the node no longer accepts requests and holds none, it stops listening and closes its idle connections, which processes what has arrived on them.

--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -47,6 +47,8 @@
     void executeCommand(const traffic_command& command);
     void tickTraffic();
     void tickSlow();
+    /// Ends the drain once no caller of this node waits for anything.
+    void checkDrain(instant now);
     void handleCallerGone(request_id id);
     bool mayAccept(instant now) const;
 
@@ -73,6 +75,7 @@
     QTimer slowTimer;
     instant drainingSince; // set by drain()
     bool isDraining = false;
+    bool isClosing = false; // no connection is accepted any more, and those without a request are closed
     bool isStopped = false;
 };
 
@@ -145,7 +148,8 @@
     isDraining = true;
     drainingSince = boot_clock::now();
     control.stop();
-    log.write(log_event::drain_started, { { "held", traffic.held() } });
+    server.beginDrain();
+    log.write(log_event::drain_started, { { "held", traffic.held() }, { "connections", server.connectionCount() } });
 }
 
 // A caller that received this address just before the drain may use it until its lifetime has passed.
@@ -253,17 +257,26 @@
     idempotency.tick(now);
     for (const auto& [id, item] : relays)
         item->keepAlive(now);
-    if (!isDraining || isStopped)
+    checkDrain(now);
+}
+
+void node::state::checkDrain(instant now)
+{
+    if (!isDraining || isStopped || mayAccept(now))
         return;
-    const bool isPastAccepting = !mayAccept(now);
-    const bool isIdle = traffic.held() == 0;
     const bool isOverdue = now >= drainingSince + settings.drainTimeout;
     const bool hasReleased
         = control.decisions().hasReleased(now) || now >= drainingSince + 2 * settings.entryLifetime + releaseTimeout;
-    if (!isPastAccepting || !((isIdle && hasReleased) || isOverdue))
+    isClosing |= isOverdue || (traffic.held() == 0 && hasReleased);
+    if (!isClosing)
+        return;
+    server.stopListening();
+    // Repeated, because a connection whose answer began before the drain waits for another request after it.
+    server.closeIdle();
+    if (traffic.held() > 0 && !isOverdue)
         return;
     isStopped = true;
-    log.write(log_event::drain_finished, { { "held", traffic.held() } });
+    log.write(log_event::drain_finished, { { "held", traffic.held() }, { "connections", server.connectionCount() } });
     onStopped();
 }
 
