The present interface: stop once every caller has its whole answer

What callers saw: at a planned stop the end of an answer was missing for a caller that read it slowly, and a call with an idempotency key whose home was being asked got no answer.

Cause: the node exited as soon as the traffic decisions held no request. That says nothing of bytes that are queued for a caller, nor of calls that are not admitted yet.

Change: it exits once no caller's connection is left as well. Idle ones are closed, and every other ends with its answer. The bound of the drain holds as before.

--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -273,7 +273,8 @@
     server.stopListening();
     // Repeated, because a connection whose answer began before the drain waits for another request after it.
     server.closeIdle();
-    if (traffic.held() > 0 && !isOverdue)
+    const bool isAwaited = traffic.held() > 0 || server.connectionCount() > 0;
+    if (isAwaited && !isOverdue)
         return;
     isStopped = true;
     log.write(log_event::drain_finished, { { "held", traffic.held() }, { "connections", server.connectionCount() } });
