Do not take a target for silent while nothing is read from it

What callers would see: a stream whose caller receives slowly is stopped at its sound target and begun at another one, again and again up to the route's limit; each counts as a retry and as a failure of its target. Found in review; not seen in any record.

Cause: reading from a target pauses while too many bytes are queued for the caller. The silence of the attempt was measured all the same.

Change: the dispatcher hears of the pause. Silence counts again from its end.

Evidence: test_target_is_not_taken_for_silent_while_nothing_is_read_from_it failed before the check and passes now. That the flow reports its pauses is not covered by a test.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -284,6 +284,7 @@
         return;
     m_isPaused = pause;
     m_attempt->exchange->setReading(!pause);
+    m_services.decisions.readingPaused(m_id, m_attempt->command.attempt, pause, boot_clock::now());
 }
 
 void caller_flow::onEnd(const attempt_ptr& attempt)
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -61,6 +61,8 @@
     void firstByteReceived(request_id request, attempt_id attempt, instant now);
     /// A stream event has arrived.
     void streamEventReceived(request_id request, attempt_id attempt, instant now);
+    /// Reading from the target was paused because the caller receives too slowly, or was resumed.
+    void readingPaused(request_id request, attempt_id attempt, bool isPaused, instant now);
     /// Part of the response has been sent to the caller.
     void responseStarted(request_id request, attempt_id attempt);
     /// The target has sent an answer that is certainly complete. Called before attemptEnded().
--- a/libs/serving/include/serving/in_flight_requests.h
+++ b/libs/serving/include/serving/in_flight_requests.h
@@ -43,6 +43,7 @@
     instant silenceDeadline; ///< the attempt is abandoned if the target sends nothing until then
     bool hasStartedAnswering = false; ///< the answer's first bytes have arrived
     instant lastEventAt; ///< of the stream
+    bool isPaused = false; ///< nothing is read from the target, so its silence means nothing
     int tokensPerEvent = 0; ///< of the stream; 0: the target is not an engine
 };
 
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -51,6 +51,11 @@
         return std::max({ minAbandonedGap, abandonedGapInAims * route.aim, abandonedGapInGapAims * route.gapAim });
     }
 
+    duration longestPause(const route_rule& route)
+    {
+        return std::max(maxStreamPause, streamPauseFactor * route.gapAim);
+    }
+
     int urgencyOf(const target_choice& choice)
     {
         if (choice.stage == attempt_stage::decode)
@@ -347,7 +352,17 @@
     current.lastEventAt = now;
     m_book.progress[row].lastEventAt = now;
     // Callers abandon a stream that pauses for too long. A stream that can be resumed elsewhere is moved before that.
-    current.silenceDeadline = now + std::max(maxStreamPause, streamPauseFactor * m_book.request[row].route->gapAim);
+    current.silenceDeadline = now + longestPause(*m_book.request[row].route);
+}
+
+void dispatcher::readingPaused(request_id request, attempt_id attempt, bool isPaused, instant now)
+{
+    if (!isCurrent(request, attempt))
+        return;
+    const auto row = static_cast<std::size_t>(m_book.row(request));
+    auto& current = m_book.current[row];
+    current.isPaused = isPaused;
+    current.silenceDeadline = now + longestPause(*m_book.request[row].route);
 }
 
 void dispatcher::responseStarted(request_id request, attempt_id attempt)
@@ -415,8 +430,8 @@
         return refuse(row, hasRunOrMayRun(row) ? error_kind::attempt_timeout : error_kind::deadline_unreachable,
             duration::zero(), out);
     }
-    const bool isSilent = !current.hasStartedAnswering || current.lastEventAt != instant();
-    if (!current.id.isValid() || !isSilent || now < current.silenceDeadline)
+    const bool isWatched = !current.hasStartedAnswering || current.lastEventAt != instant();
+    if (!current.id.isValid() || !isWatched || current.isPaused || now < current.silenceDeadline)
         return;
     const bool couldRun = current.stage != attempt_stage::prefill;
     if (couldRun && !m_book.request[row].route->isRepeatable)
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -614,6 +614,25 @@
     CHECK(again->target == other.start.target);
 }
 
+TEST_CASE("test_target_is_not_taken_for_silent_while_nothing_is_read_from_it")
+{
+    // Guards against a stream that is sent to target after target because its caller receives slowly.
+    dispatch_world world;
+    world.addEngine("d1", target_role::decode);
+    world.addEngine("d2", target_role::decode);
+    const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
+    world.decisions.firstByteReceived(request.id, request.start.attempt, at(100ms));
+    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.streamEventReceived(request.id, request.start.attempt, at(100ms));
+    world.decisions.readingPaused(request.id, request.start.attempt, true, at(100ms));
+    CHECK(tickUntil(world, 120ms, 3s).empty());
+    world.decisions.readingPaused(request.id, request.start.attempt, false, at(3s));
+    CHECK(tickUntil(world, 3020ms, 4s).empty());
+    const auto out = tickUntil(world, 4020ms, 5s);
+    REQUIRE(find<start_attempt>(out));
+    CHECK(find<start_attempt>(out)->target != request.start.target);
+}
+
 TEST_CASE("test_stream_that_was_cut_waits_for_room")
 {
     // Guards against a stream that ends in its middle because all engines are full at the moment of a failure.
