The present interface: silence ends an answer at the deadline or once another target has room

What callers saw: a call without a deadline of its own ended 5 s after it was sent, with 504, or 502 if it may run only once, although its target answered later and the default deadline is 30 s. A stream whose engine fell silent for longer than 5 s was stopped whether or not another engine had room; where the retry budget or the attempts were used up, the begun answer was cut although the engine went on.

Cause: the silence limit of an attempt was a timer of its connection, which cannot know whether another target has room, and which took the deadline from the request's header alone, where it is mostly missing.

Change: the relay measures silence, and the traffic decisions say whether the attempt is stopped: if another target has room for a retry that is allowed, or shortly before the deadline, so that the error still reaches the caller. Silence before an answer that is not a stream counts only on a connection that was idle before, since such a connection may have been lost on the way; the retry uses a new one.

--- a/libs/decide/include/decide/retry_budget.h
+++ b/libs/decide/include/decide/retry_budget.h
@@ -15,10 +15,11 @@
     }
 
     void succeeded() { m_tokens = m_tokens + m_ratio > m_reserve ? m_reserve : m_tokens + m_ratio; }
+    bool canSpend() const { return m_tokens >= 1; }
     /// Takes one retry from the budget; returns false if none is left.
     bool spend()
     {
-        if (m_tokens < 1)
+        if (!canSpend())
             return false;
         m_tokens -= 1;
         return true;
--- a/libs/decide/include/decide/traffic_system.h
+++ b/libs/decide/include/decide/traffic_system.h
@@ -41,6 +41,8 @@
 
     /// Applies a configuration. Queued requests of removed services are refused; running ones continue.
     void configure(std::shared_ptr<const deployment> config, instant now, traffic_commands& out);
+    /// The time that the request may take from its arrival: its own deadline, or the policy's default.
+    duration deadlineOf(const request_shape& shape) const;
     /// Adds a new request. On return `out` may already contain its start or its refusal.
     request_id admit(const request_shape& shape, instant now, traffic_commands& out);
     /// Stages decode and whole: `tokens` more output tokens were received.
@@ -64,6 +66,9 @@
     void applyQuarantine(const std::vector<quarantine_record>& records, instant now, traffic_commands& out);
     request_quarantine& quarantine() { return m_quarantine; }
     const request_quarantine& quarantine() const { return m_quarantine; }
+    /// Whether an attempt whose target is silent is to be stopped: its deadline is reached, or `mayHaveFailed` is set
+    /// and another target has room for the request now. Otherwise the silent target may still be the one that answers.
+    bool shouldStopSilent(request_id request, attempt_id attempt, bool mayHaveFailed, instant now);
     /// The attempt has ended with the given result.
     void attemptEnded(
         request_id request, attempt_id attempt, attempt_result result, instant now, traffic_commands& out);
@@ -103,6 +108,7 @@
     static std::size_t queueLevel(const request_shape& shape);
     routing_request routingRequestFor(std::size_t row, instant now) const;
     bool tryStart(std::size_t row, instant now, traffic_commands& out);
+    bool mayRetry(std::size_t row, instant now) const;
     routing_choice route(std::size_t row, request_stage stage, role_set roles, instant now);
     bool startLongPrompt(std::size_t row, instant now, traffic_commands& out);
     bool startDecode(std::size_t row, instant now, traffic_commands& out);
--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -19,6 +19,7 @@
     constexpr std::int32_t maxAttempts = 4;
     constexpr duration shortestRetryAfter = 200ms;
     constexpr duration longestRetryAfter = 30s;
+    constexpr duration answerTransitTime = 250ms; // an error that is sent later reaches the caller after its deadline
     constexpr duration initialBlock = 500ms;
     constexpr duration longestBlock = 8s;
     constexpr double outputShareWeight = 0.02;
@@ -75,13 +76,18 @@
     tick(now, out);
 }
 
+duration traffic_system::deadlineOf(const request_shape& shape) const
+{
+    if (shape.deadline > duration::zero())
+        return shape.deadline;
+    return fromSeconds(shape.isUrgent ? m_config->policy.urgentDeadline : m_config->policy.defaultDeadline);
+}
+
 request_id traffic_system::admit(const request_shape& given, instant now, traffic_commands& out)
 {
     request_shape shape = given;
     TAMARACK_ASSERT(shape.service.value < m_queues.size(), "the service is in the configuration in force");
-    if (shape.deadline == duration::zero())
-        shape.deadline
-            = fromSeconds(shape.isUrgent ? m_config->policy.urgentDeadline : m_config->policy.defaultDeadline);
+    shape.deadline = deadlineOf(given);
     const request_id id = m_requests.add(shape, now);
     const auto row = static_cast<std::size_t>(m_requests.row(id));
     if (refuseIfQuarantined(row, out))
@@ -193,6 +199,30 @@
     ++m_targets.failures[row];
 }
 
+bool traffic_system::mayRetry(std::size_t row, instant now) const
+{
+    return m_requests.shape[row].service.isValid() && now + answerTransitTime < m_requests.deadlineAt[row]
+        && m_requests.attempts[row] < maxAttempts;
+}
+
+bool traffic_system::shouldStopSilent(request_id request, attempt_id attempt, bool mayHaveFailed, instant now)
+{
+    if (!isCurrent(request, attempt))
+        return false;
+    const auto row = static_cast<std::size_t>(m_requests.row(request));
+    if (now + answerTransitTime >= m_requests.deadlineAt[row])
+        return true;
+    const auto& shape = m_requests.shape[row];
+    if (!mayHaveFailed || !shape.isIdempotent || !mayRetry(row, now) || willMissDeadline(row, now)
+        || !m_budgets[shape.service.value].canSpend())
+        return false;
+    const auto silent = m_requests.target[row];
+    const auto former = std::exchange(m_requests.avoid[row], silent);
+    const auto other = route(row, request_stage::whole, role_set::all(), now).target;
+    m_requests.avoid[row] = former;
+    return other.isValid() && other != silent;
+}
+
 void traffic_system::retryOrRefuse(
     std::size_t row, error_kind kind, bool countsAgainstBudget, instant now, traffic_commands& out)
 {
@@ -200,11 +230,7 @@
     m_requests.avoid[row] = m_requests.target[row];
     releaseTargetLoad(row);
     m_requests.phase[row] = request_phase::waiting;
-    const bool isServiceRemoved = !service.isValid();
-    const bool isPastDeadline = now >= m_requests.deadlineAt[row];
-    const bool hasUsedAllAttempts = m_requests.attempts[row] >= maxAttempts;
-    if (isServiceRemoved || isPastDeadline || hasUsedAllAttempts
-        || (countsAgainstBudget && !m_budgets[service.value].spend()))
+    if (!mayRetry(row, now) || (countsAgainstBudget && !m_budgets[service.value].spend()))
         return refuse(row, kind, duration::zero(), out);
     if (refuseIfQuarantined(row, out))
         return;
--- a/libs/decide/tests/test_traffic.cpp
+++ b/libs/decide/tests/test_traffic.cpp
@@ -150,6 +150,21 @@
     }
 }
 
+TEST_CASE("test_silent_attempt_is_stopped_only_if_another_target_has_room")
+{
+    // Guards against requests that lose the only target at work on them, which may go on.
+    traffic_fixture f(smallDeployment(2));
+    const auto id = f.admit(completion(), 1);
+    REQUIRE(f.started());
+    const auto attempt = f.started()->attempt;
+    const std::uint32_t other = f.started()->target == target_id { 0 } ? 1 : 0;
+    CHECK(f.traffic.shouldStopSilent(id, attempt, true, at(6)));
+    CHECK_FALSE(f.traffic.shouldStopSilent(id, attempt, false, at(6)));
+    f.traffic.targets().ownRunning[other] = 10;
+    CHECK_FALSE(f.traffic.shouldStopSilent(id, attempt, true, at(6)));
+    CHECK(f.traffic.shouldStopSilent(id, attempt, false, at(31)));
+}
+
 TEST_CASE("test_answer_that_was_cut_is_resumed_if_its_rest_meets_the_deadline")
 {
     // Guards against begun answers that are given up because a run from the start would miss the deadline.
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -19,6 +19,7 @@
     using namespace std::chrono_literals;
 
     constexpr auto trafficTickInterval = 20ms;
+    constexpr auto silenceCheckInterval = 100ms;
     constexpr auto keepAliveTickInterval = 500ms;
     constexpr duration targetSilence = 5s;
     constexpr duration keyHomeTimeout = 3s;
@@ -47,6 +48,7 @@
     void executeCommand(const traffic_command& command);
     void tickTraffic();
     void tickSlow();
+    void checkSilence();
     /// Ends the drain once no caller of this node waits for anything.
     void checkDrain(instant now);
     void handleCallerGone(request_id id);
@@ -72,6 +74,7 @@
     std::deque<traffic_command> pending; // commands that have not been executed yet
     bool isExecuting = false;
     QTimer trafficTimer;
+    QTimer silenceTimer;
     QTimer slowTimer;
     instant drainingSince; // set by drain()
     bool isDraining = false;
@@ -121,6 +124,7 @@
         idempotency.onPeerRequest(request, std::move(reply));
     });
     QObject::connect(&trafficTimer, &QTimer::timeout, [this] { tickTraffic(); });
+    QObject::connect(&silenceTimer, &QTimer::timeout, [this] { checkSilence(); });
     QObject::connect(&slowTimer, &QTimer::timeout, [this] { tickSlow(); });
 }
 
@@ -134,6 +138,7 @@
     if (!control.start())
         return "peer_port " + std::to_string(settings.peerPort) + " cannot be listened on";
     trafficTimer.start(trafficTickInterval);
+    silenceTimer.start(silenceCheckInterval);
     slowTimer.start(keepAliveTickInterval);
     log.write(log_event::node_started,
         { { "availability_zone", settings.availabilityZone }, { "address", settings.address },
@@ -173,6 +178,7 @@
     relay_input input, std::shared_ptr<response_writer> caller, std::function<void(const relay::outcome&)> onFinished)
 {
     traffic_commands commands;
+    input.shape.deadline = traffic.deadlineOf(input.shape);
     const request_id id = traffic.admit(input.shape, boot_clock::now(), commands);
     auto item = std::make_shared<relay>(services, std::move(input), std::move(caller));
     relay::callbacks callbacks;
@@ -260,6 +266,18 @@
     checkDrain(now);
 }
 
+void node::state::checkSilence()
+{
+    const auto now = boot_clock::now();
+    std::vector<std::shared_ptr<relay>> silent; // a stopped attempt may end its request, which removes the relay
+    for (const auto& [id, item] : relays) {
+        if (item->isSilent(now))
+            silent.push_back(item);
+    }
+    for (const auto& item : silent)
+        item->checkSilence(now);
+}
+
 void node::state::checkDrain(instant now)
 {
     if (!isDraining || isStopped || mayAccept(now))
--- a/libs/node/src/relay.cpp
+++ b/libs/node/src/relay.cpp
@@ -95,24 +95,51 @@
     return request;
 }
 
-exchange_options relay::optionsFor(const attempt_state&) const
+exchange_options relay::optionsFor(const attempt_state& attempt) const
 {
     exchange_options options;
-    options.silenceTimeout = m_services.silenceTimeout;
-    // Only streams send data or keep-alive comments regularly. Other answers may take until the deadline of the
-    // request.
-    if (!m_input.isStream)
-        options.silenceTimeout = std::max(m_services.silenceTimeout, m_input.shape.deadline);
-    options.freshConnection = !m_input.shape.isIdempotent;
+    // checkSilence() stops attempts earlier, and at the deadline at the latest.
+    options.silenceTimeout = m_input.shape.deadline + m_services.silenceTimeout;
+    options.freshConnection = attempt.isConnectionFresh;
     return options;
 }
 
+// Only streams send data or keep-alive comments regularly. Other answers may take until the deadline of the request,
+// but a connection that was idle before may have been lost on the way without a sign.
+bool relay::maySilenceMeanFailure(const attempt_state& attempt) const
+{
+    const bool isStream = m_input.isStream && attempt.command.stage != request_stage::prefill;
+    return isStream || (!attempt.isConnectionFresh && attempt.status == 0);
+}
+
+bool relay::isSilent(instant now) const
+{
+    return m_attempt && !m_attempt->hasEnded && !m_isPaused && now >= m_attempt->lastByteAt + m_services.silenceTimeout;
+}
+
+void relay::checkSilence(instant now)
+{
+    const auto attempt = m_attempt;
+    if (!isSilent(now) || !isCurrent(attempt)
+        || !m_services.traffic.shouldStopSilent(m_id, attempt->command.attempt, maySilenceMeanFailure(*attempt), now))
+        return;
+    const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(now - attempt->lastByteAt);
+    m_services.log.write(log_event::attempt_stopped,
+        { { "target", m_services.traffic.targets().name[attempt->command.target.value] },
+            { "stage", std::string(toString(attempt->command.stage)) }, { "reason", "silent" },
+            { "silent_ms", silence.count() } });
+    m_needsFreshConnection = true;
+    conclude(attempt, attempt->isStreaming ? attempt_result::cut : attempt_result::maybe_run);
+}
+
 void relay::start(const start_attempt& command)
 {
     auto attempt = std::make_shared<attempt_state>();
     attempt->command = command;
     attempt->trace = m_services.spanIds.child(m_trace);
     attempt->startedAt = wallNanoseconds();
+    attempt->lastByteAt = boot_clock::now();
+    attempt->isConnectionFresh = m_needsFreshConnection || !m_input.shape.isIdempotent;
     m_attempt = attempt;
     m_isPaused = false;
     const auto& address = m_services.traffic.targets().address[command.target.value];
@@ -147,6 +174,7 @@
 {
     if (!isCurrent(attempt))
         return;
+    attempt->lastByteAt = boot_clock::now();
     attempt->status = head.status;
     const auto echoed = head.headers.find("x-attempt-id");
     // A target or connection that mixes up answers would deliver the text of one caller to another. The echoed attempt
@@ -188,6 +216,7 @@
 {
     if (!isCurrent(attempt))
         return;
+    attempt->lastByteAt = boot_clock::now();
     if (!attempt->isStreaming) {
         attempt->buffered.body += bytes;
         if (attempt->buffered.body.size() <= maxBufferedBytes)
@@ -243,6 +272,7 @@
     if (shouldPause == m_isPaused)
         return;
     m_isPaused = shouldPause;
+    m_attempt->lastByteAt = boot_clock::now();
     m_attempt->exchange->setReading(!shouldPause);
 }
 
--- a/libs/node/src/relay.h
+++ b/libs/node/src/relay.h
@@ -23,12 +23,13 @@
     const logger& log;
     span_writer& spans;
     span_id_source& spanIds;
+    /// Time without bytes after which a target that sends data regularly counts as silent.
     duration silenceTimeout;
 };
 
 /// A request with the data that is needed beyond routing.
 struct relay_input {
-    request_shape shape;
+    request_shape shape; ///< its deadline is set
     http_request toTarget; ///< method, path, headers and body as sent to the target
     bool isEngine = false;
     bool isStream = false;
@@ -64,6 +65,10 @@
     void fail(error_kind kind, duration retryAfter);
     /// Sends a keep-alive comment on a stream without recent data. Called periodically.
     void keepAlive(instant now);
+    /// Whether the target of the current attempt has sent nothing for the silence timeout.
+    bool isSilent(instant now) const;
+    /// Stops the current attempt if its target is silent and the request need not wait for it. Called periodically.
+    void checkSilence(instant now);
     /// Continues the request after its caller has disconnected, as for a non-idempotent request whose outcome is
     /// needed.
     void detachCaller();
@@ -76,10 +81,12 @@
         std::shared_ptr<http_exchange> exchange;
         trace_context trace;
         std::int64_t startedAt = 0;
-        int status = 0;
+        instant lastByteAt;
+        int status = 0; // 0 before the head of the answer
         http_response buffered; // an answer that is not streamed, or an error response
         event_splitter splitter;
         bool isStreaming = false;
+        bool isConnectionFresh = false;
         bool isDelimited = false; // otherwise the end of the connection, which may be a crash, ends the answer
         bool sawEnd = false;
         bool sawFirst = false;
@@ -103,6 +110,7 @@
     void applyBackPressure();
     void finish(const outcome& result);
     bool isCurrent(const attempt_ptr& attempt) const;
+    bool maySilenceMeanFailure(const attempt_state& attempt) const;
 
     relay_services& m_services;
     relay_input m_input;
@@ -113,6 +121,7 @@
     std::string m_kvHandle; // handle of the KV cache at its source, for the decode stage
     std::uint64_t m_nextEvent; // id of the next event to send to the caller
     instant m_lastWrite;
+    bool m_needsFreshConnection = false; // other idle connections may have been lost as well
     trace_context m_trace;
     std::int64_t m_startedAt;
     bool m_isFinished = false;
--- a/tests/process/test_failures.cpp
+++ b/tests/process/test_failures.cpp
@@ -178,6 +178,42 @@
     run->thaw(victim);
 }
 
+TEST_CASE("test_process_streams_outlast_the_silence_of_the_only_engine")
+{
+    // Guards against begun answers that end because a silent engine is given up before another one has room.
+    constexpr std::size_t streams = 30;
+    const auto run = startSmall("only_engine_silent", { { "jazyk", { { "slots", 64 } } } });
+    const auto engines = run->targetsOf("jazyk");
+    const auto vm = run->vms().front();
+    run->listVms({ engines[1], engines[2] });
+    REQUIRE(waitUntil([&] {
+        int takingWork = 0;
+        const auto status = run->status(vm);
+        for (const auto& target : status["targets"])
+            takingWork += target["service"] == "jazyk" && target["takes_work"].get<bool>();
+        return takingWork == 1;
+    }));
+    http_client client;
+    std::size_t ended = 0;
+    std::size_t whole = 0;
+    for (std::size_t i = 0; i < streams; ++i) {
+        const nlohmann::json body { { "model", "jazyk-sumar" }, { "prompt", "silent " + std::to_string(i) },
+            { "max_tokens", 200 }, { "stream", true } };
+        client.fetch(run->callerAddress(vm), { "POST", "/v1/completions", {}, body.dump() }, {},
+            [&](const http_response* response, const exchange_failure&) {
+                ++ended;
+                whole += response && response->body.ends_with("data: [DONE]\n\n");
+            });
+    }
+    REQUIRE(waitUntil([&] { return run->targetStatus(engines[0]).value("running", 0) == streams; }));
+    run->freeze(engines[0]);
+    waitUntil([&] { return ended > 0; }, std::chrono::seconds(8));
+    CHECK(ended == 0);
+    run->thaw(engines[0]);
+    REQUIRE(waitUntil([&] { return ended == streams; }, std::chrono::seconds(60)));
+    CHECK(whole == streams);
+}
+
 TEST_CASE("test_process_slow_calls_are_answered_within_the_default_deadline")
 {
     // Guards against calls that end before the default deadline because their target is silent until it answers.
