Log the rests that targets ask for

The log has target_rests, attempt_failed has rest_ms, explain shows both and failures names the rest; the metric tamarack_targets_resting says how many rest.

--- a/libs/gateway/include/gateway/target_protocol.h
+++ b/libs/gateway/include/gateway/target_protocol.h
@@ -40,6 +40,8 @@
     int status = 0;
     bool hasNotRun = false; ///< the target declares that it has not executed the request
     bool isMisdirected = false; ///< another target has responded at this address
+    /// For how long the target wants no request of any kind from this node; empty: it has not said so.
+    std::optional<duration> rest;
     /// False for a success that cannot originate from the target itself; it must not be relayed to the caller.
     bool isGenuine = true;
     std::optional<answer_load> load;
--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -185,6 +185,8 @@
             attempt->command.target, { boot_clock::now(), load->running, load->waiting, load->slots });
     if (attempt->answer.isMisdirected)
         return conclude(attempt, attempt_result::misdirected);
+    if (const auto& rest = attempt->answer.rest)
+        m_services.decisions.targetAskedForRest(attempt->command.target, *rest, boot_clock::now());
     if (attempt->answer.hasNotRun)
         return conclude(attempt, attempt_result::rejected);
     if (!m_isStream && attempt->command.stage != attempt_stage::prefill)
@@ -359,6 +361,7 @@
                 { "target", fleet.instance[attempt->command.target.value] },
                 { "stage", nameOf(stageNames, attempt->command.stage) }, { "result", nameOf(resultNames, result) },
                 { "reason", attempt->failureReason }, { "status", attempt->answer.status },
+                { "rest_ms", attempt->answer.rest ? milliseconds(*attempt->answer.rest) : -1 },
                 { "took_ms", millisecondsSince(attempt->startedAt) } });
     }
     if (m_on.onAttemptEnded)
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -375,6 +375,10 @@
     logLostPeers(nodes.tick(now));
     for (const auto& change : decisions.takeHealthChanges())
         logHealth(change);
+    for (const auto& change : decisions.takeRestChanges())
+        log.write(log_event::target_rests,
+            { { "target", decisions.fleet().instance[change.target.value] },
+                { "rest_ms", milliseconds(change.rest) } });
     decisions.setKnownNodes(view.knowsNodes() ? nodes.knownCount() : 0);
     if (now >= nextDutiesAt)
         assignDuties(now);
@@ -424,12 +428,15 @@
     const auto& fleet = decisions.fleet();
     int known = 0;
     int draining = 0;
+    int resting = 0;
     for (std::size_t row = 0; row < fleet.size(); ++row) {
         known += fleet.isListed[row];
         draining += fleet.isListed[row] && fleet.isDraining[row];
+        resting += fleet.isListed[row] && fleet.isResting({ static_cast<std::uint32_t>(row) }, now);
     }
     counters.set("tamarack_targets_known", known);
     counters.set("tamarack_targets_draining", draining);
+    counters.set("tamarack_targets_resting", resting);
     counters.set("tamarack_nodes_known", nodes.knownCount());
     counters.set("tamarack_nodes_alive", static_cast<double>(nodes.alive(now).size()) + 1);
     counters.set("tamarack_requests_held", static_cast<double>(decisions.held()));
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -46,6 +46,7 @@
     target_record_invalid,
     target_blocked,
     target_returned,
+    target_rests,
     request_quarantined,
     quarantine_ended,
     cache_view_restarted,
--- a/libs/observe/src/log_story.cpp
+++ b/libs/observe/src/log_story.cpp
@@ -36,8 +36,8 @@
     bool isStateChange(const logged_line& line)
     {
         static const std::set<std::string> events { "target_listed", "target_gone", "targets_changed", "target_blocked",
-            "target_returned", "configuration_in_force", "store_lost", "store_reached", "peer_lost", "peers_lost",
-            "readiness_changed" };
+            "target_returned", "target_rests", "configuration_in_force", "store_lost", "store_reached", "peer_lost",
+            "peers_lost", "readiness_changed" };
         return events.contains(line.text("event"));
     }
 
@@ -53,6 +53,8 @@
             cause += " (" + reason + ")";
         if (const auto status = attempt.text("status"); !status.empty() && status != "0")
             cause += " " + status;
+        if (attempt.fields.value("rest_ms", -1) > 0)
+            cause += ", the target rests";
         return cause;
     }
 
--- a/libs/observe/tests/test_log_story.cpp
+++ b/libs/observe/tests/test_log_story.cpp
@@ -84,3 +84,19 @@
     CHECK(summary.find("1  note  pause: its engine ran prefill for other requests  (such as paused)")
         != std::string::npos);
 }
+
+TEST_CASE("test_summary_and_timeline_say_that_a_target_rests")
+{
+    const std::vector<std::string> resting {
+        R"({"ts_ms":1900,"level":"info","event":"target_rests","vm":"n1","instance":"n1/1","target":"t1","rest_ms":3000})",
+        R"({"ts_ms":2100,"level":"info","event":"attempt_failed","vm":"n1","instance":"n1/1","request":"r1","target":"t1","stage":"decode","result":"rejected","reason":"","status":503,"rest_ms":3000})",
+        R"({"ts_ms":2200,"level":"info","event":"request_refused","vm":"n1","instance":"n1/1","request":"r1","route":"tag","kind":"overloaded"})",
+        R"({"ts_ms":2300,"level":"info","event":"attempt_failed","vm":"n1","instance":"n1/1","request":"r2","target":"t2","stage":"whole","result":"rejected","reason":"","status":503,"rest_ms":-1})",
+        R"({"ts_ms":2400,"level":"info","event":"request_refused","vm":"n1","instance":"n1/1","request":"r2","route":"tag","kind":"overloaded"})",
+    };
+    CHECK(formatRequestTimeline(resting, "r1").find("target_rests") != std::string::npos);
+    const auto summary = formatFailureSummary(resting, { 0, 5000 });
+    CHECK(summary.find("after decode rejected 503, the target rests") != std::string::npos);
+    CHECK(summary.find("after whole rejected 503") != std::string::npos);
+    CHECK(summary.find("whole rejected 503, the target rests") == std::string::npos);
+}
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -7,6 +7,7 @@
 #include "serving/peer_load.h"
 #include "serving/placement.h"
 #include "serving/retry_limiter.h"
+#include "serving/target_rest.h"
 
 #include "serving/in_flight_requests.h"
 #include <map>
@@ -44,6 +45,8 @@
     void roleChanging(target_id engine, instant until) { m_fleet.roleChangeUntil[engine.value] = until; }
     /// Sets the time without an update after which load reported by a peer expires.
     void setPeerLoadExpiry(duration expiry) { m_peers.setTimeToLive(expiry); }
+    /// The target wants nothing from this node for `rest`; zero ends an earlier rest.
+    void targetAskedForRest(target_id target, duration rest, instant now) { m_rests.told(target, rest, now); }
     /// Records the outcomes of a peer's attempts.
     void updatePeerHealth(const std::vector<health_report>& reports, instant now);
     /// Outcomes of this node's attempts since the last call, to be sent to the peers.
@@ -92,6 +95,7 @@
     /// An attempt has left an idle connection to the target, which may be reused until then.
     void connectionKept(target_id target, instant until) { m_connections.add(target, until); }
     std::vector<health_change> takeHealthChanges() { return m_health.takeChanges(); }
+    std::vector<rest_change> takeRestChanges() { return m_rests.takeChanges(); }
     const fleet_table& fleet() const { return m_fleet; }
     std::vector<load_entry> ownLoad() const { return m_peers.localLoad(); }
     std::vector<prefill_report> ownJobs(instant now) const { return m_queues.localReports(now); }
@@ -150,6 +154,7 @@
     prefill_queues m_queues;
     prompt_cache_map m_caches;
     target_health m_health;
+    target_rests m_rests;
     request_quarantine m_quarantine;
     abandoned_attempts m_abandoned;
     std::uint64_t m_quarantinesSeen = 0;
--- a/libs/serving/include/serving/fleet_table.h
+++ b/libs/serving/include/serving/fleet_table.h
@@ -42,6 +42,8 @@
     bool isLocal(target_id id) const { return zone[id.value] == m_ownZone; }
     /// Whether the target may be given new requests.
     bool acceptsWork(target_id id, instant now) const;
+    /// Whether the target has asked this node to send it nothing now.
+    bool isResting(target_id id, instant now) const { return now < restUntil[id.value]; }
     /// The estimated number of requests at the target, from all nodes.
     int running(target_id id) const { return ownRunning[id.value] + peersRunning[id.value]; }
     void addRunning(target_id id) { ownRunning[id.value] += 1; }
@@ -59,6 +61,7 @@
     std::vector<std::uint8_t> isListed;
     std::vector<std::uint8_t> isDraining;
     std::vector<instant> blockedUntil; // set after failures
+    std::vector<instant> restUntil; // asked for by the target
     std::vector<instant> roleChangeUntil; // a change of role is ordered or in progress
     std::vector<int> ownRunning;
     std::vector<int> peersRunning;
--- a/libs/serving/src/fleet_table.cpp
+++ b/libs/serving/src/fleet_table.cpp
@@ -18,7 +18,7 @@
 void fleet_table::reset(std::size_t row)
 {
     isListed[row] = isDraining[row] = 0;
-    blockedUntil[row] = roleChangeUntil[row] = {};
+    blockedUntil[row] = restUntil[row] = roleChangeUntil[row] = {};
     ownRunning[row] = peersRunning[row] = 0;
     reportedLoad[row] = {};
 }
@@ -45,6 +45,7 @@
     isListed.push_back(0);
     isDraining.push_back(0);
     blockedUntil.emplace_back();
+    restUntil.emplace_back();
     roleChangeUntil.emplace_back();
     ownRunning.push_back(0);
     peersRunning.push_back(0);
