Keep the latest end of the rests that a target asks for

Answers come over several connections, so the order in which a node receives them is not the order in which the target gave them. A rest that is asked for is not taken back by a shorter one; a rest of no length is ignored.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -45,7 +45,7 @@
     void roleChanging(target_id engine, instant until) { m_fleet.roleChangeUntil[engine.value] = until; }
     /// Sets the time without an update after which load reported by a peer expires.
     void setPeerLoadExpiry(duration expiry) { m_peers.setTimeToLive(expiry); }
-    /// The target wants nothing from this node for `rest`; zero ends an earlier rest.
+    /// The target wants nothing from this node for `rest`.
     void targetAskedForRest(target_id target, duration rest, instant now) { m_rests.told(target, rest, now); }
     /// Records the outcomes of a peer's attempts.
     void updatePeerHealth(const std::vector<health_report>& reports, instant now);
--- a/libs/serving/src/target_rest.cpp
+++ b/libs/serving/src/target_rest.cpp
@@ -13,10 +13,10 @@
 
 void target_rests::told(target_id id, duration rest, instant now)
 {
-    if (rest < duration::zero())
+    if (rest <= duration::zero())
         return;
     const auto length = std::min(rest, maxRest);
-    m_fleet.restUntil[id.value] = now + length;
+    m_fleet.restUntil[id.value] = std::max(m_fleet.restUntil[id.value], now + length);
     m_changes.push_back({ id, length });
 }
 
