The present interface: judge a begun answer by the time that its rest needs

What callers saw: a stream that broke off was cut, though its deadline left time for the rest of it.

Cause: a waiting request is given up once its expected execution would miss the deadline, and the expectation for a resumed stream was that of a run from the start, and for a decode after a prefill that of both.

--- a/libs/decide/include/decide/traffic_system.h
+++ b/libs/decide/include/decide/traffic_system.h
@@ -139,6 +139,8 @@
     bool willMissDeadline(std::size_t row, instant now) const;
     /// Expected execution time of a request once started.
     duration serviceTime(const request_shape& shape) const;
+    /// Expected execution time of what the request still lacks.
+    duration remainingTime(std::size_t row) const;
     duration expectedWait(service_id service, std::size_t level) const;
     /// Number of slots at targets that accept requests now. Sets `recoversSoon` if another target is only temporarily
     /// unavailable.
--- a/libs/decide/src/traffic_dispatch.cpp
+++ b/libs/decide/src/traffic_dispatch.cpp
@@ -134,7 +134,7 @@
 
 bool traffic_system::willMissDeadline(std::size_t row, instant now) const
 {
-    return now + serviceTime(m_requests.shape[row]) > m_requests.deadlineAt[row];
+    return now + remainingTime(row) > m_requests.deadlineAt[row];
 }
 
 // A request that can no longer meet its deadline is not started, since it would occupy a slot that another request
--- a/libs/decide/src/traffic_estimates.cpp
+++ b/libs/decide/src/traffic_estimates.cpp
@@ -22,6 +22,15 @@
     return fromSeconds((prefill + output * service.tokenInterval) * m_slowdown[shape.service.value]);
 }
 
+duration traffic_system::remainingTime(std::size_t row) const
+{
+    request_shape rest = m_requests.shape[row];
+    rest.outputTokens = std::max<std::int64_t>(0, rest.outputTokens - m_requests.tokensDone[row]);
+    if (m_requests.stage[row] == request_stage::decode)
+        rest.promptTokens = 0;
+    return serviceTime(rest);
+}
+
 duration traffic_system::expectedWait(service_id service, std::size_t level) const
 {
     const auto& queue = m_queues[service.value];
