The present interface: send a target no work in the rest that it asks for

What targets saw: work from a node that they had turned away and told when to come back. A target that asked a node for 3 s of rest got 5 calls from it between half a second after its answer and the end of that time.

Cause: a refusal (503, `x-ran: no`) blocked its target for 500 ms, whatever its Retry-After said, and any later failure replaced the time of the block.

Change: Retry-After of a refusal is read for runs, prefills and decodes alike. The end of the rest is a column of its own in the target table, which failures and successes leave alone; a new process of the target ends it. Requests wait for the first target whose rest ends if their deadline bears it, and are refused at once otherwise, with that time.

Ruled out: other refusals of targets. A service's 503 without `x-ran: no` is the service's answer and reaches the caller.

In test_decide, for each stage, test_target_gets_no_work_before_the_end_of_the_rest_that_it_asked_for fails without the new column's check (mutation work-in-a-rest, played by hand).

--- a/libs/decide/include/decide/target_table.h
+++ b/libs/decide/include/decide/target_table.h
@@ -52,6 +52,7 @@
     std::vector<std::uint8_t> isDraining; // an order is pending: no new requests, running ones finish
     std::vector<std::uint8_t> isLeaving; // according to the VM list, the target's own status or an operator
     std::vector<instant> blockedUntil; // backoff after failures
+    std::vector<instant> restUntil; // as the target has asked; no failure, and not ended by anything but a restart
     std::vector<std::int32_t> failures; // consecutive failures
     std::vector<instant> slowStartUntil;
     std::vector<std::int32_t> ownRunning; // requests of this node in flight at the target
--- a/libs/decide/include/decide/traffic_system.h
+++ b/libs/decide/include/decide/traffic_system.h
@@ -56,6 +56,9 @@
     /// The target has closed the connection of an attempt before the end of its answer. Called before attemptEnded().
     /// Whether the target itself has ended must be checked.
     void targetClosedConnection(request_id request, attempt_id attempt, instant now);
+    /// The target has turned the attempt away and wants no work from this node for `rest`. Called before
+    /// attemptEnded().
+    void targetAskedForRest(request_id request, attempt_id attempt, duration rest, instant now);
     /// Targets that have closed connections since the last call; their status is needed.
     std::vector<target_id> takeTargetsToCheck();
     /// The target answers with this incarnation. Called before the target table is updated.
@@ -141,7 +144,10 @@
     duration serviceTime(const request_shape& shape) const;
     /// Expected execution time of what the request still lacks.
     duration remainingTime(std::size_t row) const;
-    duration expectedWait(service_id service, std::size_t level) const;
+    duration expectedWait(service_id service, std::size_t level, instant now) const;
+    /// Time until the first target of the service ends its rest; zero if some target does not rest.
+    duration remainingRest(service_id service, instant now) const;
+    void updateSlots(service_id service, instant now, bool& recoversSoon);
     /// Number of slots at targets that accept requests now. Sets `recoversSoon` if another target is only temporarily
     /// unavailable.
     int usableSlots(service_id service, instant now, bool& recoversSoon) const;
@@ -167,6 +173,7 @@
     std::vector<double> m_slowdown; // by service: moving average of actual over ideal execution time; at least 1
     std::vector<demand_meter> m_demand; // by service
     std::vector<int> m_slotsNow; // by service: usable slots as of the last tick
+    std::vector<instant> m_restUntil; // by service: all its targets rest until then, as of the last tick
     traffic_counts m_counts;
     std::uint64_t m_nextAttempt = 1;
     int m_nodeCount = 1;
--- a/libs/decide/src/target_table.cpp
+++ b/libs/decide/src/target_table.cpp
@@ -30,6 +30,7 @@
     isDraining.push_back(0);
     isLeaving.push_back(0);
     blockedUntil.emplace_back();
+    restUntil.emplace_back();
     failures.push_back(0);
     slowStartUntil.emplace_back();
     ownRunning.push_back(0);
@@ -63,7 +64,7 @@
             if (existing == former.end() || address[row] != entry.address) {
                 role[row] = engine_role::mixed;
                 isChanging[row] = isDraining[row] = isLeaving[row] = 0;
-                blockedUntil[row] = slowStartUntil[row] = {};
+                blockedUntil[row] = restUntil[row] = slowStartUntil[row] = {};
                 failures[row] = 0;
                 reported[row] = {};
                 incarnation[row] = 0;
@@ -130,7 +131,7 @@
     const auto row = id.value;
     if (service[row] < 0 || isLeaving[row] || isChanging[row] || isDraining[row])
         return false;
-    return now >= blockedUntil[row];
+    return now >= blockedUntil[row] && now >= restUntil[row];
 }
 
 }
--- a/libs/decide/src/traffic_dispatch.cpp
+++ b/libs/decide/src/traffic_dispatch.cpp
@@ -1,6 +1,7 @@
 // Starts requests at targets and maintains the queues of waiting requests.
 #include "decide/traffic_system.h"
 
+#include <algorithm>
 #include <array>
 #include <deque>
 
@@ -134,7 +135,8 @@
 
 bool traffic_system::willMissDeadline(std::size_t row, instant now) const
 {
-    return now + remainingTime(row) > m_requests.deadlineAt[row];
+    const instant startsAt = std::max(now, m_restUntil[m_requests.shape[row].service.value]);
+    return startsAt + remainingTime(row) > m_requests.deadlineAt[row];
 }
 
 // A request that can no longer meet its deadline is not started, since it would occupy a slot that another request
@@ -146,7 +148,7 @@
     if (!willMissDeadline(row, now))
         return tryStart(row, now, out);
     const auto& shape = m_requests.shape[row];
-    refuse(row, error_kind::deadline_unreachable, expectedWait(shape.service, queueLevel(shape)), out);
+    refuse(row, error_kind::deadline_unreachable, expectedWait(shape.service, queueLevel(shape), now), out);
     return true;
 }
 
@@ -174,7 +176,7 @@
         const auto row = static_cast<std::size_t>(m_requests.row(id));
         const auto& shape = m_requests.shape[row];
         if (willMissDeadline(row, now))
-            refuse(row, error_kind::deadline_unreachable, expectedWait(shape.service, queueLevel(shape)), out);
+            refuse(row, error_kind::deadline_unreachable, expectedWait(shape.service, queueLevel(shape), now), out);
         else
             remaining.push_back(id);
     }
@@ -187,7 +189,7 @@
     endQuarantined(out);
     for (std::uint32_t s = 0; s < m_queues.size(); ++s) {
         bool recoversSoon = false;
-        m_slotsNow[s] = usableSlots({ s }, now, recoversSoon);
+        updateSlots({ s }, now, recoversSoon);
         for (auto* queue : { &m_queues[s].decode, &m_queues[s].first }) {
             for (auto& level : *queue)
                 refuseUnmeetable(level, now, out);
--- a/libs/decide/src/traffic_estimates.cpp
+++ b/libs/decide/src/traffic_estimates.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace tamarack {
 
@@ -31,7 +32,7 @@
     return serviceTime(rest);
 }
 
-duration traffic_system::expectedWait(service_id service, std::size_t level) const
+duration traffic_system::expectedWait(service_id service, std::size_t level, instant now) const
 {
     const auto& queue = m_queues[service.value];
     double ahead = 0;
@@ -43,7 +44,25 @@
         }
     }
     const double slots = std::max(1.0, static_cast<double>(m_slotsNow[service.value]) / m_nodeCount);
-    return fromSeconds(ahead / slots);
+    return std::max<duration>(fromSeconds(ahead / slots), m_restUntil[service.value] - now);
+}
+
+duration traffic_system::remainingRest(service_id service, instant now) const
+{
+    std::optional<duration> shortest;
+    for (const auto row : m_router.subset(service)) {
+        if (m_targets.isLeaving[row])
+            continue;
+        const auto rest = std::max<duration>(duration::zero(), m_targets.restUntil[row] - now);
+        shortest = std::min(shortest.value_or(rest), rest);
+    }
+    return shortest.value_or(duration::zero());
+}
+
+void traffic_system::updateSlots(service_id service, instant now, bool& recoversSoon)
+{
+    m_slotsNow[service.value] = usableSlots(service, now, recoversSoon);
+    m_restUntil[service.value] = now + remainingRest(service, now);
 }
 
 int traffic_system::usableSlots(service_id service, instant now, bool& recoversSoon) const
@@ -56,7 +75,7 @@
             const bool runsDecode = m_targets.role[row] != engine_role::prefill;
             slots += runsDecode ? entry.slots : 1;
         } else if (!m_targets.isLeaving[row]) {
-            recoversSoon = true; // changing, draining, or blocked after a failure
+            recoversSoon = true; // changing, draining, at rest, or blocked after a failure
         }
     }
     return slots;
--- a/libs/decide/src/traffic_system.cpp
+++ b/libs/decide/src/traffic_system.cpp
@@ -20,6 +20,7 @@
     constexpr duration shortestRetryAfter = 200ms;
     constexpr duration longestRetryAfter = 30s;
     constexpr duration answerTransitTime = 250ms; // an error that is sent later reaches the caller after its deadline
+    constexpr duration longestRest = 1h; // bounds what a mistaken answer of a target can do
     constexpr duration initialBlock = 500ms;
     constexpr duration longestBlock = 8s;
     constexpr double outputShareWeight = 0.02;
@@ -56,6 +57,7 @@
         m_demand[s] = formerDemand[static_cast<std::size_t>(formerIndex)];
     }
     m_slotsNow.assign(count, 0);
+    m_restUntil.assign(count, {});
     for (std::size_t row = 0; row < m_requests.rows(); ++row) {
         // A request whose service was removed by an earlier change has no service to carry over.
         if (m_requests.phase[row] == request_phase::free || !m_requests.shape[row].service.isValid())
@@ -114,13 +116,12 @@
         return id;
     }
     bool recoversSoon = false;
-    const int slots = usableSlots(shape.service, now, recoversSoon);
-    m_slotsNow[shape.service.value] = slots;
-    if (slots == 0 && !recoversSoon) {
+    updateSlots(shape.service, now, recoversSoon);
+    if (m_slotsNow[shape.service.value] == 0 && !recoversSoon) {
         refuse(row, error_kind::no_target, answerFor(error_kind::no_target).retryAfter, out);
         return id;
     }
-    const duration expected = expectedWait(shape.service, level);
+    const duration expected = expectedWait(shape.service, level, now);
     if (expected + serviceTime(shape) > shape.deadline) {
         refuse(row, error_kind::deadline_unreachable, expected, out);
         return id;
@@ -320,6 +321,14 @@
         m_cutOff.add(m_requests.shape[row].digest, instanceHash(target), now);
 }
 
+void traffic_system::targetAskedForRest(request_id request, attempt_id attempt, duration rest, instant now)
+{
+    if (!isCurrent(request, attempt))
+        return;
+    auto& until = m_targets.restUntil[m_requests.target[static_cast<std::size_t>(m_requests.row(request))].value];
+    until = std::max(until, now + std::min(rest, longestRest));
+}
+
 std::vector<target_id> traffic_system::takeTargetsToCheck() { return std::exchange(m_targetsToCheck, {}); }
 
 void traffic_system::targetAnswered(target_id target, std::uint64_t incarnation, instant now)
--- a/libs/decide/tests/test_traffic.cpp
+++ b/libs/decide/tests/test_traffic.cpp
@@ -150,6 +150,64 @@
     }
 }
 
+TEST_CASE("test_target_gets_no_work_before_the_end_of_the_rest_that_it_asked_for")
+{
+    // Guards against work that a target has turned away and told when to bring.
+    const auto stage = GENERATE(request_stage::whole, request_stage::prefill, request_stage::decode);
+    traffic_fixture f(smallDeployment(4, 1000));
+    auto shape = completion();
+    shape.deadline = 600s;
+    if (stage != request_stage::whole) {
+        shape.promptTokens = 100'000;
+        for (std::uint32_t row = 0; row < 4; ++row)
+            f.traffic.targets().role[row] = row % 2 ? engine_role::prefill : engine_role::decode;
+    }
+    auto id = f.admit(shape, 1);
+    REQUIRE(f.started());
+    if (stage == request_stage::decode)
+        f.end(id, attempt_result::answered, 1);
+    REQUIRE(f.started()->stage == stage);
+    const auto resting = f.started()->target;
+    f.traffic.targetAskedForRest(id, f.started()->attempt, 3s, at(1));
+    f.end(id, attempt_result::refused, 1);
+    bool isUsedAgain = false;
+    for (double time = 1; time < 10; time += 0.02) {
+        id = f.admit(shape, time);
+        while (f.started()) {
+            CHECK((f.started()->target != resting || time >= 4));
+            isUsedAgain |= f.started()->target == resting;
+            f.end(id, attempt_result::answered, time);
+        }
+    }
+    CHECK(isUsedAgain);
+}
+
+TEST_CASE("test_request_is_refused_at_once_if_all_targets_rest_beyond_its_deadline")
+{
+    // Guards against requests that wait although it is known that no target takes them in time.
+    traffic_fixture f(smallDeployment(2));
+    for (const int target : { 0, 1 }) {
+        INFO(target);
+        const auto id = f.admit(completion(), 1);
+        REQUIRE(f.started());
+        f.traffic.targetAskedForRest(id, f.started()->attempt, 20s, at(1));
+        f.end(id, attempt_result::refused, 1);
+        if (f.started())
+            f.end(id, attempt_result::answered, 1);
+    }
+    auto shape = completion();
+    shape.deadline = 10s;
+    f.admit(shape, 2);
+    REQUIRE(f.refusal());
+    CHECK(f.refusal()->kind == error_kind::deadline_unreachable);
+    CHECK(f.refusal()->retryAfter == 19s);
+    shape.deadline = 30s;
+    f.admit(shape, 2);
+    CHECK(f.commands.empty());
+    f.traffic.tick(at(21.1), f.commands);
+    CHECK(f.started());
+}
+
 TEST_CASE("test_silent_attempt_is_stopped_only_if_another_target_has_room")
 {
     // Guards against requests that lose the only target at work on them, which may go on.
--- a/libs/node/src/admin_api.cpp
+++ b/libs/node/src/admin_api.cpp
@@ -2,6 +2,7 @@
 #include "admin_api.h"
 
 #include <QHostAddress>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace tamarack {
@@ -60,6 +61,7 @@
                 { "role", std::string(toString(targets.role[row])) }, { "own", targets.ownRunning[row] },
                 { "running", targets.runningEstimate({ row }, now) },
                 { "takes_work", targets.acceptsWork({ row }, now) }, { "leaving", targets.isLeaving[row] != 0 },
+                { "rest_seconds", std::max(0.0, seconds(targets.restUntil[row] - now)) },
                 { "changing", targets.isChanging[row] != 0 }, { "draining", targets.isDraining[row] != 0 } });
         }
         return list;
--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -281,6 +281,8 @@
     if (status.hasLoad)
         targets.report(id, status.load);
     const auto row = id.value;
+    if (targets.incarnation[row] != 0 && targets.incarnation[row] != status.view.incarnation)
+        targets.restUntil[row] = {}; // asked for by a process that has ended
     const bool wasUnavailable = targets.isChanging[row] || targets.incarnation[row] != status.view.incarnation;
     targets.isChanging[row] = status.view.isChanging;
     targets.isLeaving[row] = status.isLeaving || m_listedLeaving[name];
--- a/libs/node/src/relay.cpp
+++ b/libs/node/src/relay.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace tamarack {
@@ -30,6 +31,18 @@
             [&](auto withheld) { return equalsIgnoreCase(withheld, name); });
     }
 
+    /// Returns the time in a `Retry-After` header in seconds, which may have a fraction; zero if there is none.
+    duration parseRetryAfter(std::string_view text)
+    {
+        constexpr double maxSeconds = 1e6;
+        double value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        const bool isTooLarge = error == std::errc::result_out_of_range;
+        if ((error != std::errc() && !isTooLarge) || end != text.data() + text.size() || !(value >= 0))
+            return duration::zero();
+        return fromSeconds(isTooLarge ? maxSeconds : std::min(value, maxSeconds));
+    }
+
     std::string_view toString(request_stage stage)
     {
         constexpr std::array<std::string_view, 3> names { "whole", "prefill", "decode" };
@@ -184,8 +197,10 @@
         m_services.counters.count("tamarack_crossed_answers_total");
         return conclude(attempt, attempt_result::maybe_run);
     }
-    if (head.status == statusUnavailable && head.headers.find("x-ran") == "no")
+    if (head.status == statusUnavailable && head.headers.find("x-ran") == "no") {
+        noteRest(*attempt, head);
         return conclude(attempt, attempt_result::refused);
+    }
     if (head.status == statusKvMissing && attempt->command.stage == request_stage::decode)
         return conclude(attempt, attempt_result::kv_missing);
     attempt->buffered.status = head.status;
@@ -199,6 +214,18 @@
         startCallerStream();
 }
 
+void relay::noteRest(const attempt_state& attempt, const http_response_head& head)
+{
+    const duration rest = parseRetryAfter(head.headers.find("retry-after"));
+    if (rest <= duration::zero())
+        return;
+    m_services.traffic.targetAskedForRest(m_id, attempt.command.attempt, rest, boot_clock::now());
+    m_services.counters.count("tamarack_rests_asked_total");
+    m_services.log.write(log_event::target_blocked,
+        { { "target", m_services.traffic.targets().name[attempt.command.target.value] }, { "reason", "asked for rest" },
+            { "for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(rest).count() } });
+}
+
 void relay::startCallerStream()
 {
     m_lastWrite = boot_clock::now();
--- a/libs/node/src/relay.h
+++ b/libs/node/src/relay.h
@@ -105,6 +105,8 @@
     void endBuffered(const attempt_ptr& attempt);
     void conclude(const attempt_ptr& attempt, attempt_result result);
     void writeAttemptSpan(const attempt_state& attempt, attempt_result result);
+    /// Passes the time for which the target wants no work, if it says one, to the traffic decisions.
+    void noteRest(const attempt_state& attempt, const http_response_head& head);
     void startCallerStream();
     void writeToCaller(std::string_view bytes);
     void applyBackPressure();
--- a/tests/standins/service_standin.cpp
+++ b/tests/standins/service_standin.cpp
@@ -3,9 +3,11 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "observe/span.h"
+#include "standins/rest_period.h"
 #include "standins/standins.h"
 
 #include <QTimer>
+#include <cmath>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -58,6 +60,7 @@
                 const auto body = json::parse(request.body, nullptr, false);
                 m_nextFault = body.value("next", m_nextFault);
                 m_isLeaving = body.value("leaving", m_isLeaving);
+                m_rest.ask(fromSeconds(body.value("rest", 0.0)));
                 return send(caller, json::object());
             }
             if (m_isLeaving)
@@ -68,18 +71,31 @@
         json status() const
         {
             return { { "incarnation", m_incarnation }, { "running", m_running }, { "leaving", m_isLeaving },
-                { "work_after_leaving", m_workAfterLeaving },
+                { "work_after_leaving", m_workAfterLeaving }, { "work", m_work }, { "turned_away", m_turnedAway },
+                { "work_at_rest", m_rest.lateArrivals() },
                 { "load", { { "running", m_running }, { "prefill_tokens", 0 }, { "age_ms", 0 } } } };
         }
 
+        /// Turns a request away, if `rest` is positive with the time for which others are to stay away as well.
+        void refuse(const writer_ptr& caller, duration rest)
+        {
+            ++m_turnedAway;
+            http_response refusal { 503, {}, {} };
+            refusal.headers.set("x-ran", "no");
+            if (rest > duration::zero())
+                refusal.headers.set("Retry-After", std::to_string(static_cast<int>(std::ceil(seconds(rest)))));
+            caller->sendWhole(refusal);
+        }
+
         void run(const http_request& request, const writer_ptr& caller)
         {
+            const auto rest = m_rest.turnAway(boot_clock::now());
+            if (rest)
+                return refuse(caller, *rest);
             const auto fault = std::exchange(m_nextFault, "");
-            if (fault == "refuse") {
-                http_response refusal { 503, {}, {} };
-                refusal.headers.set("x-ran", "no");
-                return caller->sendWhole(refusal);
-            }
+            if (fault == "refuse")
+                return refuse(caller, duration::zero());
+            ++m_work;
             const std::string key(request.headers.find("idempotency-key"));
             if (!key.empty())
                 m_runs[key] = m_runs.value(key, 0) + 1;
@@ -155,6 +171,9 @@
         bool m_isLeaving = false;
         int m_running = 0;
         int m_workAfterLeaving = 0;
+        int m_work = 0; // calls that were taken
+        int m_turnedAway = 0;
+        rest_period m_rest;
         std::vector<writer_ptr> m_silenced;
         http_client m_client;
         http_server m_server;
--- a/tests/standins/standins.h
+++ b/tests/standins/standins.h
@@ -42,7 +42,8 @@
 /// A model engine. Faults: POST /fault with {"next": "cut" | "silent" | "crossed" | "lose_answer" | "truncate"},
 /// {"leaving": true}, {"crash": true}, {"ignore_offset": true}.
 std::unique_ptr<standin> makeEngine(const standin_options& options, const service_entry& timing);
-/// A plain service; counts runs by key, told by GET /runs. Faults as an engine's.
+/// A plain service; counts runs by key, told by GET /runs. Faults: POST /fault with {"next": "refuse" | "silent" |
+/// "lose_answer"}, {"leaving": true}, {"rest": SECONDS} (from its next call on it turns work away for that long).
 std::unique_ptr<standin> makeService(const standin_options& options, const service_entry& timing);
 /// A link to `options.entry`; SIGUSR1 silences its open connections.
 std::unique_ptr<standin> makeLink(const standin_options& options);
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -34,6 +34,8 @@
      "        m_requests.stage"),
     ("work-for-leaving-targets", DECIDE + "target_table.cpp",
      "service[row] < 0 || isLeaving[row] ||", "service[row] < 0 ||"),
+    ("work-in-a-rest", DECIDE + "target_table.cpp",
+     " && now >= restUntil[row]", ""),
     ("key-not-sealed", DECIDE + "key_registry.cpp",
      "    m_entries[key] = { key_state::delegated, now, {}, asker };\n", ""),
     ("home-not-aged", DECIDE + "key_registry.cpp",
