Serve connections that were made before the server stops listening

What callers saw: at a planned stop a connection that was made a moment before was reset, with the request on it, without an answer or a refusal.

Cause: the kernel completes connections before the server accepts them, and the close of a listening socket resets those that wait.

Change: stopListening accepts what waits before it closes the socket. A connection made between the two calls is still reset.

Evidence: test_connection_that_was_made_before_the_server_stops_listening_is_served failed before (0 of 1 answered) and passes now, as do all of test_http.

--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -112,7 +112,7 @@
     /// Starts to listen. Port 0 selects any free port. Returns false if the address cannot be bound.
     bool listen(const QHostAddress& address, quint16 port);
     quint16 port() const;
-    /// Stops accepting connections. Open connections are not affected.
+    /// Stops accepting connections. Those that were made before are served.
     void stopListening();
     /// Sets the limits. They apply to requests whose first byte has not arrived yet.
     void setLimits(const http_server_limits& limits);
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -120,7 +120,13 @@
 
 quint16 http_server::port() const { return m_state->server.serverPort(); }
 
-void http_server::stopListening() { m_state->server.close(); }
+// The kernel may have connections that the event loop has not accepted yet. Closing the listening socket resets them.
+void http_server::stopListening()
+{
+    if (m_state->server.isListening())
+        m_state->server.waitForNewConnection(0); // accepts all of them
+    m_state->server.close();
+}
 
 void http_server::setLimits(const http_server_limits& limits)
 {
--- a/libs/http/tests/test_http_server.cpp
+++ b/libs/http/tests/test_http_server.cpp
@@ -315,6 +315,21 @@
     CHECK(requests == 7);
 }
 
+TEST_CASE("test_connection_that_was_made_before_the_server_stops_listening_is_served")
+{
+    // Guards against a reset of connections that the kernel has accepted and the server has not.
+    counting_server server;
+    kept_connection caller(server.server.port());
+    REQUIRE(caller.socket.waitForConnected());
+    caller.send("/first");
+    caller.socket.flush();
+    server.server.beginDrain();
+    server.server.stopListening();
+    server.server.closeIdle();
+    caller.waitForAnswers(1);
+    CHECK(caller.answers() == 1);
+}
+
 TEST_CASE("test_limits_apply_to_the_next_request_on_a_kept_connection")
 {
     // Guards against requests that are refused by limits which are no longer in force.
