Read the status that the test of leaving targets waits for

The test iterated over a part of a temporary JSON document that had ended, so what it waited for was undefined, and the wait may have passed at once. It now keeps the document; what it asserts is unchanged.

--- a/tests/process/test_planned_changes.cpp
+++ b/tests/process/test_planned_changes.cpp
@@ -283,7 +283,8 @@
     const auto engines = run->targetsOf("jazyk");
     const auto takesWork = [&](const std::string& name) {
         for (const auto& vm : run->vms()) {
-            for (const auto& target : run->status(vm)["targets"]) {
+            const auto status = run->status(vm);
+            for (const auto& target : status["targets"]) {
                 if (target["target"] == name && target["takes_work"].get<bool>())
                     return true;
             }
