Mutations: stop a node at once, on the present code

The text that the mutation replaces is gone since the end of a drain waits for connections. Played by hand: test_process_rolling_replacement_of_all_nodes_cuts_nothing fails with it (1 call of unknown outcome, 10 resumed streams).

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -56,7 +56,9 @@
      "    if (isUnsent && !isDrained(target, now))\n        return;\n", "",
      "test_process_version_change_cuts_nothing"),
     ("stop-at-once", "libs/node/src/node.cpp",
-     "    if (!isDraining || isStopped || mayAccept(now))\n        return;\n", "    if (!isDraining || isStopped)\n        return;\n    isStopped = true;\n    return onStopped();\n",
+     "    if (!isDraining || isStopped || mayAccept(now))\n        return;\n"
+     "    const bool isOverdue = now >= drainingSince + settings.drainTimeout;\n",
+     "    if (!isDraining || isStopped)\n        return;\n    const bool isOverdue = true;\n",
      "test_process_rolling_replacement_of_all_nodes_cuts_nothing"),
     ("end-of-connection-for-end-of-answer", "libs/node/src/relay.cpp",
      "    if (!attempt->sawEnd)\n        return conclude(attempt, attempt_result::cut);\n", "",
