Send a target nothing while it rests

A target at rest accepts no work of this node: no whole request, prefill, decode or resumed stream, and no prefix is fetched from it. Peers need not obey: the target has told this node, may have room for another one's requests, and tells each node itself with its first answer. Once all targets that could answer a request rest, nothing is prefilled for it either. It waits until the earliest end of a rest if the time for holding it and its deadline bear that, and is refused at once otherwise, with a Retry-After that is not before that end; a stream that has begun is not refused for it.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -119,6 +119,11 @@
     bool startDecode(std::size_t row, instant now, command_list& out);
     void start(std::size_t row, const target_choice& choice, instant now, command_list& out);
     void startOrWait(std::size_t row, instant now, command_list& out);
+    /// Refuses the request if all targets that could answer it rest for longer than it may wait. Returns whether it
+    /// did.
+    bool refuseIfAllRest(std::size_t row, instant now, command_list& out);
+    /// The time until a target that could answer the request may be asked again; zero unless all of them rest.
+    duration restDelay(std::size_t row, instant now);
     /// Whether another attempt that counts against the route's attempt limit may be sent.
     bool mayRetry(std::size_t row, instant now);
     /// Whether the request could be sent to a target other than its current one now, and be answered there in time.
@@ -133,7 +138,7 @@
     void succeeded(std::size_t row, instant now);
     void prefilled(std::size_t row, const std::string& cacheName, instant now, command_list& out);
     void retryOrEnd(std::size_t row, bool countsAsSend, error_kind kind, instant now, command_list& out);
-    void endWithFailure(std::size_t row, error_kind kind, command_list& out);
+    void endWithFailure(std::size_t row, error_kind kind, instant now, command_list& out);
     void refuse(std::size_t row, error_kind kind, duration retryAfter, command_list& out);
     void remove(std::size_t row, command_list& out);
     void releaseAttempt(std::size_t row);
--- a/libs/serving/include/serving/fleet_table.h
+++ b/libs/serving/include/serving/fleet_table.h
@@ -62,6 +62,7 @@
     std::vector<std::uint8_t> isDraining;
     std::vector<instant> blockedUntil; // set after failures
     std::vector<instant> restUntil; // asked for by the target
+    std::vector<instant> trialUntil; // the first request after a rest is under way
     std::vector<instant> roleChangeUntil; // a change of role is ordered or in progress
     std::vector<int> ownRunning;
     std::vector<int> peersRunning;
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -11,6 +11,7 @@
 #include "serving/stream_pauses.h"
 #include "serving/target_health.h"
 
+#include <optional>
 #include <vector>
 
 namespace tamarack::serving {
@@ -58,6 +59,8 @@
     target_choice chooseFirst(const placement_query& query, instant now);
     /// Chooses the engine that decodes the answer to a prompt that `source` has prefilled.
     target_choice chooseDecode(const placement_query& query, target_id source, instant now);
+    /// If all targets that could answer the request rest, the earliest end of their rests; otherwise nothing.
+    std::optional<instant> allRestUntil(const placement_query& query, instant now);
     /// Whether the service has any listed targets.
     bool hasTargets(const std::string& service) const { return !m_inputs.fleet.rowsOf(service).empty(); }
 
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -3,6 +3,8 @@
 
 #include "base/contract.h"
 
+#include <algorithm>
+
 namespace tamarack::serving {
 
 void dispatcher::releaseAttempt(std::size_t row)
@@ -66,7 +68,7 @@
     out.push_back(refuse_request { id, kind, retryAfter });
 }
 
-void dispatcher::endWithFailure(std::size_t row, error_kind kind, command_list& out)
+void dispatcher::endWithFailure(std::size_t row, error_kind kind, instant now, command_list& out)
 {
     const auto& progress = m_book.progress[row];
     const auto& route = *m_book.request[row].route;
@@ -77,7 +79,9 @@
     // The caller may safely repeat a request that has certainly not run, so the error says so.
     if (!progress.mayHaveRun && answerFor(kind).executed != ran::no)
         kind = error_kind::overloaded;
-    refuse(row, kind, answerFor(kind).retryAfter, out);
+    const auto retryAfter = answerFor(kind).retryAfter;
+    const bool mayReturn = retryAfter > duration::zero();
+    refuse(row, kind, mayReturn ? std::max(retryAfter, restDelay(row, now)) : retryAfter, out);
 }
 
 bool dispatcher::mayRetry(std::size_t row, instant now)
@@ -156,6 +160,7 @@
         return retryOrEnd(row, true, error_kind::overloaded, now, out);
     case attempt_result::failure_answer:
         m_health.recordFailureAnswer(attempt.target, now);
+        m_rests.answered(attempt.target, attempt.sentAt);
         progress.mayHaveRun |= couldRun;
         progress.hasFailureAnswer = true;
         if (isRepeatable && mayRetry(row, now) && tryStart(row, now, out))
@@ -169,7 +174,7 @@
             countArrival(row, now); // it is unknown whether the prefill was accepted, and only then it is not counted
         releaseCache(row, out);
         if (couldRun && !isRepeatable)
-            return endWithFailure(row, error_kind::outcome_unknown, out);
+            return endWithFailure(row, error_kind::outcome_unknown, now, out);
         return retryOrEnd(row, true, error_kind::attempt_timeout, now, out);
     case attempt_result::cut:
         m_health.recordFailure(attempt.target, now);
@@ -177,7 +182,7 @@
         releaseCache(row, out);
         // Only events tell where another target has to go on.
         if (!isRepeatable || !m_book.request[row].route->isStream)
-            return endWithFailure(row, error_kind::answer_cut, out);
+            return endWithFailure(row, error_kind::answer_cut, now, out);
         return retryOrEnd(row, true, error_kind::answer_cut, now, out);
     default:
         TAMARACK_ASSERT(false, "attempt result out of range");
@@ -187,6 +192,7 @@
 void dispatcher::succeeded(std::size_t row, instant now)
 {
     m_health.recordSuccess(m_book.current[row].target, now);
+    m_rests.answered(m_book.current[row].target, m_book.current[row].sentAt);
     releaseAttempt(row);
     m_book.progress[row].cache = {}; // imported
     m_book.remove(m_book.idOf(row));
@@ -196,6 +202,7 @@
 {
     const auto attempt = m_book.current[row];
     m_health.recordSuccess(attempt.target, now);
+    m_rests.answered(attempt.target, attempt.sentAt);
     finishPrefill(row, now, true);
     releaseAttempt(row);
     m_book.progress[row].cache = { attempt.target, cacheName };
@@ -208,7 +215,7 @@
 void dispatcher::retryOrEnd(std::size_t row, bool countsAsSend, error_kind kind, instant now, command_list& out)
 {
     if (countsAsSend && !mayRetry(row, now))
-        return endWithFailure(row, kind, out);
+        return endWithFailure(row, kind, now, out);
     startOrWait(row, now, out);
 }
 
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -90,6 +90,7 @@
     m_caches.forget(id);
     m_connections.forget(id);
     m_health.forget(id);
+    m_rests.forget(id);
 }
 
 void dispatcher::targetGone(const std::string& instance, instant) { m_fleet.remove(instance); }
@@ -154,13 +155,31 @@
 
 void dispatcher::startOrWait(std::size_t row, instant now, command_list& out)
 {
-    if (tryStart(row, now, out))
+    if (tryStart(row, now, out) || refuseIfAllRest(row, now, out))
         return;
     if (isHoldTimeOver(row, now))
         return refuse(row, error_kind::overloaded, retryDelay(row, now), out);
     m_waiting.push_back(m_book.idOf(row));
 }
 
+// What is known to find no target in time is refused at once.
+bool dispatcher::refuseIfAllRest(std::size_t row, instant now, command_list& out)
+{
+    const auto restEnd = m_placement.allRestUntil(needOf(row, now), now);
+    if (!restEnd || m_book.progress[row].hasStarted)
+        return false;
+    if (!isHoldTimeOver(row, *restEnd) && *restEnd + minUsefulTime < m_book.times[row].answerDeadline)
+        return false;
+    refuse(row, error_kind::overloaded, restDelay(row, now), out);
+    return true;
+}
+
+duration dispatcher::restDelay(std::size_t row, instant now)
+{
+    const auto restEnd = m_placement.allRestUntil(needOf(row, now), now);
+    return restEnd ? *restEnd - now + retryDelay(row, now) : duration::zero();
+}
+
 bool dispatcher::isHoldTimeOver(std::size_t row, instant now) const
 {
     const auto& times = m_book.times[row];
@@ -213,9 +232,11 @@
     // Checked again here, not only when the retry is requested: several waiting requests may each have been allowed a
     // retry before any of them was sent, and all of them are sent together when a slot becomes free.
     if (!mayRetry(row, now)) {
-        endWithFailure(row, error_kind::overloaded, out);
+        endWithFailure(row, error_kind::overloaded, now, out);
         return true;
     }
+    if (m_placement.allRestUntil(needOf(row, now), now))
+        return false; // a prefill would be of no use, either
     if (!m_book.progress[row].cache.name.empty())
         return startDecode(row, now, out);
     auto choice = m_placement.chooseFirst(needOf(row, now), now);
@@ -284,6 +305,7 @@
         stallTimeout = fromSeconds(plainStallShareOfAim * seconds(request.route->aim));
     current.silenceDeadline = now + stallTimeout;
     m_fleet.addRunning(choice.target);
+    m_rests.sent(choice.target, now);
     if (!progress.hasFailed)
         m_connections.take(choice.target, now);
     if (choice.stage == attempt_stage::prefill && choice.rank >= prefill_rank::medium)
@@ -324,6 +346,7 @@
     if (current.hasStartedAnswering || current.stage == attempt_stage::prefill)
         return;
     current.hasStartedAnswering = true;
+    m_rests.answered(current.target, current.sentAt);
     if (current.stage == attempt_stage::decode)
         m_pace.recordImport(current.target, current.waitAndTransferSeconds, now - current.sentAt);
     finishPrefill(row, now, true);
--- a/libs/serving/src/fleet_table.cpp
+++ b/libs/serving/src/fleet_table.cpp
@@ -18,7 +18,7 @@
 void fleet_table::reset(std::size_t row)
 {
     isListed[row] = isDraining[row] = 0;
-    blockedUntil[row] = restUntil[row] = roleChangeUntil[row] = {};
+    blockedUntil[row] = restUntil[row] = trialUntil[row] = roleChangeUntil[row] = {};
     ownRunning[row] = peersRunning[row] = 0;
     reportedLoad[row] = {};
 }
@@ -46,6 +46,7 @@
     isDraining.push_back(0);
     blockedUntil.emplace_back();
     restUntil.emplace_back();
+    trialUntil.emplace_back();
     roleChangeUntil.emplace_back();
     ownRunning.push_back(0);
     peersRunning.push_back(0);
@@ -136,7 +137,8 @@
 bool fleet_table::acceptsWork(target_id id, instant now) const
 {
     const auto row = id.value;
-    return isListed[row] && !isDraining[row] && now >= blockedUntil[row] && now >= roleChangeUntil[row];
+    return isListed[row] && !isDraining[row] && !isResting(id, now)
+        && now >= std::max({ blockedUntil[row], trialUntil[row], roleChangeUntil[row] });
 }
 
 void fleet_table::removeRunning(target_id id)
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -117,6 +117,22 @@
     return !m_profile || m_profile->engine.has_value() == isEngine(m_inputs.fleet.role[row]);
 }
 
+std::optional<instant> placement::allRestUntil(const placement_query& query, instant now)
+{
+    const auto& fleet = m_inputs.fleet;
+    m_profile = query.request.configuration->findService(query.request.service);
+    std::optional<instant> earliest;
+    for (const auto row : fleet.rowsOf(query.request.service)) {
+        const bool canAnswer = !fleet.isDraining[row] && fleet.role[row] != target_role::prefill;
+        if (!canAnswer || !matchesServiceKind(row))
+            continue;
+        if (!fleet.isResting({ row }, now))
+            return std::nullopt;
+        earliest = std::min(earliest.value_or(instant::max()), fleet.restUntil[row]);
+    }
+    return earliest;
+}
+
 // A target resets each connection above its own limit, which all nodes share, and the requests on these connections are
 // lost. Each node therefore keeps to its share of the limit.
 bool placement::hasCapacity(target_id id) const
