Send a target that rests no polls, reports, orders or releases

The same cause at the calls that are no attempts: a node polled an engine for cache events, asked it for its role, ordered it to change and released KV caches at it whatever rest it had asked for, and did not read a rest in the answers to these calls.

A change of role whose engine rests is given up, before the report or the order. A release is sent after the rest, or not at all if that is later than the engine frees the KV cache itself. The answers to all of them are read like those to attempts.

--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -1,6 +1,10 @@
 // Passes requests to the dispatcher and executes the commands that it returns.
 #include "flow_table.h"
 
+#include "target_call.h"
+
+#include <QTimer>
+
 namespace tamarack {
 
 namespace {
@@ -12,6 +16,8 @@
     /// Timeout of a call that releases a KV cache; if the call fails, the engine releases the cache without a call
     /// after some seconds.
     constexpr duration releaseTimeout = 1s;
+    /// A release that would have to wait for longer comes after the engine has freed the KV cache itself.
+    constexpr duration maxReleaseDelay = 5s;
 
 }
 
@@ -108,7 +114,7 @@
 void flow_table::executeCommand(const serving::command& command)
 {
     if (const auto* released = std::get_if<serving::release_cache>(&command))
-        return release(released->cache);
+        return release(released->cache, m_services.decisions.fleet().instance[released->cache.source.value]);
     if (const auto* start = std::get_if<serving::start_attempt>(&command)) {
         const auto flow = find(start->request);
         if (flow && m_services.decisions.isCurrent(start->request, start->attempt))
@@ -127,14 +133,23 @@
 
 // Without this call the engine would hold a KV cache that no decode stage fetches, leaving it less capacity for
 // requests.
-void flow_table::release(const serving::cache_handle& cache)
+void flow_table::release(const serving::cache_handle& cache, const std::string& instance)
 {
     const auto& fleet = m_services.decisions.fleet();
+    if (fleet.instance[cache.source.value] != instance)
+        return; // the row belongs to another engine now
+    const auto delay = fleet.restUntil[cache.source.value] - boot_clock::now();
+    if (delay > maxReleaseDelay)
+        return m_services.log.write(log_event::cache_not_released, { { "reason", "the engine rests" } });
+    if (delay > duration::zero())
+        return QTimer::singleShot(std::chrono::ceil<std::chrono::milliseconds>(delay), &m_timers,
+            [this, cache, instance] { release(cache, instance); });
     const auto request = m_services.targets.releaseCache(cache.name, fleet.name[cache.source.value]);
     exchange_options options;
     options.silenceTimeout = releaseTimeout;
     m_services.client.fetch(parseEndpoint(fleet.address[cache.source.value]), request, options,
-        [this](const http_response* response, const exchange_failure& failure) {
+        [this, instance](const http_response* response, const exchange_failure& failure) {
+            noteRest(m_services.decisions, m_services.targets, instance, response);
             if (!response)
                 m_services.log.write(log_event::cache_not_released, { { "reason", failure.reason } });
         });
--- a/libs/gateway/src/flow_table.h
+++ b/libs/gateway/src/flow_table.h
@@ -3,6 +3,7 @@
 
 #include "caller_flow.h"
 
+#include <QObject>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -34,7 +35,8 @@
     caller_flow::callbacks callbacksFor(request_id id);
     void handleCallerGone(request_id id);
     void executeCommand(const serving::command& command);
-    void release(const serving::cache_handle& cache);
+    /// Calls the engine to free the KV cache, after its rest if it rests.
+    void release(const serving::cache_handle& cache, const std::string& instance);
     /// Returns null if the caller has disconnected meanwhile.
     std::shared_ptr<caller_flow> find(request_id id) const;
 
@@ -43,6 +45,7 @@
     std::unordered_map<request_id, std::shared_ptr<caller_flow>> m_flows;
     std::deque<serving::command> m_pending; // commands not executed yet
     bool m_isExecuting = false;
+    QObject m_timers; // ends the timers of postponed releases
 };
 
 }
--- a/libs/gateway/src/role_coordinator.cpp
+++ b/libs/gateway/src/role_coordinator.cpp
@@ -1,6 +1,8 @@
 // Implements the steps of a role change.
 #include "role_coordinator.h"
 
+#include "target_call.h"
+
 #include "base/hash.h"
 
 #include <algorithm>
@@ -28,6 +30,7 @@
     constexpr duration changeTimeout = 8s;
 
     constexpr std::string_view dutyKey = "roles";
+    constexpr std::string_view restReason = "the engine rests";
 
     std::string_view roleName(target_role role) { return role == target_role::prefill ? "prefill" : "decode"; }
 
@@ -164,8 +167,12 @@
         change.step = change_step::queried;
         toQuery.push_back(change.instance);
     }
-    for (const auto& instance : toQuery)
-        requestReport(instance);
+    for (const auto& instance : toQuery) {
+        if (isResting(m_parts.decisions, instance, now))
+            abortChange(instance, restReason);
+        else
+            requestReport(instance);
+    }
 }
 
 bool role_coordinator::isSameProcess(target_id engine, std::uint64_t bornAt) const
@@ -195,9 +202,12 @@
 void role_coordinator::onReport(const std::string& instance, const http_response* response)
 {
     const auto now = boot_clock::now();
+    noteRest(m_parts.decisions, m_parts.protocol, instance, response);
     auto* change = find(instance);
     if (!change)
         return;
+    if (isResting(m_parts.decisions, instance, now))
+        return abortChange(instance, restReason);
     const auto report
         = response && response->status == 200 ? m_parts.protocol.decodeRoleReport(response->body) : std::nullopt;
     if (!report || report->isChanging || report->role == change->role)
@@ -245,6 +255,7 @@
             abortChange(instance, failure.reason);
         return; // it may still be executed: the engine stays excluded until the target list shows its role
     }
+    noteRest(m_parts.decisions, m_parts.protocol, instance, response);
     const bool isRefused = m_parts.protocol.decodeOrderAnswer(response->status) == order_answer::refused;
     m_parts.counters.count("tamarack_role_orders_total", { { "result", isRefused ? "refused" : "accepted" } });
     m_parts.log.write(log_event::order_answered,
--- a/libs/gateway/tests/test_resting_targets.cpp
+++ b/libs/gateway/tests/test_resting_targets.cpp
@@ -47,6 +47,7 @@
 struct resting_fixture {
     std::map<std::string, int> calls;
     bool turnsAway = false;
+    bool polls = true;
     http_server server;
     resting_protocol protocol;
     fake_callers callers;
@@ -94,7 +95,8 @@
         self.vm = "n1";
         self.isReady = true;
         self.storeReach = serving::store_reach::reached;
-        caches.tick(self, {}, boot_clock::now());
+        if (polls)
+            caches.tick(self, {}, boot_clock::now());
         roles.tick(self, {}, boot_clock::now());
     }
     void tickFor(duration length)
@@ -112,14 +114,12 @@
             return condition();
         });
     }
-    /// Whether all engines rest.
-    bool isResting() const
+    int restingEngines() const
     {
-        for (std::uint32_t row = 0; row < decisions.fleet().size(); ++row) {
-            if (!decisions.fleet().isResting({ row }, boot_clock::now()))
-                return false;
-        }
-        return true;
+        int out = 0;
+        for (std::uint32_t row = 0; row < decisions.fleet().size(); ++row)
+            out += decisions.fleet().isResting({ row }, boot_clock::now());
+        return out;
     }
     /// Runs until the node has announced the change of an engine's role.
     void announceChange()
@@ -146,7 +146,7 @@
 {
     resting_fixture node;
     node.turnsAway = true;
-    CHECK(node.tickUntil([&] { return node.isResting(); }));
+    CHECK(node.tickUntil([&] { return node.restingEngines() == 3; }));
     const auto polls = node.calls["/events"];
     node.tickFor(1500ms);
     CHECK(node.calls["/events"] == polls);
@@ -165,12 +165,13 @@
 TEST_CASE("test_engine_that_asks_for_rest_in_answer_to_a_report_gets_no_order")
 {
     resting_fixture node;
+    node.polls = false;
     node.announceChange();
     node.turnsAway = true;
     REQUIRE(node.tickUntil([&] { return node.roles.changingEngines().empty(); }));
     CHECK(node.calls["/report"] == 1);
     CHECK(node.calls["/order"] == 0);
-    CHECK(node.isResting());
+    CHECK(node.restingEngines() == 1);
 }
 
 TEST_CASE("test_kv_cache_of_an_engine_that_rests_is_released_after_the_rest")
