Tests that fail: work for targets that declare that they leave

What callers may see: a target that leaves says so in its answers, and this node sends it new requests until the target list says the same. A list that is stale, or that says "ready" again, has the target get work until it exits, and what it holds then is lost.

The interface is there and has no effect yet: target_answer::isLeaving, dispatcher::targetLeaves, dispatcher::takeBackIfLeaving, fleet_table::recordLeaving.

--- a/libs/gateway/include/gateway/target_protocol.h
+++ b/libs/gateway/include/gateway/target_protocol.h
@@ -42,6 +42,7 @@
     bool isMisdirected = false; ///< another target has responded at this address
     /// For how long the target wants no request of any kind from this node; empty: it has not said so.
     std::optional<duration> rest;
+    bool isLeaving = false; ///< the target declares that it is about to exit and takes no further requests
     /// False for a success that cannot originate from the target itself; it must not be relayed to the caller.
     bool isGenuine = true;
     std::optional<answer_load> load;
--- a/libs/scaling/tests/test_instance_plan.cpp
+++ b/libs/scaling/tests/test_instance_plan.cpp
@@ -250,3 +250,25 @@
     CHECK(world.mostInZone <= 40);
     CHECK(world.listed() >= 114);
 }
+
+// Guards against a zone whose instances are let go although one of those that are counted as there is leaving.
+TEST_CASE("test_instance_that_declared_to_leave_is_not_counted")
+{
+    serving::fleet_table fleet("a");
+    for (const char* zone : { "a", "b" }) {
+        for (int i = 0; i < 3; ++i) {
+            serving::target_record record;
+            record.name = zone + std::to_string(i);
+            record.service = "engines";
+            record.availabilityZone = zone;
+            record.role = serving::target_role::decode;
+            fleet.upsert(record);
+        }
+    }
+    fleet.recordLeaving("a1");
+    instance_plan plan(fleet);
+    for (const auto& order : plan.decide(configurationWith(0.2), {}, instant(1h))) {
+        if (!order.isSpot)
+            CHECK(order.desired == (order.availabilityZone == "a" ? 2 : 3));
+    }
+}
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -36,6 +36,12 @@
 
     void targetListed(const target_record& record);
     void targetGone(const std::string& instance, instant now);
+    /// The target has declared in an answer that it leaves. This incarnation gets no new work from now on, whatever the
+    /// target list says; its running attempts go on. Returns whether the declaration is new.
+    bool targetLeaves(const std::string& instance);
+    /// Takes back an attempt whose command has not been executed yet if its target has begun to leave since the
+    /// choice, and starts the request elsewhere or lets it wait. Returns whether the attempt was taken back.
+    bool takeBackIfLeaving(request_id request, attempt_id attempt, instant now, command_list& out);
     void updatePeerLoad(const std::string& peer, const std::vector<load_entry>& load, instant now);
     /// Records prompts that a peer sent to engines. The peer is given as shortHash() of its VM. With `isAll`, the list
     /// is complete and replaces earlier reports.
--- a/libs/serving/include/serving/fleet_table.h
+++ b/libs/serving/include/serving/fleet_table.h
@@ -30,6 +30,8 @@
     target_id upsert(const target_record& record);
     /// Unlists the target: it gets no new requests, and its row is freed once this node's requests there have ended.
     void remove(std::string_view instance);
+    /// The instance has declared that it leaves. Returns whether the declaration is new.
+    bool recordLeaving(const std::string& instance);
     target_id find(std::string_view instance) const;
     target_id findByHash(std::uint32_t hash) const;
     std::size_t size() const { return instance.size(); }
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -95,6 +95,10 @@
 
 void dispatcher::targetGone(const std::string& instance, instant) { m_fleet.remove(instance); }
 
+bool dispatcher::targetLeaves(const std::string& instance) { return m_fleet.recordLeaving(instance); }
+
+bool dispatcher::takeBackIfLeaving(request_id, attempt_id, instant, command_list&) { return false; }
+
 void dispatcher::updatePeerLoad(const std::string& peer, const std::vector<load_entry>& load, instant now)
 {
     m_peers.update(peer, load, now);
--- a/libs/serving/src/fleet_table.cpp
+++ b/libs/serving/src/fleet_table.cpp
@@ -88,6 +88,8 @@
     unindex(id.value);
 }
 
+bool fleet_table::recordLeaving(const std::string&) { return false; }
+
 // The rows of a service are kept in ascending order, so that all nodes with the same records visit them in the same
 // order.
 void fleet_table::index(std::uint32_t row)
--- a/libs/serving/tests/test_role_split.cpp
+++ b/libs/serving/tests/test_role_split.cpp
@@ -183,6 +183,20 @@
     CHECK(changes.front().role == target_role::decode);
 }
 
+// Guards against a split that counts on an engine which has declared that it leaves, and against orders to it.
+TEST_CASE("test_engine_that_declared_to_leave_counts_as_draining_in_the_split")
+{
+    split_world world;
+    world.add(9, 5);
+    world.makeBusy();
+    CHECK(world.settled(0s).empty());
+    world.fleet.recordLeaving("e8");
+    const auto changes = world.settled(3s);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().role == target_role::decode);
+    CHECK(world.fleet.instance[changes.front().engine.value] != "e8");
+}
+
 TEST_CASE("test_two_engines_always_decode")
 {
     // Of three engines two prefill and the third one hangs. With a split by shares alone no request would be answered
