Give no new work to targets that declare that they leave

What callers may see: a target that leaves says so in all its answers. This node knew of leaving from the target list alone, so a target whose entry was late, stale, or "ready" again kept getting requests until it exited.

Cause: no code read the declaration. Ruled out: an answer's header that gets lost on the way (decode() has every header), and a check in one place only: answers to cache-event polls, cache lists, role reports, orders and releases don't pass through caller_flow.

Change: target_answer::isLeaving is read from every answer (exactly the value 1: it can't be taken back, so a value without a defined meaning must not take a sound target out). target_notices passes it on from the head of any answer, before the answer is passed on. fleet_table::saidLeaving holds it for the instance, also while its row is gone and when it is listed again; another incarnation is free of it. isLeaving() joins it with the list's word, and acceptsWork, placement, role split, instance plan and the gauge of draining targets use it. A chosen attempt whose command is not executed yet is taken back (no such order of events is possible in flow_table today, since commands are executed at once; the check keeps it so). An order is not sent to an engine whose report says that it leaves. Running attempts and streams go on.

A 421 counts against the instance that was called: either it has answered itself, for a stage that isn't its own, or another one has its address.

Still sent: releases of KV caches, which carry no request of a caller and free memory that running requests there need; event polls, without which its prefixes can't be fetched by other engines; both as for a draining target. A fetch (Kv-Fetch, Kv-Source) goes from the other engine, not from this node.

Peers are not told: the rule binds the node that passed the answer on, each answer of the target tells the next node at its first request, and the list tells all; a new kind of message would gain a request or two a node.

The header reaches callers as every header of an answer that is not hop-by-hop.

--- a/libs/gateway/src/cache_monitor.cpp
+++ b/libs/gateway/src/cache_monitor.cpp
@@ -41,12 +41,13 @@
 }
 
 cache_monitor::cache_monitor(http_client& client, const target_protocol& protocol, serving::dispatcher& decisions,
-    metrics& counters, const logger& log, update_handler onListing)
+    metrics& counters, const logger& log, target_notices& notices, update_handler onListing)
     : m_client(client)
     , m_protocol(protocol)
     , m_decisions(decisions)
     , m_counters(counters)
     , m_log(log)
+    , m_notices(notices)
     , m_onListing(std::move(onListing))
 {
 }
@@ -206,6 +207,8 @@
 void cache_monitor::onEventsResponse(const std::string& instance, const http_response* response)
 {
     noteRest(m_decisions, m_protocol, instance, response);
+    if (response)
+        m_notices.received(instance, *response, "cache_events");
     auto* called = finishCall(instance);
     if (!called)
         return;
@@ -250,6 +253,8 @@
 void cache_monitor::onListResponse(const std::string& instance, const http_response* response)
 {
     noteRest(m_decisions, m_protocol, instance, response);
+    if (response)
+        m_notices.received(instance, *response, "cache_list");
     auto* called = finishCall(instance);
     if (!called)
         return;
--- a/libs/gateway/src/cache_monitor.h
+++ b/libs/gateway/src/cache_monitor.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "node_messages.h"
+#include "target_notices.h"
 
 #include "gateway/target_protocol.h"
 
@@ -27,7 +28,7 @@
 
     /// `onListing` receives the changes found by a full listing of an engine's cache.
     cache_monitor(http_client& client, const target_protocol& protocol, serving::dispatcher& decisions,
-        metrics& counters, const logger& log, update_handler onListing);
+        metrics& counters, const logger& log, target_notices& notices, update_handler onListing);
     ~cache_monitor();
 
     /// Polls the engines assigned to this node. Called periodically.
@@ -76,6 +77,7 @@
     serving::dispatcher& m_decisions;
     metrics& m_counters;
     const logger& m_log;
+    target_notices& m_notices;
     update_handler m_onListing;
     std::map<std::string, monitored_engine> m_engines; // keyed by instance
     std::deque<cache_update> m_pendingUpdates; // oldest first
--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -180,6 +180,8 @@
         return;
     attempt->lastBytesAt = boot_clock::now();
     attempt->answer = m_services.targets.decode(head);
+    m_services.notices.received(m_services.decisions.fleet().instance[attempt->command.target.value], attempt->answer,
+        nameOf(stageNames, attempt->command.stage));
     if (const auto& load = attempt->answer.load)
         m_services.decisions.updateTargetLoad(
             attempt->command.target, { boot_clock::now(), load->running, load->waiting, load->slots });
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -4,6 +4,7 @@
 
 #include "gateway/caller_protocol.h"
 #include "gateway/target_protocol.h"
+#include "target_notices.h"
 
 #include "http/event_stream.h"
 #include "http/http_client.h"
@@ -25,6 +26,7 @@
     const target_protocol& targets;
     metrics& counters;
     const logger& log;
+    target_notices& notices;
     std::function<void(const std::string& account)> onRequestBegan; ///< a target has begun to run a request
 };
 
--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -117,8 +117,12 @@
         return release(released->cache, m_services.decisions.fleet().instance[released->cache.source.value]);
     if (const auto* start = std::get_if<serving::start_attempt>(&command)) {
         const auto flow = find(start->request);
-        if (flow && m_services.decisions.isCurrent(start->request, start->attempt))
-            flow->start(*start);
+        if (!flow || !m_services.decisions.isCurrent(start->request, start->attempt))
+            return;
+        serving::command_list next;
+        if (m_services.decisions.takeBackIfLeaving(start->request, start->attempt, boot_clock::now(), next))
+            return execute(std::move(next));
+        flow->start(*start);
     } else if (const auto* stop = std::get_if<serving::stop_attempt>(&command)) {
         if (const auto flow = find(stop->request))
             flow->stop(stop->attempt, stop->reason);
@@ -150,7 +154,9 @@
     m_services.client.fetch(parseEndpoint(fleet.address[cache.source.value]), request, options,
         [this, instance](const http_response* response, const exchange_failure& failure) {
             noteRest(m_services.decisions, m_services.targets, instance, response);
-            if (!response)
+            if (response)
+                m_services.notices.received(instance, *response, "cache_release");
+            else
                 m_services.log.write(log_event::cache_not_released, { { "reason", failure.reason } });
         });
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -11,6 +11,7 @@
 #include "registration.h"
 #include "role_coordinator.h"
 #include "state_pull.h"
+#include "target_notices.h"
 #include "usage_collection.h"
 
 #include "base/hash.h"
@@ -102,6 +103,7 @@
     cluster_view view;
     state_pull pull;
     registration nodeRegistration;
+    target_notices notices;
     flow_services services;
     cache_monitor caches;
     role_coordinator roles;
@@ -182,11 +184,12 @@
           pullInterval, settings.seeds)
     , nodeRegistration(
           ports.store, [this] { return self(); }, log, [this] { view.onNodeRegistered(); })
-    , services { client, decisions, ports.callers, ports.targets, counters, log,
+    , notices(ports.targets, decisions, counters, log)
+    , services { client, decisions, ports.callers, ports.targets, counters, log, notices,
         [this](const std::string& account) { usage.requestBegan(account); } }
-    , caches(client, ports.targets, decisions, counters, log,
+    , caches(client, ports.targets, decisions, counters, log, notices,
           [this](std::vector<cache_update> updates) { peers.broadcastCacheUpdates(std::move(updates)); })
-    , roles({ client, ports.targets, ports.store, decisions, counters, log, [this] { peers.sendHeartbeat(); },
+    , roles({ client, ports.targets, ports.store, decisions, counters, log, notices, [this] { peers.sendHeartbeat(); },
                 [this] { view.checkStoreReach(); } },
           settings.vm, leaseSettings(settings))
     , peers({ decisions, nodes, view, caches, roles, log, [this] { return self(); },
@@ -429,10 +432,10 @@
     int known = 0;
     int draining = 0;
     int resting = 0;
-    for (std::size_t row = 0; row < fleet.size(); ++row) {
+    for (std::uint32_t row = 0; row < fleet.size(); ++row) {
         known += fleet.isListed[row];
-        draining += fleet.isListed[row] && fleet.isDraining[row];
-        resting += fleet.isListed[row] && fleet.isResting({ static_cast<std::uint32_t>(row) }, now);
+        draining += fleet.isListed[row] && fleet.isLeaving({ row });
+        resting += fleet.isListed[row] && fleet.isResting({ row }, now);
     }
     counters.set("tamarack_targets_known", known);
     counters.set("tamarack_targets_draining", draining);
--- a/libs/gateway/src/role_coordinator.cpp
+++ b/libs/gateway/src/role_coordinator.cpp
@@ -203,6 +203,8 @@
 {
     const auto now = boot_clock::now();
     noteRest(m_parts.decisions, m_parts.protocol, instance, response);
+    if (response)
+        m_parts.notices.received(instance, *response, "role_report");
     auto* change = find(instance);
     if (!change)
         return;
@@ -218,6 +220,8 @@
     const auto row = m_parts.decisions.fleet().find(instance);
     if (!row.isValid() || !isSameProcess(row, report->bornAt))
         return abortChange(instance, "the engine has been restarted");
+    if (m_parts.decisions.fleet().isLeaving(row))
+        return abortChange(instance, "the engine leaves");
     // A claim is valid for some seconds only; a node that was suspended since then has lost the lease.
     if (!m_lease.holdsFor(callTimeout, now))
         return abortChange(instance, "the lease has expired");
@@ -246,6 +250,8 @@
 void role_coordinator::onOrderResponse(
     const std::string& instance, const http_response* response, const exchange_failure& failure)
 {
+    if (response)
+        m_parts.notices.received(instance, *response, "role_order");
     if (!response) {
         m_parts.counters.count("tamarack_role_orders_total", { { "result", "unanswered" } });
         m_parts.log.write(log_event::order_unanswered,
--- a/libs/gateway/src/role_coordinator.h
+++ b/libs/gateway/src/role_coordinator.h
@@ -1,6 +1,8 @@
 // Switches engines to the roles that the role split requires. One node acts for all, under a lease in the store.
 #pragma once
 
+#include "target_notices.h"
+
 #include "gateway/keyed_log.h"
 #include "gateway/target_protocol.h"
 
@@ -30,6 +32,7 @@
         serving::dispatcher& decisions;
         metrics& counters;
         const logger& log;
+        target_notices& notices;
         std::function<void()> notifyPeers; ///< sends a heartbeat now
         std::function<void()> onClaimFailed; ///< called when a claim of the lease is rejected or times out
     };
--- /dev/null
+++ b/libs/gateway/src/target_notices.cpp
@@ -0,0 +1,35 @@
+// Passes declarations of targets to the dispatcher, and logs and counts them.
+#include "target_notices.h"
+
+namespace tamarack {
+
+target_notices::target_notices(
+    const target_protocol& protocol, serving::dispatcher& decisions, metrics& counters, const logger& log)
+    : m_protocol(protocol)
+    , m_decisions(decisions)
+    , m_counters(counters)
+    , m_log(log)
+{
+}
+
+// A misdirected call counts against the instance that was called as well: either it has answered itself, for a stage
+// that is not its own, or another instance has taken its address.
+void target_notices::received(const std::string& instance, const target_answer& answer, std::string_view call)
+{
+    if (!answer.isLeaving || !m_decisions.targetLeaves(instance))
+        return;
+    const auto& fleet = m_decisions.fleet();
+    const target_id row = fleet.find(instance);
+    const bool isListed = row.isValid() && fleet.isListed[row.value];
+    m_counters.count("tamarack_targets_leaving_total", { { "call", std::string(call) } });
+    m_log.write(log_event::target_leaves,
+        { { "target", instance }, { "call", call }, { "status", answer.status }, { "listed", isListed },
+            { "draining", isListed && fleet.isDraining[row.value] } });
+}
+
+void target_notices::received(const std::string& instance, const http_response& response, std::string_view call)
+{
+    received(instance, m_protocol.decode({ response.status, response.headers }), call);
+}
+
+}
--- /dev/null
+++ b/libs/gateway/src/target_notices.h
@@ -0,0 +1,28 @@
+// Applies what targets declare about themselves in their answers, whichever call they answer.
+#pragma once
+
+#include "gateway/target_protocol.h"
+
+#include "observe/logger.h"
+#include "observe/metrics.h"
+#include "serving/dispatcher.h"
+
+namespace tamarack {
+
+class target_notices {
+public:
+    target_notices(
+        const target_protocol& protocol, serving::dispatcher& decisions, metrics& counters, const logger& log);
+
+    /// An answer of the instance has arrived. `call` names the kind of call that it answers, for the log.
+    void received(const std::string& instance, const target_answer& answer, std::string_view call);
+    void received(const std::string& instance, const http_response& response, std::string_view call);
+
+private:
+    const target_protocol& m_protocol;
+    serving::dispatcher& m_decisions;
+    metrics& m_counters;
+    const logger& m_log;
+};
+
+}
--- a/libs/gateway/tests/fake_ports.h
+++ b/libs/gateway/tests/fake_ports.h
@@ -141,11 +141,17 @@
     }
 };
 
+/// An answer with the header `leaving` declares that its target leaves.
 class fake_targets : public target_protocol {
 public:
     http_request attempt(const http_request& fromCaller, const attempt_spec&) const override { return fromCaller; }
     bool answers(const http_response_head&, std::string_view) const override { return true; }
-    target_answer decode(const http_response_head&) const override { return {}; }
+    target_answer decode(const http_response_head& head) const override
+    {
+        target_answer out;
+        out.isLeaving = head.headers.has("leaving");
+        return out;
+    }
     std::string decodePrefill(std::string_view) const override { return {}; }
     http_request releaseCache(std::string_view, std::string_view) const override { return {}; }
     http_request cacheEvents(std::uint64_t, duration, std::string_view) const override { return {}; }
--- a/libs/gateway/tests/test_cache_monitor.cpp
+++ b/libs/gateway/tests/test_cache_monitor.cpp
@@ -32,6 +32,8 @@
 struct engine_and_peer_server {
     int lists = 0;
     int peerRequests = 0;
+    std::string leavingPath; // an answer to a call of this path declares that the engine leaves
+    int status = 200;
     cache_snapshot peerSnapshot;
     http_server server;
 
@@ -44,7 +46,10 @@
                     return writer->sendWhole({ 200, {}, encodeCaches(peerSnapshot) });
                 }
                 lists += request.path() == "/list";
-                writer->sendWhole({ 200, {}, lists == 0 ? "missed" : "all" });
+                http_response response { status, {}, lists == 0 ? "missed" : "all" };
+                if (request.path() == leavingPath)
+                    response.headers.set("leaving", "1");
+                writer->sendWhole(response);
             },
             [](error_kind, std::string_view) { return http_response {}; })
     {
@@ -60,9 +65,11 @@
     logger log { quietLog() };
     http_client client;
     std::vector<cache_update> announced; // sent to peers without waiting for the next heartbeat
-    cache_monitor caches { client, protocol, decisions, counters, log, [this](const std::vector<cache_update>& listed) {
-                              announced.insert(announced.end(), listed.begin(), listed.end());
-                          } };
+    target_notices notices { protocol, decisions, counters, log };
+    cache_monitor caches { client, protocol, decisions, counters, log, notices,
+        [this](const std::vector<cache_update>& listed) {
+            announced.insert(announced.end(), listed.begin(), listed.end());
+        } };
     std::vector<serving::node_state> peers;
     serving::node_state self;
 
@@ -155,3 +162,23 @@
         node.tick();
     CHECK(node.places.peerRequests == 1);
 }
+
+// Guards against a declaration that is missed because it came with an answer to a call that carries no request.
+TEST_CASE("test_engine_that_declares_to_leave_in_an_answer_about_its_cache_gets_no_work")
+{
+    struct {
+        const char* path;
+        int status;
+    } const cases[] { { "/events", 200 }, { "/events", 429 }, { "/events", 503 }, { "/list", 200 } };
+    for (const auto& item : cases) {
+        INFO(item.path << " " << item.status);
+        monitoring_node node;
+        node.places.leavingPath = item.path;
+        node.places.status = item.status;
+        const auto& fleet = node.decisions.fleet();
+        const auto engine = fleet.find("e1");
+        CHECK(fleet.acceptsWork(engine, boot_clock::now()));
+        CHECK(node.tickUntil([&] { return fleet.isLeaving(engine); }));
+        CHECK_FALSE(fleet.acceptsWork(engine, boot_clock::now()));
+    }
+}
--- a/libs/gateway/tests/test_role_coordinator.cpp
+++ b/libs/gateway/tests/test_role_coordinator.cpp
@@ -34,6 +34,7 @@
 
 struct fake_engine {
     bool isChanging = false;
+    std::string leavingPath; // an answer to a call of this path declares that the engine leaves
     int reports = 0;
     std::vector<std::string> orders;
     http_server server;
@@ -42,12 +43,17 @@
         : server(
             {},
             [this](const http_request& request, const std::shared_ptr<response_writer>& writer) {
+                http_response response { 202, {}, {} };
+                if (request.path() == leavingPath)
+                    response.headers.set("leaving", "1");
                 if (request.path() == "/report") {
                     ++reports;
-                    return writer->sendWhole({ 200, {}, isChanging ? "changing" : "idle" });
+                    response.status = 200;
+                    response.body = isChanging ? "changing" : "idle";
+                } else {
+                    orders.push_back(request.body);
                 }
-                orders.push_back(request.body);
-                writer->sendWhole({ 202, {}, {} });
+                writer->sendWhole(response);
             },
             [](error_kind, std::string_view) { return http_response {}; })
     {
@@ -66,7 +72,8 @@
     http_client client;
     int heartbeats = 0;
     int failedClaims = 0;
-    role_coordinator roles { { client, protocol, store, decisions, counters, log, [this] { ++heartbeats; },
+    target_notices notices { protocol, decisions, counters, log };
+    role_coordinator roles { { client, protocol, store, decisions, counters, log, notices, [this] { ++heartbeats; },
                                  [this] { ++failedClaims; } },
         "n1", {} };
 
@@ -103,6 +110,15 @@
         store.calls.front().onAppendAt(placed_append { true, 7 });
     }
 
+    int leavingEngines() const
+    {
+        const auto& fleet = decisions.fleet();
+        int out = 0;
+        for (std::uint32_t row = 0; row < fleet.size(); ++row)
+            out += fleet.isLeaving({ row });
+        return out;
+    }
+
     int excludedEngines() const
     {
         const auto& fleet = decisions.fleet();
@@ -176,3 +192,30 @@
     node.store.calls.front().onAppendAt(store_error::unreachable);
     CHECK(node.failedClaims == 1);
 }
+
+// Guards against an order for an engine that has just declared that it leaves.
+TEST_CASE("test_engine_that_declares_to_leave_in_its_role_report_gets_no_order")
+{
+    coordinator_fixture node;
+    node.engine.leavingPath = "/report";
+    node.claim();
+    REQUIRE(spinUntil([&] {
+        node.tick();
+        return node.leavingEngines() == 1;
+    }));
+    CHECK(node.roles.changingEngines().empty());
+    CHECK(node.engine.orders.empty());
+}
+
+// Guards against a declaration that is missed because it came with the answer to an order.
+TEST_CASE("test_engine_that_declares_to_leave_in_the_answer_to_an_order_gets_no_work")
+{
+    coordinator_fixture node;
+    node.engine.leavingPath = "/order";
+    node.claim();
+    REQUIRE(spinUntil([&] {
+        node.tick();
+        return node.leavingEngines() == 1;
+    }));
+    CHECK(node.engine.orders.size() == 1);
+}
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -47,6 +47,7 @@
     target_blocked,
     target_returned,
     target_rests,
+    target_leaves,
     request_quarantined,
     quarantine_ended,
     cache_view_restarted,
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -42,6 +42,7 @@
         { log_event::target_blocked, "target_blocked", warning, belief, "target reason failures for_ms" },
         { log_event::target_returned, "target_returned", info, belief, "target" },
         { log_event::target_rests, "target_rests", info, belief, "target rest_ms" },
+        { log_event::target_leaves, "target_leaves", info, belief, "target call status listed draining" },
         { log_event::request_quarantined, "request_quarantined", warning, belief, "digest targets age_ms quarantined" },
         { log_event::quarantine_ended, "quarantine_ended", info, belief, "digest clearances left" },
         { log_event::cache_view_restarted, "cache_view_restarted", info, belief, "target restarted gap" },
--- a/libs/observe/tests/test_log_story.cpp
+++ b/libs/observe/tests/test_log_story.cpp
@@ -10,6 +10,7 @@
 const std::vector<std::string> lines {
     R"({"ts_ms":2000,"level":"info","event":"request_taken","vm":"n1","instance":"n1/1","request":"r1","route":"look-up"})",
     R"( 1.5 n1 {"ts_ms":1500,"level":"warning","event":"target_blocked","vm":"n1","instance":"n1/1","target":"t1","reason":"failed"})",
+    R"({"ts_ms":1550,"level":"info","event":"target_leaves","vm":"n1","instance":"n1/1","target":"t1","call":"whole","status":200})",
     R"({"ts_ms":1600,"level":"info","event":"target_gone","vm":"n1","instance":"n1/1","target":"t9"})",
     R"({"ts_ms":2100,"level":"info","event":"attempt_failed","vm":"n1","instance":"n1/1","request":"r1","target":"t1","stage":"whole","result":"broken","reason":"timed out","status":0})",
     "not a line of a log",
@@ -25,6 +26,7 @@
 {
     const auto timeline = formatRequestTimeline(lines, "r1");
     CHECK(timeline.find("target_blocked") < timeline.find("request_taken"));
+    CHECK(timeline.find("target_leaves") < timeline.find("request_taken"));
     CHECK(timeline.find("request_taken") < timeline.find("attempt_failed"));
     CHECK(timeline.find("attempt_failed") < timeline.find("request_refused"));
     CHECK(timeline.find("result=broken") != std::string::npos);
--- a/libs/scaling/src/instance_plan.cpp
+++ b/libs/scaling/src/instance_plan.cpp
@@ -43,7 +43,7 @@
 {
     zone_states out;
     for (const auto row : m_fleet.rowsOf(service.name))
-        out[m_fleet.zone[row]].listed += !m_fleet.isDraining[row];
+        out[m_fleet.zone[row]].listed += !m_fleet.isLeaving({ row });
     for (const auto& order : inForce) {
         if (order.service != service.name)
             continue;
@@ -118,7 +118,7 @@
     }
     int listed = 0;
     for (const auto row : m_fleet.rowsOf(order.service))
-        listed += m_fleet.zone[row] == order.availabilityZone && !m_fleet.isDraining[row];
+        listed += m_fleet.zone[row] == order.availabilityZone && !m_fleet.isLeaving({ row });
     return listed < ordered;
 }
 
--- a/libs/serving/include/serving/fleet_table.h
+++ b/libs/serving/include/serving/fleet_table.h
@@ -5,9 +5,11 @@
 #include "serving/target_record.h"
 
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace tamarack::serving {
@@ -42,6 +44,8 @@
     /// Rows of the listed targets of a service, in ascending order.
     const std::vector<std::uint32_t>& rowsOf(std::string_view service) const;
     bool isLocal(target_id id) const { return zone[id.value] == m_ownZone; }
+    /// Whether the target is about to exit, as the target list or the target itself says.
+    bool isLeaving(target_id id) const { return isDraining[id.value] || saidLeaving[id.value]; }
     /// Whether the target may be given new requests.
     bool acceptsWork(target_id id, instant now) const;
     /// Whether the target has asked this node to send it nothing now.
@@ -61,7 +65,8 @@
     std::vector<int> slots;
     std::vector<target_role> role;
     std::vector<std::uint8_t> isListed;
-    std::vector<std::uint8_t> isDraining;
+    std::vector<std::uint8_t> isDraining; // as the target list says
+    std::vector<std::uint8_t> saidLeaving; // as the target itself has said; never taken back
     std::vector<instant> blockedUntil; // set after failures
     std::vector<instant> restUntil; // asked for by the target
     std::vector<instant> trialUntil; // the first request after a rest is under way
@@ -81,6 +86,9 @@
     std::unordered_map<std::string, std::uint32_t> m_byInstance;
     std::unordered_map<std::uint32_t, std::uint32_t> m_byHash;
     std::unordered_map<std::string, std::vector<std::uint32_t>> m_byService;
+    // Instances that have declared that they leave, listed or not. An instance may vanish from the list and return.
+    std::unordered_set<std::string> m_leaving;
+    std::deque<std::string> m_leavingByAge; // the same instances, oldest declaration first
 };
 
 /// The hash that identifies an instance in messages between nodes.
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -97,7 +97,25 @@
 
 bool dispatcher::targetLeaves(const std::string& instance) { return m_fleet.recordLeaving(instance); }
 
-bool dispatcher::takeBackIfLeaving(request_id, attempt_id, instant, command_list&) { return false; }
+bool dispatcher::takeBackIfLeaving(request_id request, attempt_id attempt, instant now, command_list& out)
+{
+    if (!isCurrent(request, attempt))
+        return false;
+    const auto row = static_cast<std::size_t>(m_book.row(request));
+    auto& progress = m_book.progress[row];
+    const auto& current = m_book.current[row];
+    if (!m_fleet.isLeaving(current.target))
+        return false;
+    if (current.isFirstPrefill) {
+        progress.hasTriedPrefill = false;
+    } else {
+        --progress.sends;
+        --progress.arrivals;
+    }
+    releaseAttempt(row);
+    startOrWait(row, now, out);
+    return true;
+}
 
 void dispatcher::updatePeerLoad(const std::string& peer, const std::vector<load_entry>& load, instant now)
 {
--- a/libs/serving/src/fleet_table.cpp
+++ b/libs/serving/src/fleet_table.cpp
@@ -8,6 +8,13 @@
 
 namespace tamarack::serving {
 
+namespace {
+
+    /// Number of leaving instances that are remembered after they have left the list.
+    constexpr std::size_t maxRememberedLeaving = 4096;
+
+}
+
 std::uint32_t shortHash(std::string_view instance) { return static_cast<std::uint32_t>(stableHash(instance)); }
 
 fleet_table::fleet_table(std::string ownZone)
@@ -17,7 +24,7 @@
 
 void fleet_table::reset(std::size_t row)
 {
-    isListed[row] = isDraining[row] = 0;
+    isListed[row] = isDraining[row] = saidLeaving[row] = 0;
     blockedUntil[row] = restUntil[row] = trialUntil[row] = roleChangeUntil[row] = {};
     ownRunning[row] = peersRunning[row] = 0;
     reportedLoad[row] = {};
@@ -44,6 +51,7 @@
     role.push_back(target_role::plain);
     isListed.push_back(0);
     isDraining.push_back(0);
+    saidLeaving.push_back(0);
     blockedUntil.emplace_back();
     restUntil.emplace_back();
     trialUntil.emplace_back();
@@ -76,6 +84,7 @@
     }
     role[row] = record.role;
     isDraining[row] = record.isDraining;
+    saidLeaving[row] |= m_leaving.contains(key);
     index(row);
     return id;
 }
@@ -88,7 +97,19 @@
     unindex(id.value);
 }
 
-bool fleet_table::recordLeaving(const std::string&) { return false; }
+bool fleet_table::recordLeaving(const std::string& key)
+{
+    if (!m_leaving.insert(key).second)
+        return false;
+    m_leavingByAge.push_back(key);
+    if (m_leavingByAge.size() > maxRememberedLeaving) {
+        m_leaving.erase(m_leavingByAge.front());
+        m_leavingByAge.pop_front();
+    }
+    if (const target_id id = find(key); id.isValid())
+        saidLeaving[id.value] = 1;
+    return true;
+}
 
 // The rows of a service are kept in ascending order, so that all nodes with the same records visit them in the same
 // order.
@@ -139,7 +160,7 @@
 bool fleet_table::acceptsWork(target_id id, instant now) const
 {
     const auto row = id.value;
-    return isListed[row] && !isDraining[row] && !isResting(id, now)
+    return isListed[row] && !isLeaving(id) && !isResting(id, now)
         && now >= std::max({ blockedUntil[row], trialUntil[row], roleChangeUntil[row] });
 }
 
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -226,7 +226,7 @@
     // An engine that leaves takes no requests, but its cached prefixes can be fetched until it is gone.
     const auto& fleet = m_inputs.fleet;
     for (const auto row : fleet.rowsOf(query.request.service)) {
-        const bool isLeaving = fleet.isDraining[row];
+        const bool isLeaving = fleet.isLeaving({ row });
         if (!isLeaving && !fleet.acceptsWork({ row }, now))
             continue;
         const auto tokens = m_inputs.caches.fetchableTokens({ row }, *query.request.text);
--- a/libs/serving/src/role_split.cpp
+++ b/libs/serving/src/role_split.cpp
@@ -68,7 +68,7 @@
         if (isNew)
             at->second.listedAt = now;
         at->second.isSeen = true;
-        at->second.isLeaving = m_fleet.isDraining[row];
+        at->second.isLeaving = m_fleet.isLeaving({ row });
     }
     std::erase_if(m_engines, [&](const auto& item) {
         const auto& engine = item.second;
@@ -122,7 +122,7 @@
     bool isIdle = true;
     for (const auto row : listed) {
         const bool hasRole = m_fleet.role[row] == target_role::prefill || m_fleet.role[row] == target_role::decode;
-        if (hasRole && !m_fleet.isDraining[row])
+        if (hasRole && !m_fleet.isLeaving({ row }))
             rows.push_back(row);
         isIdle &= m_fleet.running({ row }) == 0 && !m_fleet.isResting({ row }, now);
     }
