One place applies what targets say of themselves in their answers

The rests that targets ask for and their declarations of leaving were read in two places of each call. target_notices does both now. No change of behaviour: test_gateway and the process tests of targets that rest or leave pass.

--- a/libs/gateway/src/cache_monitor.cpp
+++ b/libs/gateway/src/cache_monitor.cpp
@@ -1,8 +1,6 @@
 // Implements the long polls, cache listings and peer snapshots of cache_monitor.
 #include "cache_monitor.h"
 
-#include "target_call.h"
-
 #include "base/hash.h"
 #include "serving/duty_assignment.h"
 
@@ -65,7 +63,7 @@
     assignEngines(self, alive, now);
     requestSnapshot(self, alive, now);
     for (auto& [instance, engine] : m_engines) {
-        if (engine.call || now < engine.nextCallAt || isResting(m_decisions, instance, now))
+        if (engine.call || now < engine.nextCallAt || m_notices.isResting(instance, now))
             continue;
         if (engine.needsListing)
             requestListing(instance, engine);
@@ -206,7 +204,6 @@
 
 void cache_monitor::onEventsResponse(const std::string& instance, const http_response* response)
 {
-    noteRest(m_decisions, m_protocol, instance, response);
     if (response)
         m_notices.received(instance, *response, "cache_events");
     auto* called = finishCall(instance);
@@ -252,7 +249,6 @@
 
 void cache_monitor::onListResponse(const std::string& instance, const http_response* response)
 {
-    noteRest(m_decisions, m_protocol, instance, response);
     if (response)
         m_notices.received(instance, *response, "cache_list");
     auto* called = finishCall(instance);
--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -187,8 +187,6 @@
             attempt->command.target, { boot_clock::now(), load->running, load->waiting, load->slots });
     if (attempt->answer.isMisdirected)
         return conclude(attempt, attempt_result::misdirected);
-    if (const auto& rest = attempt->answer.rest)
-        m_services.decisions.targetAskedForRest(attempt->command.target, *rest, boot_clock::now());
     if (attempt->answer.hasNotRun)
         return conclude(attempt, attempt_result::rejected);
     if (!m_isStream && attempt->command.stage != attempt_stage::prefill)
--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -1,8 +1,6 @@
 // Passes requests to the dispatcher and executes the commands that it returns.
 #include "flow_table.h"
 
-#include "target_call.h"
-
 #include <QTimer>
 
 namespace tamarack {
@@ -153,7 +151,6 @@
     options.silenceTimeout = releaseTimeout;
     m_services.client.fetch(parseEndpoint(fleet.address[cache.source.value]), request, options,
         [this, instance](const http_response* response, const exchange_failure& failure) {
-            noteRest(m_services.decisions, m_services.targets, instance, response);
             if (response)
                 m_services.notices.received(instance, *response, "cache_release");
             else
--- a/libs/gateway/src/role_coordinator.cpp
+++ b/libs/gateway/src/role_coordinator.cpp
@@ -1,8 +1,6 @@
 // Implements the steps of a role change.
 #include "role_coordinator.h"
 
-#include "target_call.h"
-
 #include "base/hash.h"
 
 #include <algorithm>
@@ -168,7 +166,7 @@
         toQuery.push_back(change.instance);
     }
     for (const auto& instance : toQuery) {
-        if (isResting(m_parts.decisions, instance, now))
+        if (m_parts.notices.isResting(instance, now))
             abortChange(instance, restReason);
         else
             requestReport(instance);
@@ -202,13 +200,12 @@
 void role_coordinator::onReport(const std::string& instance, const http_response* response)
 {
     const auto now = boot_clock::now();
-    noteRest(m_parts.decisions, m_parts.protocol, instance, response);
     if (response)
         m_parts.notices.received(instance, *response, "role_report");
     auto* change = find(instance);
     if (!change)
         return;
-    if (isResting(m_parts.decisions, instance, now))
+    if (m_parts.notices.isResting(instance, now))
         return abortChange(instance, restReason);
     const auto report
         = response && response->status == 200 ? m_parts.protocol.decodeRoleReport(response->body) : std::nullopt;
@@ -261,7 +258,6 @@
             abortChange(instance, failure.reason);
         return; // it may still be executed: the engine stays excluded until the target list shows its role
     }
-    noteRest(m_parts.decisions, m_parts.protocol, instance, response);
     const bool isRefused = m_parts.protocol.decodeOrderAnswer(response->status) == order_answer::refused;
     m_parts.counters.count("tamarack_role_orders_total", { { "result", isRefused ? "refused" : "accepted" } });
     m_parts.log.write(log_event::order_answered,
--- a/libs/gateway/src/target_notices.cpp
+++ b/libs/gateway/src/target_notices.cpp
@@ -16,10 +16,12 @@
 // that is not its own, or another instance has taken its address.
 void target_notices::received(const std::string& instance, const target_answer& answer, std::string_view call)
 {
-    if (!answer.isLeaving || !m_decisions.targetLeaves(instance))
-        return;
     const auto& fleet = m_decisions.fleet();
     const target_id row = fleet.find(instance);
+    if (answer.rest && row.isValid())
+        m_decisions.targetAskedForRest(row, *answer.rest, boot_clock::now());
+    if (!answer.isLeaving || !m_decisions.targetLeaves(instance))
+        return;
     const bool isListed = row.isValid() && fleet.isListed[row.value];
     m_counters.count("tamarack_targets_leaving_total", { { "call", std::string(call) } });
     m_log.write(log_event::target_leaves,
@@ -32,4 +34,10 @@
     received(instance, m_protocol.decode({ response.status, response.headers }), call);
 }
 
+bool target_notices::isResting(const std::string& instance, instant now) const
+{
+    const auto row = m_decisions.fleet().find(instance);
+    return row.isValid() && m_decisions.fleet().isResting(row, now);
+}
+
 }
--- a/libs/gateway/src/target_notices.h
+++ b/libs/gateway/src/target_notices.h
@@ -17,6 +17,8 @@
     /// An answer of the instance has arrived. `call` names the kind of call that it answers, for the log.
     void received(const std::string& instance, const target_answer& answer, std::string_view call);
     void received(const std::string& instance, const http_response& response, std::string_view call);
+    /// Whether the instance has asked this node for a rest that has not ended. An unknown instance does not rest.
+    bool isResting(const std::string& instance, instant now) const;
 
 private:
     const target_protocol& m_protocol;
--- a/libs/gateway/tests/test_resting_targets.cpp
+++ b/libs/gateway/tests/test_resting_targets.cpp
@@ -56,9 +56,11 @@
     metrics counters;
     logger log { quietLog() };
     http_client client;
-    flow_services services { client, decisions, callers, protocol, counters, log, [](const std::string&) {} };
-    cache_monitor caches { client, protocol, decisions, counters, log, [](const std::vector<cache_update>&) {} };
-    role_coordinator roles { { client, protocol, store, decisions, counters, log, [] {}, [] {} }, "n1", {} };
+    target_notices notices { protocol, decisions, counters, log };
+    flow_services services { client, decisions, callers, protocol, counters, log, notices, [](const std::string&) {} };
+    cache_monitor caches { client, protocol, decisions, counters, log, notices,
+        [](const std::vector<cache_update>&) {} };
+    role_coordinator roles { { client, protocol, store, decisions, counters, log, notices, [] {}, [] {} }, "n1", {} };
     flow_table flows { services, [] {} };
 
     resting_fixture()
