Mutations of the decisions about targets that declare that they leave

Only the tests named for leaving are run, so that tests that KNOWN-RED.txt lists do not count as noticing.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Runs mutation tests: applies one mutation at a time to a scratch copy of the sources and reports the tests that fail.
 
-Usage: tools/mutations.py SCRATCH_DIR [NAME | test_decide | test_process]...
+Usage: tools/mutations.py SCRATCH_DIR [NAME | test_decide | test_process | test_serving]...
 Prints one line per mutation with the failed tests. The exit code is 1 if a mutation makes no test fail.
 """
 import os
@@ -90,6 +90,17 @@
      "test_process_frozen_lease_holder_gives_no_late_order"),
 ]
 
+SERVING = "libs/serving/"
+# Mutations of the decisions for the users' platform, each with the test cases to run.
+SERVING_MUTATIONS = [
+    ("declared-leaving-ignored", SERVING + "include/serving/fleet_table.h",
+     "isDraining[id.value] || saidLeaving[id.value]", "isDraining[id.value]", "*leav*"),
+    ("declaration-forgotten-with-the-row", SERVING + "src/fleet_table.cpp",
+     "    saidLeaving[row] |= m_leaving.contains(key);\n", "", "*leav*"),
+    ("unsent-attempt-not-taken-back", SERVING + "src/dispatcher.cpp",
+     "    if (!m_fleet.isLeaving(current.target))\n", "    if (current.id.isValid())\n", "*leav*"),
+]
+
 
 def run(command, directory):
     return subprocess.run(command, cwd=directory, capture_output=True, text=True, check=False)
@@ -117,6 +128,7 @@
     unnoticed = 0
     jobs = [(*item, "test_decide", []) for item in MUTATIONS]
     jobs += [(*item[:4], "test_process", [item[4]]) for item in PROCESS_MUTATIONS]
+    jobs += [(*item[:4], "test_serving", [item[4]]) for item in SERVING_MUTATIONS]
     for name, file, text, replacement, program, cases in jobs:
         if wanted and name not in wanted and program not in wanted:
             continue
@@ -128,7 +140,7 @@
             continue
         with open(path, "w") as changed:
             changed.write(original.replace(text, replacement))
-        targets = [program] if program == "test_decide" else [program, "tamarackrelay", "tamarackctl", "tamarack_standin"]
+        targets = [program] if program in ("test_decide", "test_serving") else [program, "tamarackrelay", "tamarackctl", "tamarack_standin"]
         built = run(["ninja", "-C", build, "-j", "3"] + targets, scratch)
         failed = failing_tests(build, program, cases) if built.returncode == 0 else []
         print(f"{name}: " + (", ".join(failed) if failed else "NOT NOTICED" if built.returncode == 0 else "does not build"),
