Freeze an engine that runs a stream, whichever that is

test_process_frozen_engine_is_left failed now and then before anything was frozen: no stream was seen at the first engine within 20 s.

Cause: the test. Nodes place streams at random, so the first of three engines may get none of six.

The test now freezes an engine that it has seen at work. It is stricter: a stream must have been resumed, so the engine was frozen in mid-stream. Before, a victim whose stream had just ended passed. Streams are longer, so that one does not end between the look and the freeze.

--- a/tests/process/test_failures.cpp
+++ b/tests/process/test_failures.cpp
@@ -168,13 +168,25 @@
     std::vector<harness::call_result> results;
     for (int i = 0; i < 6; ++i)
         caller.send(
-            streamCall("frozen " + std::to_string(i), 100), [&](const auto& result) { results.push_back(result); });
-    const auto victim = run->targetsOf("jazyk").front();
-    REQUIRE(waitUntil([&] { return run->targetStatus(victim).value("running", 0) > 0; }));
+            streamCall("frozen " + std::to_string(i), 150), [&](const auto& result) { results.push_back(result); });
+    std::string victim; // placement is random, so any one engine may get none of the streams
+    REQUIRE(waitUntil([&] {
+        for (const auto& engine : run->targetsOf("jazyk")) {
+            if (run->targetStatus(engine).value("running", 0) > 0)
+                victim = engine;
+        }
+        return !victim.empty();
+    }));
     run->freeze(victim);
     REQUIRE(waitUntil([&] { return results.size() == 6; }, std::chrono::seconds(90)));
     for (const auto& result : results)
         CHECK(result.end == call_end::whole);
+    int resumed = 0;
+    for (const auto& vm : run->vms()) {
+        const auto status = run->status(vm);
+        resumed += status["requests"].value("resumed", 0);
+    }
+    CHECK(resumed > 0); // the engine was frozen in mid-stream
     run->thaw(victim);
 }
 
