The present interface: log input that arrives on a closed connection

A request that crosses the close of its connection left no line and counted in no metric here. The line and the metric are those of the users' path.

--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -52,6 +52,7 @@
     /// Ends the drain once no caller of this node waits for anything.
     void checkDrain(instant now);
     void handleCallerGone(request_id id);
+    void logDiscarded(const discarded_input& input);
     bool mayAccept(instant now) const;
 
     node_settings settings;
@@ -117,7 +118,8 @@
           [this](http_request request, std::shared_ptr<response_writer> caller) {
               api.handle(std::move(request), std::move(caller));
           },
-          [this](error_kind kind, std::string_view detail) { return api.refusal(kind, detail); })
+          [this](error_kind kind, std::string_view detail) { return api.refusal(kind, detail); },
+          [this](const discarded_input& input) { logDiscarded(input); })
     , admin(settings, control, traffic, counters, [this] { drain(); })
 {
     control.setKeyHandler([this](const peer_request& request, peer_transport::reply_sender reply) {
@@ -219,6 +221,15 @@
     execute(std::move(commands));
 }
 
+void node::state::logDiscarded(const discarded_input& input)
+{
+    const auto reason = std::string(toString(input.reason));
+    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(input.delay);
+    counters.count("tamarack_input_discarded_total", { { "reason", reason } });
+    log.write(log_event::input_discarded,
+        { { "reason", reason }, { "bytes", static_cast<std::int64_t>(input.bytes) }, { "delay_ms", delay.count() } });
+}
+
 // Executing a command may produce further commands. They are queued here, which avoids recursion.
 void node::state::execute(traffic_commands commands)
 {
