Test that a connection whose close was announced is not used again

Targets that leave answer with Connection: close. The client already keeps no such connection; no test said so.

--- a/libs/http/tests/test_http_client.cpp
+++ b/libs/http/tests/test_http_client.cpp
@@ -126,6 +126,20 @@
     CHECK(client.connectionsMade() == 2);
 }
 
+// Guards against requests that cross the close of a connection whose peer has announced it, such as a leaving target.
+TEST_CASE("test_connection_whose_answer_announces_its_close_is_not_used_again")
+{
+    for (const char* value : { "close", "Close", "x, close" }) {
+        INFO(value);
+        raw_peer peer(QByteArray("HTTP/1.1 200 OK\r\nConnection: ") + value + "\r\nContent-Length: 3\r\n\r\nyes");
+        peer.keepsOpen = true;
+        http_client client;
+        CHECK(fetch(client, peer.address()).response.body == "yes");
+        CHECK(fetch(client, peer.address()).response.body == "yes");
+        CHECK(client.connectionsMade() == 2);
+    }
+}
+
 TEST_CASE("test_cancelled_request_is_not_delivered_later")
 {
     // Guards against a target executing a request whose caller has long received a failure. The target stops reading,
