A begun stream leaves a silent engine only shortly before its caller would

What callers saw: a stream ended in its middle after 1.2 s of silence of a sound engine, though another engine was listed with free slots.

The stream was moved after 1.2 s; the other engine rejected it (it had asked other nodes for rest), and the route allowed no further send. What another engine does with the stream is not known before it is sent there; what is known is when the caller gives up.

Change: a begun stream is moved 0.4 s before its caller would abandon it, or three times the predicted time if that is longer. Until then silence may end by itself, and a stream that pauses for so long is late in either case.

--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -27,6 +27,10 @@
     constexpr duration minAbandonedGap = 2s;
     constexpr int abandonedGapInAims = 4;
     constexpr int abandonedGapInGapAims = 8;
+    /// A begun stream is moved this long before its caller would abandon it, or earlier by a multiple of the predicted
+    /// time where that is longer.
+    constexpr duration minMoveTime = 400ms;
+    constexpr double moveTimeFactor = 3;
     /// A plain target answers within about 20 ms, and within 75 ms in one of a hundred cases.
     constexpr double plainStallShareOfAim = 0.8;
     /// Interval at which another target is looked for while an attempt is silent and none has room.
@@ -461,9 +465,14 @@
     const auto choice = m_placement.chooseFirst(query, now);
     if (!choice.target.isValid() || choice.target == query.avoid)
         return false;
+    // A sound engine may be silent for a while, and the next one may reject the stream, so it stays as long as it can.
+    const auto moveTime = std::max<duration>(minMoveTime, fromSeconds(moveTimeFactor * choice.seconds));
+    const auto& progress = m_book.progress[row];
+    if (progress.hasStarted && now < progress.lastEventAt + abandonedGap(*request.route) - moveTime)
+        return false;
     // An engine whose slots are taken may reject the attempt, and a stream that has begun would end with it.
     const bool hasFreeSlot = m_fleet.running(choice.target) < m_fleet.slots[choice.target.value];
-    if (m_book.progress[row].hasStarted && !hasFreeSlot)
+    if (progress.hasStarted && !hasFreeSlot)
         return false;
     return fromSeconds(choice.seconds) + minUsefulTime <= m_book.times[row].answerDeadline - now;
 }
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -586,6 +586,23 @@
     CHECK(world.decisions.isCurrent(request.id, request.start.attempt));
 }
 
+TEST_CASE("test_begun_stream_stays_at_a_silent_engine_until_its_caller_would_leave")
+{
+    // Guards against a stream that leaves a sound engine for one that turns out to reject it.
+    dispatch_world world;
+    world.addEngine("d1", target_role::decode);
+    world.addEngine("d2", target_role::decode);
+    const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
+    world.decisions.firstByteReceived(request.id, request.start.attempt, at(100ms));
+    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.streamEventReceived(request.id, request.start.attempt, at(100ms));
+    CHECK(tickUntil(world, 120ms, 1900ms).empty());
+    const auto out = tickUntil(world, 1920ms, 2400ms);
+    const auto* again = find<start_attempt>(out);
+    REQUIRE(again);
+    CHECK(again->target != request.start.target);
+}
+
 TEST_CASE("test_silent_stream_moves_only_to_an_engine_with_a_free_slot")
 {
     // Guards against a stream that leaves a sound engine and ends because the next one rejects it.
