Log and count the targets that a node does not reach

Whether a target fails or a node has lost its path to it could not be told apart: attempts said "cannot connect" in both cases, and no line or metric said that a node reaches none of a service's targets. Now target_paths keeps the state of each path, service_unreached and service_reached say since when and how all paths to a service were lost, tamarack_targets_unreached counts them, and attempt_failed says whether the target may have been reached. No decision changes.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -322,8 +322,12 @@
     if (attempt != m_attempt)
         return;
     attempt->failureReason = failure.reason;
-    if (!failure.mayHaveReachedPeer)
+    attempt->mayHaveReached = failure.mayHaveReachedPeer;
+    if (!failure.mayHaveReachedPeer) {
+        m_services.decisions.targetUnreached(m_id, attempt->command.attempt,
+            failure.timedOut ? serving::path_failure::silent : serving::path_failure::refused, boot_clock::now());
         return conclude(attempt, attempt_result::unreached);
+    }
     if (failure.isClosedByPeer)
         m_services.decisions.targetClosedConnection(m_id, attempt->command.attempt, boot_clock::now());
     // A plain target begins at once, so it has most likely run a request whose answer is lost.
@@ -362,6 +366,7 @@
                 { "stage", nameOf(stageNames, attempt->command.stage) }, { "result", nameOf(resultNames, result) },
                 { "reason", attempt->failureReason }, { "status", attempt->answer.status },
                 { "rest_ms", attempt->answer.rest ? milliseconds(*attempt->answer.rest) : -1 },
+                { "may_have_reached", attempt->mayHaveReached },
                 { "took_ms", millisecondsSince(attempt->startedAt) } });
     }
     if (m_on.onAttemptEnded)
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -74,6 +74,7 @@
         instant lastBytesAt; // startedAt until the first bytes of the answer
         std::int64_t firstMs = -1; // time from the start of the attempt to the first event of a stream; -1: none yet
         std::string failureReason;
+        bool mayHaveReached = true;
     };
     using attempt_ptr = std::shared_ptr<attempt_state>;
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -90,6 +90,7 @@
     void logReadiness();
     void logLostPeers(const std::vector<serving::lost_node>& lost);
     void logHealth(const serving::health_change& change);
+    void logPaths(instant now);
     void logDiscarded(const discarded_input& input);
 
     gateway_settings settings;
@@ -405,6 +406,7 @@
     const auto alive = nodes.alive(now);
     peers.planRelays(me, alive);
     assignStoreReading(me, alive, now);
+    logPaths(now);
     caches.tick(me, alive, now);
     roles.tick(me, alive, now);
     usage.tick(me, alive, now);
@@ -440,6 +442,9 @@
     counters.set("tamarack_targets_known", known);
     counters.set("tamarack_targets_draining", draining);
     counters.set("tamarack_targets_resting", resting);
+    for (const auto& service : fleet.services())
+        counters.set("tamarack_targets_unreached", static_cast<double>(decisions.paths().countLost(service)),
+            { { "service", service } });
     counters.set("tamarack_nodes_known", nodes.knownCount());
     counters.set("tamarack_nodes_alive", static_cast<double>(nodes.alive(now).size()) + 1);
     counters.set("tamarack_requests_held", static_cast<double>(decisions.held()));
@@ -485,6 +490,20 @@
             { "for_ms", milliseconds(change.blockedFor) } });
 }
 
+void gateway::state::logPaths(instant now)
+{
+    for (const auto& change : decisions.takeServiceChanges(now)) {
+        if (change.isLost)
+            log.write(log_event::service_unreached,
+                { { "service", change.service }, { "targets", change.targets },
+                    { "reason", serving::toString(change.failure) }, { "since_ms", milliseconds(change.length) } });
+        else
+            log.write(log_event::service_reached,
+                { { "service", change.service }, { "targets", change.targets },
+                    { "away_ms", milliseconds(change.length) } });
+    }
+}
+
 void gateway::state::logDiscarded(const discarded_input& input)
 {
     const auto reason = std::string(toString(input.reason));
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -46,6 +46,8 @@
     target_record_invalid,
     target_blocked,
     target_returned,
+    service_unreached,
+    service_reached,
     target_rests,
     target_leaves,
     request_quarantined,
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -41,6 +41,8 @@
         { log_event::target_record_invalid, "target_record_invalid", warning, belief, "target field message" },
         { log_event::target_blocked, "target_blocked", warning, belief, "target reason failures for_ms" },
         { log_event::target_returned, "target_returned", info, belief, "target" },
+        { log_event::service_unreached, "service_unreached", warning, belief, "service targets reason since_ms" },
+        { log_event::service_reached, "service_reached", info, belief, "service targets away_ms" },
         { log_event::target_rests, "target_rests", info, belief, "target rest_ms" },
         { log_event::target_leaves, "target_leaves", info, belief, "target call status listed draining" },
         { log_event::request_quarantined, "request_quarantined", warning, belief, "digest targets age_ms quarantined" },
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -7,6 +7,7 @@
 #include "serving/peer_load.h"
 #include "serving/placement.h"
 #include "serving/retry_limiter.h"
+#include "serving/target_paths.h"
 #include "serving/target_rest.h"
 
 #include "serving/in_flight_requests.h"
@@ -78,6 +79,8 @@
     void wholeAnswerReceived(request_id request, attempt_id attempt, instant now);
     /// The target has closed the connection of an attempt before the end of its answer. Called before attemptEnded().
     void targetClosedConnection(request_id request, attempt_id attempt, instant now);
+    /// No connection to the target of an attempt could be made. Called before attemptEnded().
+    void targetUnreached(request_id request, attempt_id attempt, path_failure failure, instant now);
     /// An attempt has ended. `cacheName` is the name of the KV cache that a prefill exported.
     void attemptEnded(request_id request, attempt_id attempt, attempt_result result, const std::string& cacheName,
         instant now, command_list& out);
@@ -103,6 +106,8 @@
     std::vector<health_change> takeHealthChanges() { return m_health.takeChanges(); }
     std::vector<rest_change> takeRestChanges() { return m_rests.takeChanges(); }
     const fleet_table& fleet() const { return m_fleet; }
+    const target_paths& paths() const { return m_paths; }
+    std::vector<service_path_change> takeServiceChanges(instant now) { return m_paths.takeServiceChanges(now); }
     std::vector<load_entry> ownLoad() const { return m_peers.localLoad(); }
     std::vector<prefill_report> ownJobs(instant now) const { return m_queues.localReports(now); }
     /// Prompts sent to engines since the last call, to be reported to the peers.
@@ -166,6 +171,7 @@
     prompt_cache_map m_caches;
     target_health m_health;
     target_rests m_rests;
+    target_paths m_paths;
     request_quarantine m_quarantine;
     abandoned_attempts m_abandoned;
     std::uint64_t m_quarantinesSeen = 0;
--- a/libs/serving/include/serving/fleet_table.h
+++ b/libs/serving/include/serving/fleet_table.h
@@ -43,6 +43,8 @@
 
     /// Rows of the listed targets of a service, in ascending order.
     const std::vector<std::uint32_t>& rowsOf(std::string_view service) const;
+    /// Names of all services that have or had targets, in order.
+    std::vector<std::string> services() const;
     bool isLocal(target_id id) const { return zone[id.value] == m_ownZone; }
     /// Whether the target is about to exit, as the target list or the target itself says.
     bool isLeaving(target_id id) const { return isDraining[id.value] || saidLeaving[id.value]; }
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -111,6 +111,14 @@
     blameAbandoned(current.target, now);
 }
 
+void dispatcher::targetUnreached(request_id request, attempt_id attempt, path_failure failure, instant now)
+{
+    if (!isCurrent(request, attempt))
+        return;
+    const auto& current = m_book.current[static_cast<std::size_t>(m_book.row(request))];
+    m_paths.failed(current.target, failure, current.sentAt, now);
+}
+
 void dispatcher::attemptEnded(request_id request, attempt_id attempt, attempt_result result,
     const std::string& cacheName, instant now, command_list& out)
 {
@@ -128,6 +136,10 @@
     const auto attempt = m_book.current[row];
     const bool isRepeatable = m_book.request[row].route->isRepeatable;
     const bool couldRun = attempt.stage != attempt_stage::prefill;
+    const bool isUnheard = result == attempt_result::unreached || result == attempt_result::broken
+        || result == attempt_result::cut;
+    if (!isUnheard)
+        m_paths.reached(attempt.target, attempt.sentAt);
     if (result == attempt_result::answered)
         return succeeded(row, now);
     if (result == attempt_result::prefilled)
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -76,6 +76,7 @@
     , m_queues(m_fleet, m_pace, shortHash(settings.vm))
     , m_health(m_fleet)
     , m_rests(m_fleet)
+    , m_paths(m_fleet)
     , m_placement({ m_fleet, m_pace, m_caches, m_health, m_queues, m_connections }, settings.seed)
     , m_random(settings.seed + 1)
     , m_retryBound(settings.retries)
@@ -95,6 +96,7 @@
     m_connections.forget(id);
     m_health.forget(id);
     m_rests.forget(id);
+    m_paths.forget(id);
 }
 
 void dispatcher::targetGone(const std::string& instance, instant) { m_fleet.remove(instance); }
--- a/libs/serving/src/fleet_table.cpp
+++ b/libs/serving/src/fleet_table.cpp
@@ -157,6 +157,15 @@
     return found == m_byService.end() ? none : found->second;
 }
 
+std::vector<std::string> fleet_table::services() const
+{
+    std::vector<std::string> out;
+    for (const auto& [name, rows] : m_byService)
+        out.push_back(name);
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
 bool fleet_table::acceptsWork(target_id id, instant now) const
 {
     const auto row = id.value;
