--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -73,7 +73,11 @@
 /// `Host`. Threading: one thread only.
 class http_client {
 public:
-    http_client();
+    /// Returns the address to which a connection to `peer` is made.
+    using address_map = std::function<endpoint(const endpoint& peer)>;
+
+    /// Connects to each peer's own address unless `connectTo` names another one, such as a proxy in front of the peer.
+    explicit http_client(address_map connectTo = {});
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/libs/http/src/connection_pool.h
+++ b/libs/http/src/connection_pool.h
@@ -4,6 +4,7 @@
 #include "stream_socket.h"
 
 #include <QTimer>
+#include <functional>
 #include <list>
 #include <map>
 
@@ -20,7 +21,11 @@
         const endpoint& peer, std::unique_ptr<stream_socket> socket, duration idleLimit);
     void closeIdleConnections(const endpoint& peer) { m_idle.erase(peer); }
 
+    /// Returns the address to which a new connection to `peer` is made.
+    endpoint addressOf(const endpoint& peer) const { return connectTo ? connectTo(peer) : peer; }
+
     std::uint64_t connectionsMade = 0;
+    std::function<endpoint(const endpoint&)> connectTo; // empty: to the peer's own address
 
 private:
     /// A connection that receives bytes or ends while it is idle is removed at once.
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -104,7 +104,7 @@
             }
             ++m_pool->connectionsMade;
             m_timer.start(milliseconds(m_options.connectTimeout));
-            m_socket = std::make_unique<detail::stream_socket>(m_peer, *this);
+            m_socket = std::make_unique<detail::stream_socket>(m_pool->addressOf(m_peer), *this);
         }
 
         void cancel() override
@@ -302,9 +302,10 @@
     detail::connection_pool pool;
 };
 
-http_client::http_client()
+http_client::http_client(address_map connectTo)
     : m_state(std::make_unique<state>())
 {
+    m_state->pool.connectTo = std::move(connectTo);
 }
 
 http_client::~http_client() = default;
