Reach targets by a peer when the own path to them is lost

What callers saw: while six of nine nodes were partitioned from all targets, these nodes answered 503 to all first attempts (0 of 756 served, 770 of 773 at the others), though their peers reached every target.

Cause: a node had no path to a target but its own. A request lives and ends at the node that took it, so a lost path was the same to it as a failing target.

Now target_paths keeps the state of each path. While it is lost, an attempt takes a detour: a peer that reaches the target passes the one call on, over HTTP on the nodes' own port. The node that took the request goes on deciding: retries, deadline, quarantine and account stay where they are, and the peer sends a call once, to the target that was chosen, or says that it has sent nothing. One hop, never two. A peer refuses calls for targets that rest or leave, and learns from the answers that it passes on. Silence, and a second lost path, have the other paths checked by connections; a lost path is checked in growing pauses and used again once a check passes. Failures on lost paths neither block a target that peers may reach nor are reported to them, and end no quarantine's evidence.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -24,9 +24,12 @@
     /// ms. If it takes longer, the target is gone or its accept queue is full.
     constexpr duration connectTimeout = 150ms;
     constexpr int firstFailureStatus = 500;
+    /// A peer that has not answered a call gets no others for this time, and one that takes no more calls for a moment.
+    constexpr duration lostPeerPause = 1s;
+    constexpr duration busyPeerPause = 200ms;
 
     constexpr std::array<std::string_view, static_cast<std::size_t>(attempt_result::count)> resultNames { "answered",
-        "prefilled", "unreached", "rejected", "misdirected", "failure_answer", "broken", "cut" };
+        "prefilled", "unreached", "not_passed_on", "rejected", "misdirected", "failure_answer", "broken", "cut" };
     constexpr std::array<std::string_view, 3> stageNames { "whole", "prefill", "decode" };
     constexpr std::array<std::string_view, static_cast<std::size_t>(serving::stop_reason::count)> stopNames { "silent",
         "refused", "caller_gone" };
@@ -154,17 +157,29 @@
     const auto& fleet = m_services.decisions.fleet();
     m_services.log.write(log_event::attempt_started,
         { { "request", m_decoded.id }, { "target", fleet.instance[command.target.value] },
-            { "stage", nameOf(stageNames, command.stage) }, { "work", static_cast<std::int64_t>(command.work) },
+            { "stage", nameOf(stageNames, command.stage) }, { "via", viaOf(*attempt) },
+            { "work", static_cast<std::int64_t>(command.work) },
             { "wait_ms", static_cast<std::int64_t>(command.waitSeconds * 1000) },
             { "running", fleet.running(command.target) },
             { "fetch_from", command.fetchFrom.isValid() ? fleet.instance[command.fetchFrom.value] : std::string() },
             { "predicted_ms", static_cast<std::int64_t>(command.predictedSeconds * 1000) }, { "late", command.isLate },
             { "urgency", command.urgency }, { "left_ms", milliseconds(command.timeLeft) } });
-    const auto& address = fleet.address[command.target.value];
     attempt->startedAt = boot_clock::now();
     attempt->lastBytesAt = attempt->startedAt;
-    attempt->exchange = m_services.client.start(
-        parseEndpoint(address), m_services.targets.attempt(m_request, specOf(command)), options, std::move(handlers));
+    auto request = m_services.targets.attempt(m_request, specOf(command));
+    auto address = fleet.address[command.target.value];
+    if (command.detour) {
+        address = command.detour->address;
+        request = encodeDetourCall(
+            std::move(request), { fleet.instance[command.target.value], m_decoded.id, command.longestIdle });
+        m_services.counters.count("tamarack_detours_total");
+    }
+    attempt->exchange = m_services.client.start(parseEndpoint(address), request, options, std::move(handlers));
+}
+
+std::string_view caller_flow::viaOf(const attempt_state& attempt)
+{
+    return attempt.command.detour ? std::string_view(attempt.command.detour->vm) : std::string_view();
 }
 
 bool caller_flow::isFailure(const target_answer& answer) const { return answer.status >= firstFailureStatus; }
@@ -179,7 +194,50 @@
     if (attempt != m_attempt)
         return;
     attempt->lastBytesAt = boot_clock::now();
+    if (!attempt->command.detour)
+        return onTargetHead(attempt, head);
+    const auto passedOn = decodeDetourAnswer(head);
+    if (passedOn && passedOn->outcome == detour_outcome::answered) {
+        attempt->isUndelimited = passedOn->isUndelimited;
+        return onTargetHead(attempt, passedOn->head);
+    }
+    onDetourFailure(attempt, passedOn);
+}
+
+void caller_flow::onDetourFailure(const attempt_ptr& attempt, const std::optional<detour_answer>& answer)
+{
+    const auto now = boot_clock::now();
+    const auto id = attempt->command.attempt;
+    auto& decisions = m_services.decisions;
+    const auto outcome = answer ? answer->outcome : detour_outcome::broken;
+    attempt->mayHaveReached = outcome == detour_outcome::broken;
+    attempt->failureReason = answer ? "the peer has not passed it on" : "the peer's response is no answer to a detour";
+    switch (outcome) {
+    case detour_outcome::unreached:
+        attempt->failureReason = "the peer does not reach the target";
+        decisions.targetUnreached(m_id, id, answer->failure, now);
+        return conclude(attempt, attempt_result::unreached);
+    case detour_outcome::broken:
+        if (answer && answer->isClosedByTarget)
+            decisions.targetClosedConnection(m_id, id, now);
+        return concludeBroken(attempt);
+    case detour_outcome::resting:
+        decisions.targetAskedForRest(attempt->command.target, answer->rest, now);
+        break;
+    case detour_outcome::leaving:
+        decisions.targetLeaves(decisions.fleet().instance[attempt->command.target.value]);
+        break;
+    default:
+        break;
+    }
+    decisions.detourRefused(m_id, id, outcome == detour_outcome::refused ? busyPeerPause : duration::zero(), now);
+    conclude(attempt, attempt_result::not_passed_on);
+}
+
+void caller_flow::onTargetHead(const attempt_ptr& attempt, const http_response_head& head)
+{
     attempt->answer = m_services.targets.decode(head);
+    attempt->answer.isDelimited &= !attempt->isUndelimited;
     m_services.notices.received(m_services.decisions.fleet().instance[attempt->command.target.value], attempt->answer,
         nameOf(stageNames, attempt->command.stage));
     if (const auto& load = attempt->answer.load)
@@ -323,6 +381,10 @@
         return;
     attempt->failureReason = failure.reason;
     attempt->mayHaveReached = failure.mayHaveReachedPeer;
+    if (attempt->command.detour) {
+        m_services.decisions.detourRefused(m_id, attempt->command.attempt, lostPeerPause, boot_clock::now());
+        return failure.mayHaveReachedPeer ? concludeBroken(attempt) : conclude(attempt, attempt_result::not_passed_on);
+    }
     if (!failure.mayHaveReachedPeer) {
         m_services.decisions.targetUnreached(m_id, attempt->command.attempt,
             failure.timedOut ? serving::path_failure::silent : serving::path_failure::refused, boot_clock::now());
@@ -330,6 +392,11 @@
     }
     if (failure.isClosedByPeer)
         m_services.decisions.targetClosedConnection(m_id, attempt->command.attempt, boot_clock::now());
+    concludeBroken(attempt);
+}
+
+void caller_flow::concludeBroken(const attempt_ptr& attempt)
+{
     // A plain target begins at once, so it has most likely run a request whose answer is lost.
     if (!m_isStream)
         requestBegan();
@@ -351,20 +418,22 @@
     m_services.counters.count("tamarack_target_attempts_total",
         { { "service", fleet.service[attempt->command.target.value] },
             { "stage", nameOf(stageNames, attempt->command.stage) }, { "result", nameOf(resultNames, result) } });
-    if (const auto kept = attempt->exchange->reusableFor(); kept > duration::zero())
+    if (const auto kept = attempt->exchange->reusableFor(); kept > duration::zero() && !attempt->command.detour)
         m_services.decisions.connectionKept(attempt->command.target, boot_clock::now() + kept);
     const bool isGood = result == attempt_result::answered || result == attempt_result::prefilled;
     if (isGood) {
         m_services.log.write(log_event::attempt_ended,
             { { "request", m_decoded.id }, { "target", fleet.instance[attempt->command.target.value] },
-                { "stage", nameOf(stageNames, attempt->command.stage) }, { "status", attempt->answer.status },
-                { "first_ms", attempt->firstMs }, { "took_ms", millisecondsSince(attempt->startedAt) } });
+                { "stage", nameOf(stageNames, attempt->command.stage) }, { "via", viaOf(*attempt) },
+                { "status", attempt->answer.status }, { "first_ms", attempt->firstMs },
+                { "took_ms", millisecondsSince(attempt->startedAt) } });
     } else {
         m_services.log.write(log_event::attempt_failed,
             { { "request", m_decoded.id }, { "digest", m_digest },
                 { "target", fleet.instance[attempt->command.target.value] },
-                { "stage", nameOf(stageNames, attempt->command.stage) }, { "result", nameOf(resultNames, result) },
-                { "reason", attempt->failureReason }, { "status", attempt->answer.status },
+                { "stage", nameOf(stageNames, attempt->command.stage) }, { "via", viaOf(*attempt) },
+                { "result", nameOf(resultNames, result) }, { "reason", attempt->failureReason },
+                { "status", attempt->answer.status },
                 { "rest_ms", attempt->answer.rest ? milliseconds(*attempt->answer.rest) : -1 },
                 { "may_have_reached", attempt->mayHaveReached },
                 { "took_ms", millisecondsSince(attempt->startedAt) } });
@@ -387,7 +456,8 @@
             { "silent_ms", millisecondsSince(m_attempt->lastBytesAt) }, { "events", m_events },
             { "took_ms", millisecondsSince(m_attempt->startedAt) } });
     // The connection may be dead rather than the target, in which case the other pooled connections are dead as well.
-    m_services.client.closeIdleConnections(parseEndpoint(fleet.address[m_attempt->command.target.value]));
+    if (!m_attempt->command.detour)
+        m_services.client.closeIdleConnections(parseEndpoint(fleet.address[m_attempt->command.target.value]));
     m_attempt = nullptr;
 }
 
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -2,6 +2,7 @@
 // of attempts.
 #pragma once
 
+#include "detour_protocol.h"
 #include "gateway/caller_protocol.h"
 #include "gateway/target_protocol.h"
 #include "target_notices.h"
@@ -75,11 +76,16 @@
         std::int64_t firstMs = -1; // time from the start of the attempt to the first event of a stream; -1: none yet
         std::string failureReason;
         bool mayHaveReached = true;
+        bool isUndelimited = false; // by a detour, which delimits every body, of a target that does not
     };
     using attempt_ptr = std::shared_ptr<attempt_state>;
 
+    static std::string_view viaOf(const attempt_state& attempt);
     attempt_spec specOf(const serving::start_attempt& command) const;
     void onHead(const attempt_ptr& attempt, const http_response_head& head);
+    void onTargetHead(const attempt_ptr& attempt, const http_response_head& head);
+    /// The peer has answered for itself. `answer` is empty if it is not one that passes calls on.
+    void onDetourFailure(const attempt_ptr& attempt, const std::optional<detour_answer>& answer);
     void onBody(const attempt_ptr& attempt, std::string_view bytes);
     void onEnd(const attempt_ptr& attempt);
     void onFailure(const attempt_ptr& attempt, const exchange_failure& failure);
@@ -88,6 +94,8 @@
     void requestBegan();
     void relayBuffered(const attempt_ptr& attempt);
     void beginAnswer(const attempt_ptr& attempt);
+    /// The attempt may have run and gives no whole answer.
+    void concludeBroken(const attempt_ptr& attempt);
     void conclude(const attempt_ptr& attempt, serving::attempt_result result, const std::string& cacheName = {});
     /// `detail` says why, for the log.
     void finish(flow_end end, std::string_view detail = {});
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 
 #include "cache_monitor.h"
 #include "cluster_view.h"
+#include "detour_server.h"
 #include "duty_coordinator.h"
 #include "flow_table.h"
 #include "node_endpoints.h"
@@ -41,6 +42,13 @@
     constexpr double callerDescriptorShare = 0.6;
     /// Share of the process's memory for request bodies.
     constexpr double bodyMemoryShare = 0.25;
+    /// Shares of the descriptors and of the memory for calls that are passed on for peers. Each takes two descriptors.
+    constexpr double passedCallShare = 0.05;
+    constexpr double passedBodyMemoryShare = 0.1;
+    /// Room in the head of a call for what this system adds to a caller's headers.
+    constexpr std::uint32_t addedHeaderBytes = 4096;
+    /// A target in another availability zone accepts a connection within some milliseconds.
+    constexpr duration pathCheckTimeout = 150ms;
     constexpr std::uint64_t bytesPerMegabyte = 1'000'000;
     /// After its start a node waits for its peers' heartbeats before it assigns duties, so that it does not take itself
     /// for the only node. Heartbeats are sent ten times a second, and twice a second with 80 nodes.
@@ -72,6 +80,7 @@
     void drain();
     void configure(const std::shared_ptr<const serving::serving_configuration>& configuration);
     http_server_limits limits() const;
+    http_server_limits detourLimits() const;
     serving::node_state self() const;
     bool isReady() const;
     const std::string& encodedState();
@@ -91,6 +100,9 @@
     void logLostPeers(const std::vector<serving::lost_node>& lost);
     void logHealth(const serving::health_change& change);
     void logPaths(instant now);
+    /// Tells the dispatcher which peers can pass calls on.
+    void updateDetours(const std::vector<serving::node_state>& alive);
+    void checkPaths(instant now);
     void logDiscarded(const discarded_input& input);
 
     gateway_settings settings;
@@ -110,6 +122,7 @@
     role_coordinator roles;
     peer_messenger peers;
     http_server callers;
+    detour_server detours;
     node_endpoints pages;
     flow_table flows;
     quarantine_sync quarantine;
@@ -118,10 +131,13 @@
     QTimer decisionTimer;
     instant drainingSince; // set by drain()
     instant nextMetricsAt;
+    std::uint64_t detourNodesHash = 0; // of the nodes that updateDetours() has passed on
+    std::uint64_t announcedPaths = 0; // generation of the paths that peers were told
     instant nextDutiesAt;
     instant startedAt = boot_clock::now();
     std::string encodedStateText; // last encoded state, served to peers
     instant encodedStateAt;
+    std::shared_ptr<bool> isAlive = std::make_shared<bool>(true); // checks of paths may end after this object
     bool isDraining = false;
     instant closedAt; // since when no connections are accepted; set at the end of the drain
     instant lastBusyAt; // last time at which requests were held or answers were queued, during the drain
@@ -146,6 +162,11 @@
     /// Distinguishes the processes of a VM.
     std::int64_t processId() { return wallMilliseconds(); }
 
+    std::size_t maxPassedCalls(const gateway_settings& settings)
+    {
+        return static_cast<std::size_t>(settings.descriptors * passedCallShare);
+    }
+
     serving::order_lease_settings leaseSettings(const gateway_settings& settings)
     {
         serving::order_lease_settings out;
@@ -205,6 +226,7 @@
               return ports.callers.refusal(kind, detail, answerFor(kind).retryAfter);
           },
           [this](const discarded_input& input) { logDiscarded(input); })
+    , detours({ client, ports.targets, decisions, notices, counters, log }, maxPassedCalls(settings))
     , pages({ ports.callers, nodes, counters, [this] { return self(); }, [this] { return encodedState(); },
           [this] { return encodeState(view.exportConfiguration()); },
           [this] { return encodeCaches(caches.snapshot(boot_clock::now())); },
@@ -228,7 +250,7 @@
         return toString(settings.callers) + ": cannot listen on this address";
     if (const auto address = pages.listen(settings); !address.empty())
         return address + ": cannot listen on this address";
-    if (!peers.listen(settings.peers))
+    if (!peers.listen(settings.peers) || (settings.peers.port != 0 && !detours.listen(settings.peers)))
         return toString(settings.peers) + ": cannot listen on this address";
     log.write(log_event::node_started,
         { { "availability_zone", settings.availabilityZone }, { "callers", toString(settings.callers) },
@@ -273,10 +295,24 @@
     return out;
 }
 
+http_server_limits gateway::state::detourLimits() const
+{
+    http_server_limits out;
+    const auto own = limits();
+    out.headerBytes = own.headerBytes + addedHeaderBytes;
+    out.bodyBytes = own.bodyBytes;
+    out.totalBodyBytes = static_cast<std::uint64_t>(
+        passedBodyMemoryShare * static_cast<double>(settings.memoryMegabytes) * static_cast<double>(bytesPerMegabyte));
+    // Idle connections of peers count as well.
+    out.connections = static_cast<int>(2 * maxPassedCalls(settings));
+    return out;
+}
+
 void gateway::state::configure(const std::shared_ptr<const serving::serving_configuration>& configuration)
 {
     usage.configure(*configuration);
     callers.setLimits(limits());
+    detours.setLimits(detourLimits());
     if (view.sharesReads())
         peers.sendHeartbeat(); // announces the version to peers at once
 }
@@ -389,6 +425,7 @@
     serving::command_list commands;
     decisions.tick(now, commands);
     flows.execute(std::move(commands));
+    checkPaths(now);
     logReadiness();
     publishMetrics(now);
     if (isDraining)
@@ -406,6 +443,7 @@
     const auto alive = nodes.alive(now);
     peers.planRelays(me, alive);
     assignStoreReading(me, alive, now);
+    updateDetours(alive);
     logPaths(now);
     caches.tick(me, alive, now);
     roles.tick(me, alive, now);
@@ -490,6 +528,45 @@
             { "for_ms", milliseconds(change.blockedFor) } });
 }
 
+void gateway::state::updateDetours(const std::vector<serving::node_state>& alive)
+{
+    std::uint64_t seen = 1;
+    const auto takesCalls
+        = [](const serving::node_state& node) { return node.isReady && !node.isStopping && node.peerPort != 0; };
+    for (const auto& node : alive) {
+        if (takesCalls(node))
+            seen += rendezvousSeed(node.vm) + stableHash(node.address);
+    }
+    if (std::exchange(detourNodesHash, seen) == seen)
+        return;
+    std::vector<serving::detour_peer> able;
+    for (const auto& node : alive) {
+        if (takesCalls(node))
+            able.push_back({ node.vm, node.availabilityZone, toString(endpoint { node.address, node.peerPort }) });
+    }
+    decisions.paths().setPeers(std::move(able));
+}
+
+void gateway::state::checkPaths(instant now)
+{
+    for (const auto target : decisions.paths().takeDueChecks(now)) {
+        client.connect(parseEndpoint(decisions.fleet().address[target.value]), pathCheckTimeout,
+            [this, now, weak = std::weak_ptr(isAlive), instance = decisions.fleet().instance[target.value]](
+                const exchange_failure* failure) {
+                if (weak.expired())
+                    return;
+                std::optional<serving::path_failure> result;
+                if (failure)
+                    result = failure->timedOut ? serving::path_failure::silent : serving::path_failure::refused;
+                serving::command_list commands;
+                decisions.pathChecked(instance, result, now, boot_clock::now(), commands);
+                flows.execute(std::move(commands));
+            });
+    }
+    if (std::exchange(announcedPaths, decisions.paths().generation()) != announcedPaths)
+        peers.broadcastPaths();
+}
+
 void gateway::state::logPaths(instant now)
 {
     for (const auto& change : decisions.takeServiceChanges(now)) {
@@ -532,6 +609,7 @@
     drainingSince = boot_clock::now();
     log.write(log_event::drain_started, { { "held", decisions.held() }, { "connections", callers.connectionCount() } });
     callers.beginDrain();
+    detours.beginDrain();
     peers.sendHeartbeat(); // peers remove this node from the entry addresses at once
 }
 
@@ -545,9 +623,10 @@
         return;
     const auto noneComesAfter = drainingSince + maxCachedLifetimes * node_endpoints::entryLifetime();
     const auto last = drainingSince + settings.stopBound - stopMargin;
-    if (decisions.held() > 0 || callers.bytesQueued() > 0)
+    const bool holdsCalls = decisions.held() > 0 || detours.callsInProgress() > 0;
+    if (holdsCalls || callers.bytesQueued() > 0)
         lastBusyAt = now;
-    const bool isDone = now >= noneComesAfter && decisions.held() == 0;
+    const bool isDone = now >= noneComesAfter && !holdsCalls;
     if (!isClosed && !isDone && now < last)
         return;
     if (!isClosed) {
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -168,6 +168,12 @@
         archive(m.previous, m.upTo, m.changes);
     }
 
+    template <class Archive> void serialize(Archive& archive, path_report& m)
+    {
+        archive(m.node, m.lostCount);
+        archiveShort(archive, m.lost);
+    }
+
     template <class Archive> void serialize(Archive& archive, prefill_report& m)
     {
         archive(m.target, m.number, m.rank, m.work, m.ageMilliseconds, m.part, m.partTokens);
--- a/libs/gateway/src/node_messages.h
+++ b/libs/gateway/src/node_messages.h
@@ -9,6 +9,7 @@
 #include "serving/prefill_queues.h"
 #include "serving/target_follower.h"
 #include "serving/target_health.h"
+#include "serving/target_paths.h"
 #include "usage/usage_report.h"
 
 #include <optional>
@@ -100,7 +101,7 @@
 /// A target note is sent by a node that reads the target list on behalf of others. New kinds of messages are added at
 /// the end: nodes that do not know a kind drop messages of this kind only.
 using peer_datagram = std::variant<node_heartbeat, job_announcement, serving::target_update_batch, node_probe,
-    cache_update_batch, read_progress, quarantine_note, usage_report>;
+    cache_update_batch, read_progress, quarantine_note, usage_report, serving::path_report>;
 
 /// Encodes a message. Heartbeats are truncated to stay below the usual path MTU.
 std::string encodeDatagram(peer_datagram message);
--- a/libs/gateway/src/peer_messenger.cpp
+++ b/libs/gateway/src/peer_messenger.cpp
@@ -32,6 +32,8 @@
     constexpr int heartbeatsPerFullState = 8;
     constexpr double heartbeatJitter = 0.15; ///< share of the interval, in both directions
     constexpr int millisecondsPerSecond = 1000;
+    /// A report may be lost, so the return of all paths is reported with so many heartbeats.
+    constexpr int pathReportsAfterReturn = 3;
 
 }
 
@@ -61,6 +63,8 @@
     m_fullHeartbeatsLeft = std::max(0, m_fullHeartbeatsLeft - 1);
     ++m_heartbeatCount;
     broadcast(encodeDatagram(heartbeat(isFull, now)), serving::send_pace::batched);
+    if (m_pathReportsLeft > 0 || decisions.paths().hasLost())
+        broadcastPaths();
     logReachablePeers();
     // Nodes from which nothing is received may not know this node, so its address is sent to them.
     if (const auto silentNodes = nodes.takeNodesToProbe(now); !silentNodes.empty())
@@ -196,6 +200,13 @@
     broadcast(encodeDatagram(note), serving::send_pace::immediate);
 }
 
+void peer_messenger::broadcastPaths()
+{
+    auto report = m_parts.decisions.paths().report();
+    m_pathReportsLeft = report.lostCount > 0 ? pathReportsAfterReturn : std::max(0, m_pathReportsLeft - 1);
+    broadcast(encodeDatagram(std::move(report)), serving::send_pace::batched);
+}
+
 void peer_messenger::broadcastCacheUpdates(std::vector<cache_update> caches)
 {
     for (auto& part : splitCacheUpdates(std::move(caches)))
@@ -219,6 +230,8 @@
         m_parts.onQuarantine(quarantine->records);
     else if (const auto* usage = std::get_if<usage_report>(&message))
         m_parts.onUsage(*usage);
+    else if (const auto* paths = std::get_if<serving::path_report>(&message))
+        m_parts.decisions.paths().applyReport(*paths, boot_clock::now());
     else
         onProbe(std::get<node_probe>(message));
 }
--- a/libs/gateway/src/peer_messenger.h
+++ b/libs/gateway/src/peer_messenger.h
@@ -45,6 +45,8 @@
     void broadcastTargetChanges(serving::target_update_batch note);
     /// Sends all peers the instants up to which this node has read the store.
     void broadcastReadProgress();
+    /// Sends which targets this node does not reach.
+    void broadcastPaths();
     /// Sends the updates found by a full cache listing.
     void broadcastCacheUpdates(std::vector<cache_update> caches);
     /// Sends the reports to these nodes only.
@@ -91,6 +93,7 @@
     QTimer m_jobTimer;
     int m_fullHeartbeatsLeft = 3; // remaining heartbeats that carry the full state
     int m_heartbeatCount = 0;
+    int m_pathReportsLeft = 0; // remaining heartbeats with a report that all targets are reached
     random_source m_random;
     std::uint32_t m_ownHash;
     std::int64_t m_startedAt = boot_clock::now().time_since_epoch().count();
--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -88,6 +88,9 @@
     /// failure.
     std::shared_ptr<http_exchange> fetch(const endpoint& peer, const http_request& request,
         const exchange_options& options, std::function<void(const http_response*, const exchange_failure&)> done);
+    /// Opens a connection to `peer` and keeps it for reuse. `done` gets null, or the failure after `timeout` at the
+    /// latest.
+    void connect(const endpoint& peer, duration timeout, std::function<void(const exchange_failure* failure)> done);
     /// Closes the idle connections to `peer`.
     void closeIdleConnections(const endpoint& peer);
     /// Returns the number of connections opened so far.
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -296,6 +296,60 @@
         bool m_isSkipped = false; // the message being read is not the response to this exchange
     };
 
+    /// A connection that is opened without a request.
+    class idle_connect : public detail::stream_listener {
+    public:
+        idle_connect(detail::connection_pool& pool, endpoint peer, std::function<void(const exchange_failure*)> done)
+            : m_pool(pool)
+            , m_peer(std::move(peer))
+            , m_done(std::move(done))
+        {
+            m_timer.setSingleShot(true);
+        }
+
+        void begin(const std::shared_ptr<idle_connect>& self, duration timeout)
+        {
+            m_self = self;
+            QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] { fail("timed out", true); });
+            m_timer.start(milliseconds(timeout));
+            ++m_pool.connectionsMade;
+            m_socket = std::make_unique<detail::stream_socket>(m_pool.addressOf(m_peer), *this);
+        }
+
+        void onConnected() override
+        {
+            m_timer.stop();
+            if (auto rejected = m_pool.addIdle(m_peer, std::move(m_socket), defaultIdleLimit))
+                m_socket = std::move(rejected);
+            end(nullptr);
+        }
+        void onReadable() override { }
+        void onEnded(stream_end) override { fail("cannot connect", false); }
+
+    private:
+        void fail(std::string reason, bool timedOut)
+        {
+            const exchange_failure failure { false, timedOut, std::move(reason), false };
+            end(&failure);
+        }
+
+        void end(const exchange_failure* failure)
+        {
+            m_timer.stop();
+            const auto done = std::move(m_done);
+            // Deferred, because the socket or the timer may be the caller.
+            QTimer::singleShot(0, [self = std::move(m_self)] {});
+            done(failure);
+        }
+
+        detail::connection_pool& m_pool;
+        endpoint m_peer;
+        std::function<void(const exchange_failure*)> m_done;
+        std::unique_ptr<detail::stream_socket> m_socket;
+        QTimer m_timer;
+        std::shared_ptr<idle_connect> m_self; // keeps this object alive until the end
+    };
+
 }
 
 struct http_client::state {
@@ -333,6 +387,13 @@
     return start(peer, request, options, std::move(handlers));
 }
 
+void http_client::connect(
+    const endpoint& peer, duration timeout, std::function<void(const exchange_failure* failure)> done)
+{
+    const auto attempt = std::make_shared<idle_connect>(m_state->pool, peer, std::move(done));
+    attempt->begin(attempt, timeout);
+}
+
 void http_client::closeIdleConnections(const endpoint& peer) { m_state->pool.closeIdleConnections(peer); }
 
 std::uint64_t http_client::connectionsMade() const { return m_state->pool.connectionsMade; }
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -80,6 +80,7 @@
     request_waits,
     attempt_started,
     attempt_ended,
+    call_passed_on,
     request_ended,
     count
 };
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -79,8 +79,16 @@
     void wholeAnswerReceived(request_id request, attempt_id attempt, instant now);
     /// The target has closed the connection of an attempt before the end of its answer. Called before attemptEnded().
     void targetClosedConnection(request_id request, attempt_id attempt, instant now);
-    /// No connection to the target of an attempt could be made. Called before attemptEnded().
+    /// No connection to the target of an attempt could be made, by this node or by the peer of its detour. Called
+    /// before attemptEnded().
     void targetUnreached(request_id request, attempt_id attempt, path_failure failure, instant now);
+    /// The peer of an attempt's detour has not taken it and gets no calls for `pause`; zero: only none for this target.
+    /// Called before attemptEnded().
+    void detourRefused(request_id request, attempt_id attempt, duration pause, instant now);
+    /// A check of the path to the target, begun at `startedAt`, has ended. `failure` is empty if the target was
+    /// reached.
+    void pathChecked(const std::string& instance, std::optional<path_failure> failure, instant startedAt, instant now,
+        command_list& out);
     /// An attempt has ended. `cacheName` is the name of the KV cache that a prefill exported.
     void attemptEnded(request_id request, attempt_id attempt, attempt_result result, const std::string& cacheName,
         instant now, command_list& out);
@@ -107,6 +115,7 @@
     std::vector<rest_change> takeRestChanges() { return m_rests.takeChanges(); }
     const fleet_table& fleet() const { return m_fleet; }
     const target_paths& paths() const { return m_paths; }
+    target_paths& paths() { return m_paths; }
     std::vector<service_path_change> takeServiceChanges(instant now) { return m_paths.takeServiceChanges(now); }
     std::vector<load_entry> ownLoad() const { return m_peers.localLoad(); }
     std::vector<prefill_report> ownJobs(instant now) const { return m_queues.localReports(now); }
@@ -158,6 +167,8 @@
     /// Attributes the end of a target to the attempts at it that were cancelled shortly before.
     void blameAbandoned(target_id target, instant now);
     void releaseCache(std::size_t row, command_list& out);
+    /// Records what an attempt that did not reach its target says of the target's health.
+    void judgeUnreached(const current_attempt& attempt, instant now);
     void checkTimes(std::size_t row, instant now, command_list& out);
     bool hasRunOrMayRun(std::size_t row) const;
     /// Whether the request has waited for a target for as long as is of use to its caller.
--- a/libs/serving/include/serving/in_flight_requests.h
+++ b/libs/serving/include/serving/in_flight_requests.h
@@ -34,6 +34,8 @@
     attempt_id id;
     target_id target;
     attempt_stage stage = attempt_stage::whole;
+    std::string detour; ///< VM of the peer that passes it on; empty: none
+    bool hasLostPath = false; ///< its failure was the first one on the direct path to the target
     bool isFirstPrefill = false; ///< the prefill that does not count as a send
     bool isPrefilling = false; ///< its prompt is in the engine's queue
     std::uint64_t prefillKey = 0; ///< key of the prompt in the engine's queue
--- a/libs/serving/include/serving/serving_request.h
+++ b/libs/serving/include/serving/serving_request.h
@@ -6,6 +6,7 @@
 #include "base/ids.h"
 #include "quarantine/request_digest.h"
 #include "serving/serving_configuration.h"
+#include "serving/target_paths.h"
 
 #include <memory>
 #include <optional>
@@ -59,6 +60,7 @@
     target_id target;
     attempt_stage stage = attempt_stage::whole;
     cache_handle cache; ///< for the decode stage: the KV cache to import
+    std::optional<detour_peer> detour; ///< the peer that passes the attempt on; empty: it is sent to the target itself
     target_id fetchFrom; ///< an engine with a longer cached prefix of the prompt; invalid if there is none
     duration timeLeft = duration::zero(); ///< after which the answer is of no use
     int urgency = 0; ///< 0 is the most urgent at the target
@@ -109,7 +111,8 @@
 enum class attempt_result : unsigned char {
     answered, ///< the whole answer went to the caller
     prefilled, ///< the prefill stage is done
-    unreached, ///< no byte can have been sent
+    unreached, ///< no byte can have been sent to the target, because no connection to it could be made
+    not_passed_on, ///< the peer that was to pass the attempt on has not taken it
     rejected, ///< the target reported that it did not run the request, for lack of capacity
     misdirected, ///< the same, because the target is not the instance that was expected
     failure_answer, ///< the target's own failure answer, which can be forwarded
--- a/libs/serving/include/serving/target_health.h
+++ b/libs/serving/include/serving/target_health.h
@@ -32,6 +32,8 @@
     void recordSuccess(target_id id, instant now);
     /// Records that the connection to the target failed or broke off.
     void recordFailure(target_id id, instant now);
+    /// Records the same for this node only: its path to the target may be at fault, so the peers get no report.
+    void recordUnreached(target_id id, instant now);
     /// Records that the target has no capacity; it is blocked only briefly.
     void recordRejection(target_id id, instant now);
     /// Records that another instance answers at the target's address. The target list will report the new instance.
@@ -67,6 +69,7 @@
     void reserveRow(std::size_t row);
     static evidence decayedTo(const evidence& item, instant now);
     void recordOutcome(target_id id, double failure, instant now);
+    void blockIfFailedInARow(target_id id, instant now);
     void add(target_id id, double answers, double failures, instant now);
     void block(target_id id, instant now, duration length, std::string_view reason);
 
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -15,6 +15,8 @@
     if (current.isPrefilling)
         m_queues.cancel(current.target, current.prefillKey);
     m_fleet.removeRunning(current.target);
+    if (!current.detour.empty())
+        m_paths.detourEnded(current.detour);
     current = {};
     m_book.phase[row] = request_phase::waiting;
 }
@@ -112,11 +114,55 @@
 }
 
 void dispatcher::targetUnreached(request_id request, attempt_id attempt, path_failure failure, instant now)
+{
+    if (!isCurrent(request, attempt))
+        return;
+    auto& current = m_book.current[static_cast<std::size_t>(m_book.row(request))];
+    if (current.detour.empty())
+        current.hasLostPath = m_paths.failed(current.target, failure, current.sentAt, now);
+    else
+        m_paths.detourFailed(current.target, current.detour, now);
+}
+
+void dispatcher::detourRefused(request_id request, attempt_id attempt, duration pause, instant now)
 {
     if (!isCurrent(request, attempt))
         return;
     const auto& current = m_book.current[static_cast<std::size_t>(m_book.row(request))];
-    m_paths.failed(current.target, failure, current.sentAt, now);
+    if (pause > duration::zero())
+        m_paths.peerFailed(current.detour, pause, now);
+    else
+        m_paths.detourFailed(current.target, current.detour, now);
+}
+
+void dispatcher::pathChecked(
+    const std::string& instance, std::optional<path_failure> failure, instant startedAt, instant now, command_list& out)
+{
+    const target_id target = m_fleet.find(instance);
+    if (!target.isValid())
+        return;
+    if (failure)
+        m_paths.failed(target, *failure, startedAt, now);
+    else
+        m_paths.reached(target, startedAt);
+    dispatch(now, out);
+}
+
+// A node that can't connect to a target may have lost its path to a sound one. As long as a peer may reach the target,
+// one failure counts here, so that a crashed target is still avoided, and the peers hear nothing of it.
+void dispatcher::judgeUnreached(const current_attempt& attempt, instant now)
+{
+    const bool mayBeReached = m_paths.detourFor(attempt.target, now) != nullptr;
+    if (attempt.detour.empty() && mayBeReached) {
+        if (attempt.hasLostPath)
+            m_health.recordUnreached(attempt.target, now);
+        return;
+    }
+    if (mayBeReached)
+        m_health.recordUnreached(attempt.target, now);
+    else
+        m_health.recordFailure(attempt.target, now);
+    blameAbandoned(attempt.target, now);
 }
 
 void dispatcher::attemptEnded(request_id request, attempt_id attempt, attempt_result result,
@@ -136,21 +182,23 @@
     const auto attempt = m_book.current[row];
     const bool isRepeatable = m_book.request[row].route->isRepeatable;
     const bool couldRun = attempt.stage != attempt_stage::prefill;
-    const bool isUnheard = result == attempt_result::unreached || result == attempt_result::broken
-        || result == attempt_result::cut;
-    if (!isUnheard)
+    const bool isAnswer = result != attempt_result::unreached && result != attempt_result::not_passed_on
+        && result != attempt_result::broken && result != attempt_result::cut;
+    if (isAnswer && attempt.detour.empty())
         m_paths.reached(attempt.target, attempt.sentAt);
     if (result == attempt_result::answered)
         return succeeded(row, now);
     if (result == attempt_result::prefilled)
         return prefilled(row, cacheName, now, out);
-    progress.avoid = attempt.target;
+    if (result != attempt_result::not_passed_on)
+        progress.avoid = attempt.target;
     progress.hasFailed = true;
     releaseAttempt(row);
     switch (result) {
     case attempt_result::unreached:
-        m_health.recordFailure(attempt.target, now);
-        blameAbandoned(attempt.target, now);
+    case attempt_result::not_passed_on:
+        if (result == attempt_result::unreached)
+            judgeUnreached(attempt, now);
         // The attempt never reached the target. If it was the first prefill of a prompt, the prompt may still be
         // prefilled separately, because prefilling it at an engine that decodes would interrupt about twenty streams.
         if (couldRun) {
@@ -180,7 +228,8 @@
         out.push_back(forward_failure { m_book.idOf(row), attempt.id });
         return remove(row, out);
     case attempt_result::broken:
-        m_health.recordFailure(attempt.target, now);
+        if (attempt.detour.empty())
+            m_health.recordFailure(attempt.target, now);
         progress.mayHaveRun |= couldRun;
         if (attempt.isFirstPrefill)
             countArrival(row, now); // it is unknown whether the prefill was accepted, and only then it is not counted
@@ -189,7 +238,8 @@
             return endWithFailure(row, error_kind::outcome_unknown, now, out);
         return retryOrEnd(row, true, error_kind::attempt_timeout, now, out);
     case attempt_result::cut:
-        m_health.recordFailure(attempt.target, now);
+        if (attempt.detour.empty()) // otherwise the peer may be at fault
+            m_health.recordFailure(attempt.target, now);
         progress.mayHaveRun = true;
         releaseCache(row, out);
         // Only events tell where another target has to go on.
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -76,7 +76,7 @@
     , m_queues(m_fleet, m_pace, shortHash(settings.vm))
     , m_health(m_fleet)
     , m_rests(m_fleet)
-    , m_paths(m_fleet)
+    , m_paths(m_fleet, settings.vm, settings.availabilityZone)
     , m_placement({ m_fleet, m_pace, m_caches, m_health, m_queues, m_connections }, settings.seed)
     , m_random(settings.seed + 1)
     , m_retryBound(settings.retries)
@@ -334,7 +334,13 @@
     current.silenceDeadline = now + stallTimeout;
     m_fleet.addRunning(choice.target);
     m_rests.sent(choice.target, now);
-    if (!progress.hasFailed)
+    const auto* detour = m_paths.detourFor(choice.target, now);
+    if (detour) {
+        current.detour = detour->vm;
+        m_paths.detourBegan(detour->vm);
+    }
+    const bool mayReuseConnection = !progress.hasFailed && (detour || !m_paths.isDoubtful(choice.target));
+    if (mayReuseConnection)
         m_connections.take(choice.target, now);
     if (choice.stage == attempt_stage::prefill && choice.rank >= prefill_rank::medium)
         m_prefillWaitSeconds += prefillWaitSmoothing * (choice.waitSeconds - m_prefillWaitSeconds);
@@ -347,11 +353,13 @@
     command.stage = choice.stage;
     if (choice.stage == attempt_stage::decode)
         command.cache = progress.cache;
+    if (detour)
+        command.detour = *detour;
     command.fetchFrom = choice.fetchFrom;
     command.timeLeft = m_book.times[row].answerDeadline - now;
     command.isLate = choice.rank == prefill_rank::late;
     command.urgency = urgencyOf(choice);
-    if (!progress.hasFailed)
+    if (mayReuseConnection)
         command.longestIdle = longestIdle;
     command.predictedSeconds = choice.seconds;
     command.work = choice.work;
@@ -490,6 +498,8 @@
     const bool isWatched = !current.hasStartedAnswering || current.lastEventAt != instant();
     if (!current.id.isValid() || !isWatched || current.isPaused || now < current.silenceDeadline)
         return;
+    if (current.detour.empty())
+        m_paths.suspect(current.target, now);
     const bool couldRun = current.stage != attempt_stage::prefill;
     if (couldRun && !m_book.request[row].route->isRepeatable)
         return;
--- a/libs/serving/src/target_health.cpp
+++ b/libs/serving/src/target_health.cpp
@@ -116,6 +116,17 @@
 void target_health::recordFailure(target_id id, instant now)
 {
     recordOutcome(id, lostWeight, now);
+    blockIfFailedInARow(id, now);
+}
+
+void target_health::recordUnreached(target_id id, instant now)
+{
+    add(id, 1, lostWeight, now);
+    blockIfFailedInARow(id, now);
+}
+
+void target_health::blockIfFailedInARow(target_id id, instant now)
+{
     const int inARow = ++m_failuresInARow[id.value];
     if (inARow < failuresUntilBlocked)
         return;
