Role changes are decided by a node that reaches the engines

A coordinator without a path to the engines announced changes, got no report and kept the role, again and again, while no other node decided. Now a node that has lost more than half of the targets does not coordinate, and its peers, which hear its path reports, take over. Orders take no detour: an engine would see two machines give orders. Both tests were seen to fail with the condition left out: the node that reaches no engine claimed the lease, and its peer did not.

--- a/libs/gateway/src/role_coordinator.cpp
+++ b/libs/gateway/src/role_coordinator.cpp
@@ -52,24 +52,28 @@
 {
 }
 
-// Any ready node that reaches the store can be the coordinator. If two nodes both consider themselves the coordinator,
-// the lease ensures that only one of them acts.
-bool role_coordinator::isCoordinator(const serving::node_state& self, const std::vector<serving::node_state>& alive)
+// Any ready node that reaches the store and the engines can be the coordinator. Orders take no detour, because an
+// engine would take them for those of the peer. If two nodes both consider themselves the coordinator, the lease
+// ensures that only one of them acts.
+bool role_coordinator::isCoordinator(
+    const serving::node_state& self, const std::vector<serving::node_state>& alive, instant now) const
 {
-    if (!self.isReady || self.storeReach != serving::store_reach::reached)
+    const auto isAble = [&](const serving::node_state& node) {
+        return node.isReady && node.storeReach == serving::store_reach::reached
+            && m_parts.decisions.paths().reachesMost(node.vm, now);
+    };
+    if (!isAble(self))
         return false;
     const auto own = rendezvousWeight(self.vm, dutyKey);
-    return std::none_of(alive.begin(), alive.end(), [own](const auto& node) {
-        const bool isAble = node.isReady && node.storeReach == serving::store_reach::reached && !node.isStopping;
-        return isAble && rendezvousWeight(node.vm, dutyKey) > own;
-    });
+    return std::none_of(alive.begin(), alive.end(),
+        [&](const auto& node) { return isAble(node) && !node.isStopping && rendezvousWeight(node.vm, dutyKey) > own; });
 }
 
 void role_coordinator::tick(const serving::node_state& self, const std::vector<serving::node_state>& alive, instant now)
 {
     advanceChanges(now);
     markChangingEngines(now);
-    if (now < m_nextCheckAt || !isCoordinator(self, alive))
+    if (now < m_nextCheckAt || !isCoordinator(self, alive, now))
         return;
     m_nextCheckAt = now + checkInterval;
     const auto changes = m_split.dueChanges(now, m_parts.decisions.prefillWaitSeconds());
--- a/libs/gateway/src/role_coordinator.h
+++ b/libs/gateway/src/role_coordinator.h
@@ -55,7 +55,8 @@
         instant since; // start of the current step
     };
 
-    static bool isCoordinator(const serving::node_state& self, const std::vector<serving::node_state>& alive);
+    bool isCoordinator(
+        const serving::node_state& self, const std::vector<serving::node_state>& alive, instant now) const;
     void claim(instant now);
     void onClaimResponse(const store_result<placed_append>& result);
     void beginChanges(const std::vector<serving::role_change>& changes, instant now);
--- a/libs/gateway/tests/test_role_coordinator.cpp
+++ b/libs/gateway/tests/test_role_coordinator.cpp
@@ -2,6 +2,7 @@
 #include "fake_ports.h"
 #include "role_coordinator.h"
 
+#include "base/hash.h"
 #include "http/http_server.h"
 
 using namespace tamarack;
@@ -61,12 +62,19 @@
     }
 };
 
+serving::dispatcher_settings named(const char* vm)
+{
+    serving::dispatcher_settings out;
+    out.vm = vm;
+    return out;
+}
+
 /// A node with three decode engines, all at the address of the fake engine, one of which has to switch to prefill.
 struct coordinator_fixture {
     fake_engine engine;
     fake_role_protocol protocol;
     fake_store store;
-    serving::dispatcher decisions { {} };
+    serving::dispatcher decisions { named("n1") };
     metrics counters;
     logger log { quietLog() };
     http_client client;
@@ -219,3 +227,46 @@
     }));
     CHECK(node.engine.orders.size() == 1);
 }
+
+TEST_CASE("test_node_that_has_lost_its_paths_to_engines_claims_no_lease")
+{
+    // Guards against role changes that wait for a node whose orders reach no engine.
+    coordinator_fixture node;
+    const auto begin = boot_clock::now();
+    for (std::uint32_t row = 0; row < node.decisions.fleet().size(); ++row)
+        node.decisions.paths().failed({ row }, serving::path_failure::refused, begin, begin);
+    spinUntil([&] {
+        node.tick();
+        return boot_clock::now() >= begin + 3s;
+    });
+    CHECK(node.store.calls.empty());
+    for (std::uint32_t row = 0; row < node.decisions.fleet().size(); ++row)
+        node.decisions.paths().reached({ row }, boot_clock::now());
+    node.claim();
+}
+
+TEST_CASE("test_node_takes_role_changes_over_from_a_peer_that_has_lost_its_paths")
+{
+    coordinator_fixture node;
+    serving::node_state self;
+    self.vm = "n1";
+    self.isReady = true;
+    self.storeReach = serving::store_reach::reached;
+    auto peer = self;
+    for (int i = 2; rendezvousWeight(peer.vm, "roles") <= rendezvousWeight(self.vm, "roles"); ++i)
+        peer.vm = "n" + std::to_string(i);
+    const auto tickFor = [&](duration length) {
+        spinUntil([&, end = boot_clock::now() + length] {
+            node.roles.tick(self, { peer }, boot_clock::now());
+            return !node.store.calls.empty() || boot_clock::now() >= end;
+        });
+    };
+    tickFor(3s);
+    CHECK(node.store.calls.empty());
+    serving::path_report report;
+    report.node = serving::shortHash(peer.vm);
+    report.lostCount = 3;
+    node.decisions.paths().applyReport(report, boot_clock::now());
+    tickFor(3s);
+    CHECK_FALSE(node.store.calls.empty());
+}
--- a/libs/serving/include/serving/target_paths.h
+++ b/libs/serving/include/serving/target_paths.h
@@ -86,6 +86,8 @@
     /// The own paths, for the peers.
     path_report report() const;
     bool hasLost() const;
+    /// Whether the node, which may be this one, reaches at least half of the listed targets itself.
+    bool reachesMost(const std::string& vm, instant now) const;
     /// Changes with each path that is lost or works again.
     std::uint64_t generation() const { return m_generation; }
     /// The number of listed targets of the service whose path is lost.
--- a/libs/serving/src/target_paths.cpp
+++ b/libs/serving/src/target_paths.cpp
@@ -276,6 +276,18 @@
     return std::any_of(m_paths.begin(), m_paths.end(), [](const path& item) { return item.lostAt != instant(); });
 }
 
+bool target_paths::reachesMost(const std::string& vm, instant now) const
+{
+    std::size_t lost = 0;
+    if (vm == m_vm) {
+        lost = report().lostCount;
+    } else if (const auto found = m_reports.find(shortHash(vm)); found != m_reports.end()) {
+        const bool isValid = now < found->second.at + reportLifetime;
+        lost = isValid ? found->second.lostCount : 0;
+    }
+    return 2 * lost <= m_fleet.countListed();
+}
+
 std::size_t target_paths::countLost(std::string_view service) const
 {
     const auto& rows = m_fleet.rowsOf(service);
