Cache polls and releases reach engines by a peer, too

The calls to engines that are no attempts went directly only, so a node without paths knew nothing of caches and left KV caches to lapse. target_calls makes them, directly or by a detour, and learns from each whether the path works, so that a node without requests of its own notices a lost path as well.

--- a/libs/gateway/src/cache_monitor.cpp
+++ b/libs/gateway/src/cache_monitor.cpp
@@ -41,6 +41,7 @@
 cache_monitor::cache_monitor(http_client& client, const target_protocol& protocol, serving::dispatcher& decisions,
     metrics& counters, const logger& log, target_notices& notices, update_handler onListing)
     : m_client(client)
+    , m_calls(client, decisions)
     , m_protocol(protocol)
     , m_decisions(decisions)
     , m_counters(counters)
@@ -63,7 +64,8 @@
     assignEngines(self, alive, now);
     requestSnapshot(self, alive, now);
     for (auto& [instance, engine] : m_engines) {
-        if (engine.call || now < engine.nextCallAt || m_notices.isResting(instance, now))
+        const bool isSameRow = m_decisions.fleet().instance[engine.row.value] == instance;
+        if (engine.call || now < engine.nextCallAt || m_notices.isResting(instance, now) || !isSameRow)
             continue;
         if (engine.needsListing)
             requestListing(instance, engine);
@@ -100,7 +102,6 @@
         auto& engine = m_engines[instance];
         engine.row = { row };
         engine.name = fleet.name[row];
-        engine.address = fleet.address[row];
         engine.isDesignatedLister = roster.isOnDuty(instance, fleet.zone[row], 1);
     }
     std::erase_if(m_engines, [&](auto& item) {
@@ -183,10 +184,10 @@
 {
     exchange_options options;
     options.silenceTimeout = longPollWait + responseTimeout;
-    engine.call = m_client.fetch(parseEndpoint(engine.address),
-        m_protocol.cacheEvents(engine.nextEvent, longPollWait, engine.name), options,
-        [this, instance](
-            const http_response* response, const exchange_failure&) { onEventsResponse(instance, response); });
+    engine.call = m_calls.fetch(engine.row, m_protocol.cacheEvents(engine.nextEvent, longPollWait, engine.name),
+        options, [this, instance](const http_response* response, const exchange_failure&) {
+            onEventsResponse(instance, response);
+        });
 }
 
 // The row may have been reused: it can belong to another target from the moment its former target has gone until the
@@ -242,7 +243,7 @@
     exchange_options options;
     options.silenceTimeout = longPollWait + responseTimeout;
     engine.needsListing = false;
-    engine.call = m_client.fetch(parseEndpoint(engine.address), m_protocol.cacheList(engine.name), options,
+    engine.call = m_calls.fetch(engine.row, m_protocol.cacheList(engine.name), options,
         [this, instance](
             const http_response* response, const exchange_failure&) { onListResponse(instance, response); });
 }
--- a/libs/gateway/src/cache_monitor.h
+++ b/libs/gateway/src/cache_monitor.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "node_messages.h"
+#include "target_calls.h"
 #include "target_notices.h"
 
 #include "gateway/target_protocol.h"
@@ -45,7 +46,6 @@
     struct monitored_engine {
         target_id row;
         std::string name; // name without the process start time
-        std::string address;
         std::uint64_t nextEvent = 0; // sequence number of the first event not received yet
         std::uint64_t epoch = 0;
         bool hasEpoch = false;
@@ -73,6 +73,7 @@
     monitored_engine* finishCall(const std::string& instance);
 
     http_client& m_client;
+    target_calls m_calls;
     const target_protocol& m_protocol;
     serving::dispatcher& m_decisions;
     metrics& m_counters;
--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -21,6 +21,7 @@
 
 flow_table::flow_table(flow_services& services, std::function<void()> onExecuted)
     : m_services(services)
+    , m_calls(services.client, services.decisions)
     , m_onExecuted(std::move(onExecuted))
 {
 }
@@ -149,7 +150,7 @@
     const auto request = m_services.targets.releaseCache(cache.name, fleet.name[cache.source.value]);
     exchange_options options;
     options.silenceTimeout = releaseTimeout;
-    m_services.client.fetch(parseEndpoint(fleet.address[cache.source.value]), request, options,
+    m_calls.fetch(cache.source, request, options,
         [this, instance](const http_response* response, const exchange_failure& failure) {
             if (response)
                 m_services.notices.received(instance, *response, "cache_release");
--- a/libs/gateway/src/flow_table.h
+++ b/libs/gateway/src/flow_table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "caller_flow.h"
+#include "target_calls.h"
 
 #include <QObject>
 #include <deque>
@@ -41,6 +42,7 @@
     std::shared_ptr<caller_flow> find(request_id id) const;
 
     flow_services& m_services;
+    target_calls m_calls;
     std::function<void()> m_onExecuted;
     std::unordered_map<request_id, std::shared_ptr<caller_flow>> m_flows;
     std::deque<serving::command> m_pending; // commands not executed yet
