Test that calls besides attempts go by a peer when the own path is lost

The call is refused on the way that is lost, the next one goes by the peer, and a rest that the target has asked the peer for holds for the calling node, too. New code, not seen red.

--- a/libs/gateway/tests/test_detours.cpp
+++ b/libs/gateway/tests/test_detours.cpp
@@ -1,6 +1,7 @@
 // Tests calls that a peer passes on to targets.
 #include "detour_server.h"
 #include "fake_ports.h"
+#include "target_calls.h"
 
 #include <QTcpServer>
 
@@ -245,3 +246,41 @@
     unknown.headers.set("Tamarack-Detour-Outcome", "maybe");
     CHECK_FALSE(decodeDetourAnswer(unknown));
 }
+
+TEST_CASE("test_call_of_a_node_that_has_lost_the_target_goes_by_a_peer")
+{
+    // Guards against KV caches that nobody releases, and caches that nobody sees, while a node has lost its paths.
+    detour_world world;
+    world.respond = [](const auto& writer) { writer->sendWhole({ 200, {}, "events" }); };
+    serving::dispatcher own { {} };
+    serving::target_record record;
+    record.name = "t1";
+    record.service = "s";
+    record.address = "127.0.0.1:9";
+    own.targetListed(record);
+    own.paths().setPeers({ { "peer", "a", toString(world.address) } });
+    target_calls calls(world.client, own);
+    const auto row = own.fleet().find("t1");
+    const auto fetch = [&] {
+        std::optional<http_response> out;
+        bool isDone = false;
+        calls.fetch(row, { "GET", "/events", {}, {} }, {}, [&](const http_response* response, const exchange_failure&) {
+            isDone = true;
+            if (response)
+                out = *response;
+        });
+        REQUIRE(spinUntil([&] { return isDone; }));
+        return out;
+    };
+    CHECK_FALSE(fetch());
+    CHECK(own.paths().isLost(row));
+    const auto passed = fetch();
+    REQUIRE(passed);
+    CHECK(passed->body == "events");
+    CHECK(world.arrived.size() == 1);
+    CHECK(own.paths().isLost(row));
+    world.decisions.targetAskedForRest(world.decisions.fleet().find("t1"), 10s, boot_clock::now());
+    CHECK_FALSE(fetch());
+    CHECK(own.fleet().isResting(row, boot_clock::now()));
+    CHECK(world.arrived.size() == 1);
+}
