--- a/libs/observe/src/log_story.cpp
+++ b/libs/observe/src/log_story.cpp
@@ -49,6 +49,8 @@
         if (attempt.is("attempt_stopped"))
             return attempt.text("stage") + " stopped (" + attempt.text("reason") + ")";
         auto cause = attempt.text("stage") + " " + attempt.text("result");
+        if (!attempt.text("via").empty())
+            cause += " by a peer";
         if (const auto reason = attempt.text("reason"); !reason.empty())
             cause += " (" + reason + ")";
         if (const auto status = attempt.text("status"); !status.empty() && status != "0")
--- a/libs/observe/tests/test_log_story.cpp
+++ b/libs/observe/tests/test_log_story.cpp
@@ -102,3 +102,15 @@
     CHECK(summary.find("after whole rejected 503") != std::string::npos);
     CHECK(summary.find("whole rejected 503, the target rests") == std::string::npos);
 }
+
+TEST_CASE("test_summary_says_that_an_attempt_went_by_a_peer")
+{
+    const std::vector<std::string> lines {
+        R"({"ts_ms":1900,"level":"warning","event":"service_unreached","vm":"n1","instance":"n1/1","service":"s","targets":3,"reason":"silent","since_ms":150})",
+        R"({"ts_ms":2100,"level":"info","event":"attempt_failed","vm":"n1","instance":"n1/1","request":"r1","target":"t1","stage":"whole","via":"n2","result":"unreached","reason":"the peer does not reach the target","status":0,"rest_ms":-1})",
+        R"({"ts_ms":2200,"level":"info","event":"request_refused","vm":"n1","instance":"n1/1","request":"r1","route":"tag","kind":"no-target"})",
+    };
+    CHECK(formatRequestTimeline(lines, "r1").find("service_unreached") != std::string::npos);
+    const auto summary = formatFailureSummary(lines, { 0, 5000 });
+    CHECK(summary.find("after whole unreached by a peer (the peer does not reach the target)") != std::string::npos);
+}
