Never close a peer's connection that may carry a call

A connection above the server's limit is closed without a word, so the peer could not know whether its call was taken, and a request that may run once was lost. The limit of connections is now far above that of calls, which are refused in words, and idle connections of peers end after some seconds. The limits hold from the start, not from the first configuration on.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -45,6 +45,11 @@
     /// Shares of the descriptors and of the memory for calls that are passed on for peers. Each takes two descriptors.
     constexpr double passedCallShare = 0.05;
     constexpr double passedBodyMemoryShare = 0.1;
+    /// Idle connections of peers count as well. Calls above their limit are refused long before this one is reached,
+    /// since a connection that is closed at once leaves the peer in doubt whether its call was taken.
+    constexpr double passedConnectionShare = 0.2;
+    /// Peers use no connection that has been idle for more than two seconds.
+    constexpr duration passedIdleTimeout = 4s;
     /// Room in the head of a call for what this system adds to a caller's headers.
     constexpr std::uint32_t addedHeaderBytes = 4096;
     /// A target in another availability zone accepts a connection within some milliseconds.
@@ -250,6 +255,7 @@
         return toString(settings.callers) + ": cannot listen on this address";
     if (const auto address = pages.listen(settings); !address.empty())
         return address + ": cannot listen on this address";
+    detours.setLimits(detourLimits());
     if (!peers.listen(settings.peers) || (settings.peers.port != 0 && !detours.listen(settings.peers)))
         return toString(settings.peers) + ": cannot listen on this address";
     log.write(log_event::node_started,
@@ -303,8 +309,8 @@
     out.bodyBytes = own.bodyBytes;
     out.totalBodyBytes = static_cast<std::uint64_t>(
         passedBodyMemoryShare * static_cast<double>(settings.memoryMegabytes) * static_cast<double>(bytesPerMegabyte));
-    // Idle connections of peers count as well.
-    out.connections = static_cast<int>(2 * maxPassedCalls(settings));
+    out.connections = static_cast<int>(settings.descriptors * passedConnectionShare);
+    out.idleTimeout = passedIdleTimeout;
     return out;
 }
 
