Use no idle connection of a path that was lost

After a short cut whose connections hang, idle connections of before it look usable for two more seconds once the path works again; a request on one of them would be lost. They are closed when the path is lost.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -559,6 +559,9 @@
         client.connect(parseEndpoint(decisions.fleet().address[target.value]), pathCheckTimeout,
             [this, now, weak = std::weak_ptr(isAlive), instance = decisions.fleet().instance[target.value]](
                 const exchange_failure* failure) {
+    // Idle connections of a lost path may be dead.
+    for (const auto target : decisions.takeLostPaths())
+        client.closeIdleConnections(parseEndpoint(decisions.fleet().address[target.value]));
                 if (weak.expired())
                     return;
                 std::optional<serving::path_failure> result;
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -116,6 +116,8 @@
     const fleet_table& fleet() const { return m_fleet; }
     const target_paths& paths() const { return m_paths; }
     target_paths& paths() { return m_paths; }
+    /// Targets whose direct path was lost since the last call. Idle connections to them must not be used any more.
+    std::vector<target_id> takeLostPaths();
     std::vector<service_path_change> takeServiceChanges(instant now) { return m_paths.takeServiceChanges(now); }
     std::vector<load_entry> ownLoad() const { return m_peers.localLoad(); }
     std::vector<prefill_report> ownJobs(instant now) const { return m_queues.localReports(now); }
--- a/libs/serving/include/serving/target_paths.h
+++ b/libs/serving/include/serving/target_paths.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace tamarack::serving {
@@ -66,6 +67,8 @@
     /// The target is silent, so its path is checked soon.
     void suspect(target_id id, instant now);
     /// Targets whose direct paths are to be checked now by a connection. Each check ends in failed() or reached().
+    /// Targets whose path was lost since the last call.
+    std::vector<target_id> takeLost() { return std::exchange(m_newlyLost, {}); }
     std::vector<target_id> takeDueChecks(instant now);
     /// Clears the row, because it now belongs to another target.
     void forget(target_id id);
@@ -139,6 +142,7 @@
     std::map<std::string, known_peer> m_peers; // by VM
     std::vector<known_peer*> m_chosen; // the peers that get this node's calls
     instant m_chooseAgainAt;
+    std::vector<target_id> m_newlyLost;
     std::unordered_map<std::uint32_t, reported_paths> m_reports; // by shortHash() of the VM
     std::map<std::string, instant> m_lostServices; // by service, since when all paths to its targets are lost
 };
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -124,6 +124,14 @@
         m_paths.detourFailed(current.target, current.detour, now);
 }
 
+std::vector<target_id> dispatcher::takeLostPaths()
+{
+    auto out = m_paths.takeLost();
+    for (const auto target : out)
+        m_connections.forget(target);
+    return out;
+}
+
 void dispatcher::detourRefused(request_id request, attempt_id attempt, duration pause, instant now)
 {
     if (!isCurrent(request, attempt))
--- a/libs/serving/src/target_paths.cpp
+++ b/libs/serving/src/target_paths.cpp
@@ -70,6 +70,7 @@
     if (!isNew)
         return false;
     path.lostAt = now;
+    m_newlyLost.push_back(id);
     ++m_generation;
     if (m_lastLossAt != instant() && now < m_lastLossAt + doubtWindow)
         doubtOthers(now);
--- a/libs/serving/tests/test_target_paths.cpp
+++ b/libs/serving/tests/test_target_paths.cpp
@@ -300,6 +300,8 @@
     }
     for (const auto& attempt : attempts)
         world.failNow(attempt, 150ms);
+    CHECK(world.decisions.takeLostPaths().size() == 2);
+    CHECK(world.decisions.takeLostPaths().empty());
     CHECK(world.decisions.takeHealthChanges().empty());
     command_list out;
     world.decisions.submit(world.make(1), at(160ms), out);
