Send callers to nodes that reach targets, refuse what nobody reaches

Entry addresses named each node that was up, also one that reaches no target of a service, neither itself nor by a peer. Such a node now says so in its path report, and callers are sent to the others as long as there are any. A request for a service that the node cannot reach in any way was held for half its aim before it was refused; it is refused at once, with a time to come back. test_callers_are_sent_to_nodes_that_reach_the_targets and test_request_for_a_service_that_nobody_reaches_is_refused_at_once are new.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -236,7 +236,11 @@
           [this] { return encodeState(view.exportConfiguration()); },
           [this] { return encodeCaches(caches.snapshot(boot_clock::now())); },
           [this] { return quarantine.describe(boot_clock::now()); },
-          [this](const request_digest& digest) { return release(digest); } })
+          [this](const request_digest& digest) { return release(digest); },
+          [this](const std::string& vm) {
+              const auto now = boot_clock::now();
+              return vm == settings.vm ? decisions.paths().isCutOff(now) : decisions.paths().isPeerCutOff(vm, now);
+          } })
     , flows(services, [this] { peers.scheduleJobAnnouncement(); })
     , quarantine({ ports.store, decisions, log,
           [this](serving::command_list commands) { flows.execute(std::move(commands)); } })
@@ -251,11 +255,11 @@
 std::string gateway::state::start()
 {
     callers.setLimits(limits());
+    detours.setLimits(detourLimits());
     if (!callers.listen(addressOf(settings.callers), settings.callers.port))
         return toString(settings.callers) + ": cannot listen on this address";
     if (const auto address = pages.listen(settings); !address.empty())
         return address + ": cannot listen on this address";
-    detours.setLimits(detourLimits());
     if (!peers.listen(settings.peers) || (settings.peers.port != 0 && !detours.listen(settings.peers)))
         return toString(settings.peers) + ": cannot listen on this address";
     log.write(log_event::node_started,
@@ -555,13 +559,13 @@
 
 void gateway::state::checkPaths(instant now)
 {
+    // Idle connections of a lost path may be dead.
+    for (const auto target : decisions.takeLostPaths())
+        client.closeIdleConnections(parseEndpoint(decisions.fleet().address[target.value]));
     for (const auto target : decisions.paths().takeDueChecks(now)) {
         client.connect(parseEndpoint(decisions.fleet().address[target.value]), pathCheckTimeout,
             [this, now, weak = std::weak_ptr(isAlive), instance = decisions.fleet().instance[target.value]](
                 const exchange_failure* failure) {
-    // Idle connections of a lost path may be dead.
-    for (const auto target : decisions.takeLostPaths())
-        client.closeIdleConnections(parseEndpoint(decisions.fleet().address[target.value]));
                 if (weak.expired())
                     return;
                 std::optional<serving::path_failure> result;
--- a/libs/gateway/src/node_endpoints.cpp
+++ b/libs/gateway/src/node_endpoints.cpp
@@ -90,6 +90,10 @@
     std::erase_if(usable, [](const serving::node_state& node) { return !node.isReady || node.isStopping; });
     if (auto self = m_sources.self(); self.isReady)
         usable.insert(usable.begin(), std::move(self));
+    // While all nodes are cut off, callers stay where they are.
+    const auto isCutOff = [this](const serving::node_state& node) { return m_sources.isCutOff(node.vm); };
+    if (!std::all_of(usable.begin(), usable.end(), isCutOff))
+        std::erase_if(usable, isCutOff);
     if (usable.empty())
         return writer->sendWhole(m_sources.callers.refusal(error_kind::not_ready, "no node is ready", 1s));
     const duration lifetime = std::min(defaultEntryLifetime, m_maxEntryLifetime);
--- a/libs/gateway/src/node_endpoints.h
+++ b/libs/gateway/src/node_endpoints.h
@@ -29,6 +29,8 @@
         std::function<std::string()> quarantine; ///< JSON, for operators
         /// Ends the quarantine of a request. Returns false if it is not quarantined.
         std::function<bool(const request_digest&)> release;
+        /// Whether the node, which may be this one, reaches no target of some service.
+        std::function<bool(const std::string& vm)> isCutOff = [](const std::string&) { return false; };
     };
 
     explicit node_endpoints(sources from);
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -170,7 +170,7 @@
 
     template <class Archive> void serialize(Archive& archive, path_report& m)
     {
-        archive(m.node, m.lostCount);
+        archive(m.node, m.lostCount, m.isCutOff);
         archiveShort(archive, m.lost);
     }
 
--- a/libs/gateway/src/peer_messenger.cpp
+++ b/libs/gateway/src/peer_messenger.cpp
@@ -202,7 +202,7 @@
 
 void peer_messenger::broadcastPaths()
 {
-    auto report = m_parts.decisions.paths().report();
+    auto report = m_parts.decisions.paths().report(boot_clock::now());
     m_pathReportsLeft = report.lostCount > 0 ? pathReportsAfterReturn : std::max(0, m_pathReportsLeft - 1);
     broadcast(encodeDatagram(std::move(report)), serving::send_pace::batched);
 }
--- a/libs/gateway/tests/test_node_endpoints.cpp
+++ b/libs/gateway/tests/test_node_endpoints.cpp
@@ -3,6 +3,7 @@
 #include "node_endpoints.h"
 
 #include <QTcpServer>
+#include <set>
 
 using namespace tamarack;
 using namespace tamarack::tests;
@@ -88,3 +89,70 @@
     CHECK(statusOf("POST", "/quarantine/release/12") == 400);
     CHECK(statusOf("GET", "/quarantine/release/" + toString(known)) == 404);
 }
+
+namespace {
+
+/// Lists the entry addresses, separated by blanks.
+class listing_callers : public fake_callers {
+public:
+    std::optional<entry_query> decodeEntryQuery(const http_request&) const override { return entry_query {}; }
+    http_response entries(const entry_answer& answer) const override
+    {
+        http_response out { 200, {}, {} };
+        for (const auto& address : answer.addresses)
+            out.body += address + " ";
+        return out;
+    }
+};
+
+}
+
+TEST_CASE("test_callers_are_sent_to_nodes_that_reach_the_targets")
+{
+    // Guards against entry addresses of nodes that are up and can serve nobody, unless there are no others.
+    const listing_callers callers;
+    serving::node_directory nodes { "n1", {} };
+    metrics counters;
+    serving::node_state self;
+    self.vm = "n1";
+    self.address = "10.0.0.1";
+    self.isReady = true;
+    auto peer = self;
+    peer.vm = "n2";
+    peer.address = "10.0.0.2";
+    peer.incarnation = 1;
+    std::set<std::string> cutOff;
+    const auto empty = [] { return std::string(); };
+    node_endpoints pages({ callers, nodes, counters, [&] { return self; }, empty, empty, empty, empty,
+        [](const request_digest&) { return false; }, [&](const std::string& vm) { return cutOff.contains(vm); } });
+    gateway_settings settings;
+    settings.ready = settings.admin = settings.metrics = endpoint { "127.0.0.1", 0 };
+    QTcpServer free;
+    REQUIRE(free.listen(QHostAddress::LocalHost, 0));
+    settings.entries = { "127.0.0.1", free.serverPort() };
+    free.close();
+    REQUIRE(pages.listen(settings).empty());
+    http_client client;
+    const auto listed = [&] {
+        nodes.applyHeartbeat(peer, boot_clock::now());
+        std::string body;
+        bool isDone = false;
+        client.fetch(settings.entries, { "GET", "/resolve", {}, {} }, {},
+            [&](const http_response* response, const exchange_failure&) {
+                isDone = true;
+                body = response ? response->body : "";
+            });
+        REQUIRE(spinUntil([&] { return isDone; }));
+        return body;
+    };
+    CHECK(listed().find("10.0.0.1:") != std::string::npos);
+    CHECK(listed().find("10.0.0.2:") != std::string::npos);
+    cutOff = { "n2" };
+    CHECK(listed().find("10.0.0.2:") == std::string::npos);
+    cutOff = { "n1" };
+    CHECK(listed().find("10.0.0.1:") == std::string::npos);
+    CHECK(listed().find("10.0.0.2:") != std::string::npos);
+    cutOff = { "n1", "n2" };
+    CHECK(listed().find("10.0.0.1:") != std::string::npos);
+    CHECK(listed().find("10.0.0.2:") != std::string::npos);
+}
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -144,6 +144,9 @@
     /// Refuses the request if all targets that could answer it rest for longer than it may wait. Returns whether it
     /// did.
     bool refuseIfAllRest(std::size_t row, instant now, command_list& out);
+    /// Refuses the request if this node reaches no target of its service, neither directly nor by a peer. Returns
+    /// whether it did.
+    bool refuseIfCutOff(std::size_t row, instant now, command_list& out);
     /// The time until a target that could answer the request may be asked again; zero unless all of them rest.
     duration restDelay(std::size_t row, instant now);
     /// Whether another attempt that counts against the route's attempt limit may be sent.
--- a/libs/serving/include/serving/target_paths.h
+++ b/libs/serving/include/serving/target_paths.h
@@ -44,6 +44,7 @@
     std::uint32_t node = 0; ///< shortHash() of the sender's VM
     std::uint16_t lostCount = 0;
     std::vector<std::uint32_t> lost; ///< shortHash() of the targets' instances; with more than maxReportedPaths: none
+    bool isCutOff = false; ///< it reaches no target of some service, and no peer helps
 };
 
 /// The path to a target is lost when no connection can be made, and works again with its first answer or connection.
@@ -66,9 +67,9 @@
     bool isDoubtful(target_id id) const;
     /// The target is silent, so its path is checked soon.
     void suspect(target_id id, instant now);
-    /// Targets whose direct paths are to be checked now by a connection. Each check ends in failed() or reached().
     /// Targets whose path was lost since the last call.
     std::vector<target_id> takeLost() { return std::exchange(m_newlyLost, {}); }
+    /// Targets whose direct paths are to be checked now by a connection. Each check ends in failed() or reached().
     std::vector<target_id> takeDueChecks(instant now);
     /// Clears the row, because it now belongs to another target.
     void forget(target_id id);
@@ -86,8 +87,13 @@
     /// The peer did not take a call, and gets none for `pause`.
     void peerFailed(const std::string& vm, duration pause, instant now);
 
+    /// Whether the node reaches no target of the service, neither directly nor by a peer.
+    bool isUnreachable(std::string_view service, instant now);
+    /// Whether that holds for any service, here or at a peer by its latest report.
+    bool isCutOff(instant now);
+    bool isPeerCutOff(const std::string& vm, instant now) const;
     /// The own paths, for the peers.
-    path_report report() const;
+    path_report report(instant now);
     bool hasLost() const;
     /// Whether the node, which may be this one, reaches at least half of the listed targets itself.
     bool reachesMost(const std::string& vm, instant now) const;
@@ -118,9 +124,11 @@
         instant at;
         std::size_t lostCount = 0;
         std::unordered_set<std::uint32_t> lost;
+        bool isCutOff = false;
     };
 
     path& at(target_id id);
+    std::size_t countLost() const;
     service_path_change stateOf(std::string_view service, instant now) const;
     void doubtOthers(instant now);
     /// The peer's latest report; null if it has lost no path or its report has expired.
@@ -134,6 +142,7 @@
     std::string m_availabilityZone;
     random_source m_random;
     std::vector<path> m_paths; // by row of the fleet
+    std::vector<target_id> m_newlyLost;
     std::uint64_t m_generation = 0;
     instant m_lastLossAt;
     instant m_doubtsSince; // the default: none
@@ -142,7 +151,6 @@
     std::map<std::string, known_peer> m_peers; // by VM
     std::vector<known_peer*> m_chosen; // the peers that get this node's calls
     instant m_chooseAgainAt;
-    std::vector<target_id> m_newlyLost;
     std::unordered_map<std::uint32_t, reported_paths> m_reports; // by shortHash() of the VM
     std::map<std::string, instant> m_lostServices; // by service, since when all paths to its targets are lost
 };
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -183,7 +183,7 @@
 
 void dispatcher::startOrWait(std::size_t row, instant now, command_list& out)
 {
-    if (tryStart(row, now, out) || refuseIfAllRest(row, now, out))
+    if (tryStart(row, now, out) || refuseIfAllRest(row, now, out) || refuseIfCutOff(row, now, out))
         return;
     if (isHoldTimeOver(row, now))
         return refuse(row, error_kind::overloaded, retryDelay(row, now), out);
@@ -202,6 +202,15 @@
     return true;
 }
 
+// The paths are checked meanwhile, and while no target accepts an attempt, the request has nowhere to go.
+bool dispatcher::refuseIfCutOff(std::size_t row, instant now, command_list& out)
+{
+    if (m_book.progress[row].hasStarted || !m_paths.isUnreachable(m_book.request[row].service, now))
+        return false;
+    refuse(row, error_kind::no_target, retryDelay(row, now), out);
+    return true;
+}
+
 duration dispatcher::restDelay(std::size_t row, instant now)
 {
     const auto restEnd = m_placement.allRestUntil(needOf(row, now), now);
--- a/libs/serving/src/target_paths.cpp
+++ b/libs/serving/src/target_paths.cpp
@@ -170,7 +170,7 @@
         m_reports.erase(report.node);
         return;
     }
-    m_reports[report.node] = { now, report.lostCount, { report.lost.begin(), report.lost.end() } };
+    m_reports[report.node] = { now, report.lostCount, { report.lost.begin(), report.lost.end() }, report.isCutOff };
 }
 
 const target_paths::reported_paths* target_paths::reportOf(const known_peer& peer, instant now) const
@@ -256,10 +256,32 @@
         found->second.failedUntil = now + pause;
 }
 
-path_report target_paths::report() const
+bool target_paths::isUnreachable(std::string_view service, instant now)
+{
+    const auto& rows = m_fleet.rowsOf(service);
+    return !rows.empty() && std::all_of(rows.begin(), rows.end(), [&](std::uint32_t row) {
+        return isLost({ row }) && !detourFor({ row }, now);
+    });
+}
+
+bool target_paths::isCutOff(instant now)
+{
+    const auto services = m_fleet.services();
+    return std::any_of(
+        services.begin(), services.end(), [&](const std::string& service) { return isUnreachable(service, now); });
+}
+
+bool target_paths::isPeerCutOff(const std::string& vm, instant now) const
+{
+    const auto found = m_reports.find(shortHash(vm));
+    return found != m_reports.end() && now < found->second.at + reportLifetime && found->second.isCutOff;
+}
+
+path_report target_paths::report(instant now)
 {
     path_report out;
     out.node = shortHash(m_vm);
+    out.isCutOff = isCutOff(now);
     for (std::uint32_t row = 0; row < m_paths.size(); ++row) {
         if (!m_fleet.isListed[row] || !isLost({ row }))
             continue;
@@ -277,11 +299,19 @@
     return std::any_of(m_paths.begin(), m_paths.end(), [](const path& item) { return item.lostAt != instant(); });
 }
 
+std::size_t target_paths::countLost() const
+{
+    std::size_t out = 0;
+    for (std::uint32_t row = 0; row < m_paths.size(); ++row)
+        out += m_fleet.isListed[row] && isLost({ row });
+    return out;
+}
+
 bool target_paths::reachesMost(const std::string& vm, instant now) const
 {
     std::size_t lost = 0;
     if (vm == m_vm) {
-        lost = report().lostCount;
+        lost = countLost();
     } else if (const auto found = m_reports.find(shortHash(vm)); found != m_reports.end()) {
         const bool isValid = now < found->second.at + reportLifetime;
         lost = isValid ? found->second.lostCount : 0;
--- a/libs/serving/tests/test_target_paths.cpp
+++ b/libs/serving/tests/test_target_paths.cpp
@@ -218,7 +218,7 @@
     world.paths.failed(target, path_failure::refused, at(0s), at(0s));
     world.paths.forget(target);
     CHECK_FALSE(world.paths.isLost(target));
-    CHECK(world.paths.report().lostCount == 0);
+    CHECK(world.paths.report(at(1s)).lostCount == 0);
 }
 
 namespace {
@@ -356,3 +356,45 @@
         world.decisions.tick(at(when), out);
     CHECK(world.decisions.paths().takeDueChecks(at(200ms)).size() == 1);
 }
+
+TEST_CASE("test_request_for_a_service_that_nobody_reaches_is_refused_at_once")
+{
+    // Guards against callers that wait for targets which are known to be out of reach.
+    unreached_world alone(false);
+    alone.submitAndFail(1, 0ms);
+    REQUIRE(find<start_attempt>(alone.out));
+    alone.failNow(start_attempt(*find<start_attempt>(alone.out)), 2ms);
+    command_list out;
+    while (out.empty() || find<start_attempt>(out)) {
+        const auto* last = find<start_attempt>(out);
+        const auto attempt = last ? *last : *find<start_attempt>(alone.out);
+        out.clear();
+        alone.decisions.targetUnreached(attempt.request, attempt.attempt, path_failure::refused, at(3ms));
+        alone.decisions.attemptEnded(attempt.request, attempt.attempt, attempt_result::unreached, {}, at(3ms), out);
+    }
+    const auto* refusal = find<refuse_request>(out);
+    REQUIRE(refusal);
+    CHECK(refusal->kind == error_kind::no_target);
+    CHECK(refusal->retryAfter > 0ms);
+    out.clear();
+    alone.decisions.submit(alone.make(1), at(10ms), out);
+    REQUIRE(find<refuse_request>(out));
+    CHECK(alone.decisions.paths().isCutOff(at(10ms)));
+    alone.decisions.paths().setPeers(peersNamed(1));
+    CHECK_FALSE(alone.decisions.paths().isCutOff(at(20ms)));
+}
+
+TEST_CASE("test_report_of_a_node_without_any_path_holds_until_the_next_one")
+{
+    path_world world;
+    const auto target = world.add("p1");
+    world.paths.failed(target, path_failure::refused, at(0s), at(0s));
+    CHECK(world.paths.report(at(0s)).isCutOff);
+    path_report report = lossOf("peer-0", { "p1" });
+    report.isCutOff = true;
+    world.paths.applyReport(report, at(0s));
+    CHECK(world.paths.isPeerCutOff("peer-0", at(1s)));
+    CHECK_FALSE(world.paths.isPeerCutOff("peer-0", at(10s)));
+    world.paths.applyReport(lossOf("peer-0", {}), at(2s));
+    CHECK_FALSE(world.paths.isPeerCutOff("peer-0", at(2s)));
+}
