Keep giving calls to a peer behind which a target has cut an answer

A truncated answer made the node leave its peer for a second, as if the peer had died. A node with one peer then refused its callers, since a target had failed. Once the head has come, the peer is not left: a dead one shows by its heartbeats and by the next connection. The test failed before: one call instead of two, and no detour afterwards.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -382,7 +382,9 @@
     attempt->failureReason = failure.reason;
     attempt->mayHaveReached = failure.mayHaveReachedPeer;
     if (attempt->command.detour) {
-        m_services.decisions.detourRefused(m_id, attempt->command.attempt, lostPeerPause, boot_clock::now());
+        // Once the head has come, it may be the target that has broken off.
+        if (attempt->answer.status == 0)
+            m_services.decisions.detourRefused(m_id, attempt->command.attempt, lostPeerPause, boot_clock::now());
         return failure.mayHaveReachedPeer ? concludeBroken(attempt) : conclude(attempt, attempt_result::not_passed_on);
     }
     if (!failure.mayHaveReachedPeer) {
--- a/libs/gateway/tests/test_flow_table.cpp
+++ b/libs/gateway/tests/test_flow_table.cpp
@@ -1,4 +1,5 @@
 // Tests the flow of requests between a caller and targets that declare in their answers that they leave.
+#include "detour_protocol.h"
 #include "fake_ports.h"
 #include "flow_table.h"
 
@@ -205,3 +206,55 @@
         CHECK(world.sendAndWait() == 200);
     CHECK(world.leaving.requests == 1);
 }
+
+namespace {
+
+/// A peer that passes calls on and whose targets fail in one way.
+struct failing_peer {
+    int calls = 0;
+    detour_answer answer;
+    http_server server { {},
+        [this](const http_request&, const std::shared_ptr<response_writer>& writer) {
+            ++calls;
+            const auto head = encodeDetourAnswer(answer);
+            if (answer.outcome != detour_outcome::answered)
+                return writer->sendWhole({ head.status, head.headers, {} });
+            writer->startStream(head);
+            writer->write("id: 1\ndata: a\n\n");
+            writer->abortWhenWritten();
+        },
+        [](error_kind, std::string_view) { return http_response {}; } };
+
+    explicit failing_peer(flow_world& world)
+    {
+        REQUIRE(server.listen(QHostAddress::LocalHost, 0));
+        const auto now = boot_clock::now();
+        for (std::uint32_t row = 0; row < world.decisions.fleet().size(); ++row)
+            world.decisions.paths().failed({ row }, serving::path_failure::refused, now, now);
+        world.decisions.paths().setPeers({ { "peer", "", "127.0.0.1:" + std::to_string(server.port()) } });
+    }
+};
+
+}
+
+TEST_CASE("test_peer_that_passes_on_a_cut_answer_gets_further_calls")
+{
+    // Guards against refusals by a node whose only peer is left because a target behind it has cut an answer.
+    flow_world world(true);
+    failing_peer peer(world);
+    peer.answer.head = { 200, {} };
+    world.sendAndWait();
+    CHECK(peer.calls == 2);
+    CHECK(world.decisions.paths().detourFor({ 0 }, boot_clock::now()));
+}
+
+TEST_CASE("test_target_that_loses_answers_behind_a_peer_counts_as_failing")
+{
+    // Guards against a failing target that is preferred to sound ones because calls to it take a detour.
+    flow_world world;
+    failing_peer peer(world);
+    peer.answer.outcome = detour_outcome::broken;
+    world.sendAndWait();
+    CHECK(peer.calls == 2);
+    CHECK(world.decisions.takeHealthReports(boot_clock::now()).size() == 2);
+}
