Count failures of targets behind a peer against the target

An attempt by a detour that broke said nothing of its target's health, so a target that loses answers was chosen like a sound one as long as its calls took detours. The peer says when it was the target that broke; only then it counts.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -218,6 +218,8 @@
         decisions.targetUnreached(m_id, id, answer->failure, now);
         return conclude(attempt, attempt_result::unreached);
     case detour_outcome::broken:
+        if (answer)
+            decisions.targetBrokeBehindPeer(m_id, id);
         if (answer && answer->isClosedByTarget)
             decisions.targetClosedConnection(m_id, id, now);
         return concludeBroken(attempt);
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -85,6 +85,9 @@
     /// The peer of an attempt's detour has not taken it and gets no calls for `pause`; zero: only none for this target.
     /// Called before attemptEnded().
     void detourRefused(request_id request, attempt_id attempt, duration pause, instant now);
+    /// The peer of an attempt's detour has said that the target has sent no usable answer. Called before
+    /// attemptEnded().
+    void targetBrokeBehindPeer(request_id request, attempt_id attempt);
     /// A check of the path to the target, begun at `startedAt`, has ended. `failure` is empty if the target was
     /// reached.
     void pathChecked(const std::string& instance, std::optional<path_failure> failure, instant startedAt, instant now,
--- a/libs/serving/include/serving/in_flight_requests.h
+++ b/libs/serving/include/serving/in_flight_requests.h
@@ -35,6 +35,7 @@
     target_id target;
     attempt_stage stage = attempt_stage::whole;
     std::string detour; ///< VM of the peer that passes it on; empty: none
+    bool hasTargetFailed = false; ///< as the peer of its detour has said
     bool hasLostPath = false; ///< its failure was the first one on the direct path to the target
     bool isFirstPrefill = false; ///< the prefill that does not count as a send
     bool isPrefilling = false; ///< its prompt is in the engine's queue
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -143,6 +143,12 @@
         m_paths.detourFailed(current.target, current.detour, now);
 }
 
+void dispatcher::targetBrokeBehindPeer(request_id request, attempt_id attempt)
+{
+    if (isCurrent(request, attempt))
+        m_book.current[static_cast<std::size_t>(m_book.row(request))].hasTargetFailed = true;
+}
+
 void dispatcher::pathChecked(
     const std::string& instance, std::optional<path_failure> failure, instant startedAt, instant now, command_list& out)
 {
@@ -198,6 +204,8 @@
         return succeeded(row, now);
     if (result == attempt_result::prefilled)
         return prefilled(row, cacheName, now, out);
+    // A detour may also fail because of its peer.
+    const bool isTargetAtFault = attempt.detour.empty() || attempt.hasTargetFailed;
     if (result != attempt_result::not_passed_on)
         progress.avoid = attempt.target;
     progress.hasFailed = true;
@@ -236,7 +244,7 @@
         out.push_back(forward_failure { m_book.idOf(row), attempt.id });
         return remove(row, out);
     case attempt_result::broken:
-        if (attempt.detour.empty())
+        if (isTargetAtFault)
             m_health.recordFailure(attempt.target, now);
         progress.mayHaveRun |= couldRun;
         if (attempt.isFirstPrefill)
@@ -246,7 +254,7 @@
             return endWithFailure(row, error_kind::outcome_unknown, now, out);
         return retryOrEnd(row, true, error_kind::attempt_timeout, now, out);
     case attempt_result::cut:
-        if (attempt.detour.empty()) // otherwise the peer may be at fault
+        if (isTargetAtFault)
             m_health.recordFailure(attempt.target, now);
         progress.mayHaveRun = true;
         releaseCache(row, out);
