Log and count the builds of targets, and which calls take up a stream

The hypotheses of the incident could not be told apart: target_listed and attempt_started did not say the build (the version of a target's software), which the decoder of target records dropped, and request_taken did not say whether a call takes up a stream, after which event and of which call.

The build is carried to peers with the target list, so the messages between nodes have a new format version, and nodes of the former one don't hear these.

--- a/libs/gateway/include/gateway/caller_protocol.h
+++ b/libs/gateway/include/gateway/caller_protocol.h
@@ -23,6 +23,7 @@
     std::optional<duration> timeLeft; ///< time until the caller's deadline; empty if the caller sent none
     std::optional<serving::prompt> text; ///< set for requests that carry a prompt
     std::string lastEventId; ///< id of the last event received of a stream to resume; empty: a new stream
+    std::string firstCallId; ///< id of the call that brought the first event of the stream to resume; empty: not named
     credential sentCredential;
 };
 
--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -77,8 +77,9 @@
         { { "request", m_decoded.id }, { "digest", m_digest }, { "account", m_account }, { "route", m_routeName },
             { "service", request.service }, { "version", request.configuration->version() },
             { "left_ms", m_decoded.timeLeft ? milliseconds(*m_decoded.timeLeft) : -1 },
-            { "tokens", m_decoded.text ? m_decoded.text->inputTokens : 0 },
-            { "aim_ms", milliseconds(request.route->aim) }, { "gap_aim_ms", milliseconds(request.route->gapAim) } });
+            { "tokens", m_decoded.text ? m_decoded.text->inputTokens : 0 }, { "last_event", m_decoded.lastEventId },
+            { "first_call", m_decoded.firstCallId }, { "aim_ms", milliseconds(request.route->aim) },
+            { "gap_aim_ms", milliseconds(request.route->gapAim) } });
 }
 
 void caller_flow::bind(request_id id, callbacks handlers)
@@ -157,7 +158,8 @@
     const auto& fleet = m_services.decisions.fleet();
     m_services.log.write(log_event::attempt_started,
         { { "request", m_decoded.id }, { "target", fleet.instance[command.target.value] },
-            { "stage", nameOf(stageNames, command.stage) }, { "via", viaOf(*attempt) },
+            { "build", fleet.build[command.target.value] }, { "stage", nameOf(stageNames, command.stage) },
+            { "via", viaOf(*attempt) }, { "after_event", m_lastEvent },
             { "work", static_cast<std::int64_t>(command.work) },
             { "wait_ms", static_cast<std::int64_t>(command.waitSeconds * 1000) },
             { "running", fleet.running(command.target) },
--- a/libs/gateway/src/cluster_view.cpp
+++ b/libs/gateway/src/cluster_view.cpp
@@ -244,7 +244,7 @@
     for (const auto& record : changes.listed) {
         m_parts.log.write(log_event::target_listed,
             { { "target", record.instance() }, { "service", record.service }, { "address", record.address },
-                { "draining", record.isDraining }, { "role", static_cast<int>(record.role) },
+                { "build", record.build }, { "draining", record.isDraining }, { "role", static_cast<int>(record.role) },
                 { "sequence", record.sequence } });
     }
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -21,6 +21,7 @@
 #include "serving/freshness.h"
 
 #include <QTimer>
+#include <map>
 
 namespace tamarack {
 
@@ -99,6 +100,8 @@
     void tick();
     void checkDrain(instant now);
     void publishMetrics(instant now);
+    /// Publishes how many targets of each service and build are listed.
+    void publishBuilds();
     void assignDuties(instant now);
     void assignStoreReading(serving::node_state me, const std::vector<serving::node_state>& alive, instant now);
     void logReadiness();
@@ -136,6 +139,7 @@
     QTimer decisionTimer;
     instant drainingSince; // set by drain()
     instant nextMetricsAt;
+    std::map<std::pair<std::string, std::string>, int> targetsByBuild; // by service and build, also of former ones
     std::uint64_t detourNodesHash = 0; // of the nodes that updateDetours() has passed on
     std::uint64_t announcedPaths = 0; // generation of the paths that peers were told
     instant nextDutiesAt;
@@ -490,6 +494,7 @@
     counters.set("tamarack_targets_known", known);
     counters.set("tamarack_targets_draining", draining);
     counters.set("tamarack_targets_resting", resting);
+    publishBuilds();
     for (const auto& service : fleet.services())
         counters.set("tamarack_targets_unreached", static_cast<double>(decisions.paths().countLost(service)),
             { { "service", service } });
@@ -516,6 +521,19 @@
     counters.set("tamarack_peer_datagrams_heard", static_cast<double>(peers.counts().received));
 }
 
+void gateway::state::publishBuilds()
+{
+    const auto& fleet = decisions.fleet();
+    for (auto& [labels, listed] : targetsByBuild)
+        listed = 0;
+    for (std::uint32_t row = 0; row < fleet.size(); ++row) {
+        if (fleet.isListed[row])
+            ++targetsByBuild[{ fleet.service[row], fleet.build[row] }];
+    }
+    for (const auto& [labels, listed] : targetsByBuild)
+        counters.set("tamarack_targets_by_build", listed, { { "service", labels.first }, { "build", labels.second } });
+}
+
 void gateway::state::logLostPeers(const std::vector<serving::lost_node>& lost)
 {
     if (lost.size() == 1)
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -16,7 +16,7 @@
 namespace {
 
     /// Messages of another version are dropped as unreadable, so only nodes of the same version communicate.
-    constexpr char formatVersion = 17;
+    constexpr char formatVersion = 18;
     /// A datagram that is not fragmented holds 1,472 bytes. A load entry takes 6 bytes, a job 27, a cache update 16, a
     /// target's health 8, a role change 4, a quarantine record 35, and the sender some 35, or 140 with its full state.
     /// There are rarely many role changes, and then only before there is any load.
@@ -45,7 +45,8 @@
     {
         std::size_t size = changeOverhead + update.name.size();
         if (const auto& record = update.record)
-            size += record->service.size() + record->address.size() + record->availabilityZone.size();
+            size += record->service.size() + record->address.size() + record->availabilityZone.size()
+                + record->build.size();
         return size;
     }
 
@@ -138,8 +139,8 @@
     template <class Archive> void serialize(Archive& archive, target_record& m)
     {
         auto coldTime = m.coldTime.count();
-        archive(m.name, m.bornAt, m.service, m.address, m.availabilityZone, m.slots, m.isDraining, coldTime, m.role,
-            m.sequence);
+        archive(m.name, m.bornAt, m.service, m.address, m.availabilityZone, m.build, m.slots, m.isDraining, coldTime,
+            m.role, m.sequence);
         m.coldTime = duration(coldTime);
     }
 
--- a/libs/serving/include/serving/fleet_table.h
+++ b/libs/serving/include/serving/fleet_table.h
@@ -64,6 +64,7 @@
     std::vector<std::string> service;
     std::vector<std::string> address;
     std::vector<std::string> zone;
+    std::vector<std::string> build; // version of the target's software
     std::vector<int> slots;
     std::vector<target_role> role;
     std::vector<std::uint8_t> isListed;
--- a/libs/serving/include/serving/target_record.h
+++ b/libs/serving/include/serving/target_record.h
@@ -29,6 +29,8 @@
     std::string service;
     std::string address; ///< `ip:port`
     std::string availabilityZone;
+    /// Version of the target's software, not of its weights. One incarnation has one build; empty if not reported.
+    std::string build;
     int slots = 1; ///< requests it executes concurrently
     bool isDraining = false; ///< it accepts no new work
     duration coldTime = duration::zero(); ///< time for which it is still slow after its start
--- a/libs/serving/src/fleet_table.cpp
+++ b/libs/serving/src/fleet_table.cpp
@@ -47,6 +47,7 @@
     service.emplace_back();
     address.emplace_back();
     zone.emplace_back();
+    build.emplace_back();
     slots.push_back(1);
     role.push_back(target_role::plain);
     isListed.push_back(0);
@@ -77,6 +78,7 @@
     service[row] = record.service;
     address[row] = record.address;
     zone[row] = record.availabilityZone;
+    build[row] = record.build;
     slots[row] = std::max(1, record.slots);
     if (role[row] != record.role) {
         roleChangeUntil[row] = {};
