A stream goes on within its answer only at the build that began it

Callers saw answers whose first events came from a target of one build and the rest from one of another. Cause: after a cut or a silence, the next target was chosen among all of the service; the only one left out was the one that failed.

The build of the target whose event was first passed on now binds the stream. An attempt that broke before its first event binds nothing. The prompt may still be prefilled at any build, as only what is written has to fit. Where the target that failed is the only one of its build, it is asked again. Once no target of the build is left, the answer ends as cut at once.

--- a/libs/base/include/base/error_kind.h
+++ b/libs/base/include/base/error_kind.h
@@ -21,6 +21,7 @@
     overloaded,
     deadline_unreachable,
     no_target,
+    stream_not_resumable,
     harmful_request,
     not_ready,
     stopping,
--- a/libs/base/include/base/ids.h
+++ b/libs/base/include/base/ids.h
@@ -15,6 +15,8 @@
 using request_id = strong_id<struct request_tag, std::uint64_t>;
 /// Identifies one attempt to execute a request on one target. Unique for the lifetime of the process.
 using attempt_id = strong_id<struct attempt_tag, std::uint64_t>;
+/// Identifies a build of a service: one version of the software of its targets. The same on all nodes.
+using build_id = strong_id<struct build_tag>;
 /// Offset of a record in the platform's log.
 using log_offset = strong_id<struct offset_tag, std::int64_t>;
 
--- a/libs/base/src/error_kind.cpp
+++ b/libs/base/src/error_kind.cpp
@@ -30,6 +30,8 @@
         { error_kind::deadline_unreachable, "deadline-unreachable", 503, ran::no, 1s,
             "The answer could not be ready before the deadline" },
         { error_kind::no_target, "no-target", 503, ran::no, 2s, "No target of the service takes work now" },
+        { error_kind::stream_not_resumable, "stream-not-resumable", 503, ran::no, 2s,
+            "No target can go on with this stream now; come back, or ask for the answer anew" },
         { error_kind::harmful_request, "harmful-request", 502, ran::no, noRetry,
             "Targets ended while they ran this request, so it is not sent to further ones" },
         { error_kind::not_ready, "not-ready", 503, ran::no, 1s, "This node does not know the configuration in force" },
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -150,6 +150,8 @@
     /// Refuses the request if this node reaches no target of its service, neither directly nor by a peer. Returns
     /// whether it did.
     bool refuseIfCutOff(std::size_t row, instant now, command_list& out);
+    /// Ends the request if its stream was begun by a build of which no target is left. Returns whether it did.
+    bool endIfBuildIsGone(std::size_t row, command_list& out);
     /// The time until a target that could answer the request may be asked again; zero unless all of them rest.
     duration restDelay(std::size_t row, instant now);
     /// Whether another attempt that counts against the route's attempt limit may be sent.
--- a/libs/serving/include/serving/fleet_table.h
+++ b/libs/serving/include/serving/fleet_table.h
@@ -43,6 +43,8 @@
 
     /// Rows of the listed targets of a service, in ascending order.
     const std::vector<std::uint32_t>& rowsOf(std::string_view service) const;
+    /// Whether the service has a listed target of this build that answers requests and is not about to exit.
+    bool hasBuild(std::string_view service, build_id build) const;
     /// Names of all services that have or had targets, in order.
     std::vector<std::string> services() const;
     bool isLocal(target_id id) const { return zone[id.value] == m_ownZone; }
@@ -65,6 +67,7 @@
     std::vector<std::string> address;
     std::vector<std::string> zone;
     std::vector<std::string> build; // version of the target's software
+    std::vector<build_id> buildId; // of the service and build
     std::vector<int> slots;
     std::vector<target_role> role;
     std::vector<std::uint8_t> isListed;
@@ -97,4 +100,7 @@
 /// The hash that identifies an instance in messages between nodes.
 std::uint32_t shortHash(std::string_view instance);
 
+/// The id of a build. Targets that report no build have one in common.
+build_id buildIdOf(std::string_view service, std::string_view build);
+
 }
--- a/libs/serving/include/serving/in_flight_requests.h
+++ b/libs/serving/include/serving/in_flight_requests.h
@@ -23,6 +23,7 @@
     bool mayHaveRun = false;
     bool hasStarted = false; ///< a part of the answer has gone to the caller
     instant lastEventAt; ///< of the stream, over all attempts
+    build_id build; ///< that began the stream, so that only its targets may go on with it; invalid: not begun
     bool hasFailed = false; ///< an attempt has failed, so the next one uses a new connection
     bool hasFailureAnswer = false; ///< the last attempt's target gave a failure answer that can be forwarded
     target_id avoid; ///< the target that failed last
@@ -33,6 +34,7 @@
 struct current_attempt {
     attempt_id id;
     target_id target;
+    build_id build; ///< of the target when the attempt was sent
     attempt_stage stage = attempt_stage::whole;
     std::string detour; ///< VM of the peer that passes it on; empty: none
     bool hasTargetFailed = false; ///< as the peer of its detour has said
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -22,6 +22,7 @@
     target_id avoid; ///< the target that has just failed; used only if there is no other
     double secondsUntilAim = 0; ///< time left in which the answer counts as fast
     bool maySplitPrefill = true; ///< whether prefill and decode may run at different engines
+    build_id build; ///< the only build whose targets may answer; invalid: any
 };
 
 struct target_choice {
@@ -72,7 +73,10 @@
         bool isLeaving = false;
     };
 
-    /// The targets that accept new requests now. Contains the target to avoid only if there is no other.
+    /// Whether the target may write the answer, as far as its role and its build go.
+    bool mayAnswer(std::uint32_t row, const placement_query& query) const;
+    /// The targets that accept new requests now, either to answer or only to prefill. Contains the target to avoid only
+    /// if no other may answer.
     const std::vector<std::uint32_t>& candidates(const placement_query& query, instant now);
     /// Whether the target's role fits its service: engines for a service of engines, plain targets for others.
     bool matchesServiceKind(std::uint32_t row) const;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -164,7 +164,7 @@
     // Only the first prefill of a prompt is not counted as a send. A further prefill and the decode after it are two
     // sends.
     const bool maySplitPrefill = !progress.hasTriedPrefill && progress.sends == 0;
-    return { m_book.request[row], progress.avoid, seconds(times.aimAt - now), maySplitPrefill };
+    return { m_book.request[row], progress.avoid, seconds(times.aimAt - now), maySplitPrefill, progress.build };
 }
 
 request_id dispatcher::submit(serving_request request, instant now, command_list& out)
@@ -183,13 +183,25 @@
 
 void dispatcher::startOrWait(std::size_t row, instant now, command_list& out)
 {
-    if (tryStart(row, now, out) || refuseIfAllRest(row, now, out) || refuseIfCutOff(row, now, out))
+    if (endIfBuildIsGone(row, out) || tryStart(row, now, out) || refuseIfAllRest(row, now, out)
+        || refuseIfCutOff(row, now, out))
         return;
     if (isHoldTimeOver(row, now))
         return refuse(row, error_kind::overloaded, retryDelay(row, now), out);
     m_waiting.push_back(m_book.idOf(row));
 }
 
+bool dispatcher::endIfBuildIsGone(std::size_t row, command_list& out)
+{
+    const auto build = m_book.progress[row].build;
+    if (!build.isValid() || m_fleet.hasBuild(m_book.request[row].service, build))
+        return false;
+    // A target of the build may come back, but not within the pause that a caller bears in the middle of an answer.
+    const auto kind = m_book.progress[row].hasStarted ? error_kind::answer_cut : error_kind::stream_not_resumable;
+    refuse(row, kind, answerFor(kind).retryAfter, out);
+    return true;
+}
+
 // What is known to find no target in time is refused at once.
 bool dispatcher::refuseIfAllRest(std::size_t row, instant now, command_list& out)
 {
@@ -324,6 +336,7 @@
     current = {};
     current.id = { m_nextAttempt++ };
     current.target = choice.target;
+    current.build = m_fleet.buildId[choice.target.value];
     current.stage = choice.stage;
     current.isFirstPrefill = isFreePrefill;
     current.work = choice.work;
@@ -436,8 +449,13 @@
 
 void dispatcher::responseStarted(request_id request, attempt_id attempt)
 {
-    if (isCurrent(request, attempt))
-        m_book.progress[static_cast<std::size_t>(m_book.row(request))].hasStarted = true;
+    if (!isCurrent(request, attempt))
+        return;
+    const auto row = static_cast<std::size_t>(m_book.row(request));
+    auto& progress = m_book.progress[row];
+    progress.hasStarted = true;
+    if (m_book.request[row].route->isStream && !progress.build.isValid())
+        progress.build = m_book.current[row].build;
 }
 
 void dispatcher::callerDisconnected(request_id request, instant now, command_list& out)
--- a/libs/serving/src/fleet_table.cpp
+++ b/libs/serving/src/fleet_table.cpp
@@ -17,6 +17,13 @@
 
 std::uint32_t shortHash(std::string_view instance) { return static_cast<std::uint32_t>(stableHash(instance)); }
 
+build_id buildIdOf(std::string_view service, std::string_view build)
+{
+    // The seed keeps names that run into each other apart.
+    const auto hash = static_cast<std::uint32_t>(stableHash(build, stableHash(service)));
+    return { hash == build_id::invalidValue ? 0 : hash };
+}
+
 fleet_table::fleet_table(std::string ownZone)
     : m_ownZone(std::move(ownZone))
 {
@@ -48,6 +55,7 @@
     address.emplace_back();
     zone.emplace_back();
     build.emplace_back();
+    buildId.emplace_back();
     slots.push_back(1);
     role.push_back(target_role::plain);
     isListed.push_back(0);
@@ -79,6 +87,7 @@
     address[row] = record.address;
     zone[row] = record.availabilityZone;
     build[row] = record.build;
+    buildId[row] = buildIdOf(record.service, record.build);
     slots[row] = std::max(1, record.slots);
     if (role[row] != record.role) {
         roleChangeUntil[row] = {};
@@ -159,6 +168,14 @@
     return found == m_byService.end() ? none : found->second;
 }
 
+bool fleet_table::hasBuild(std::string_view serviceName, build_id wanted) const
+{
+    const auto& rows = rowsOf(serviceName);
+    return std::any_of(rows.begin(), rows.end(), [&](std::uint32_t row) {
+        return buildId[row] == wanted && role[row] != target_role::prefill && !isLeaving({ row });
+    });
+}
+
 std::vector<std::string> fleet_table::services() const
 {
     std::vector<std::string> out;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -96,20 +96,36 @@
 {
     m_candidates.clear();
     m_profile = query.request.configuration->findService(query.request.service);
-    bool hasAvoided = false;
-    for (const auto row : m_inputs.fleet.rowsOf(query.request.service)) {
-        if (!m_inputs.fleet.acceptsWork({ row }, now) || !matchesServiceKind(row))
+    const auto& fleet = m_inputs.fleet;
+    bool isAvoidedLeft = false;
+    bool canBeAnswered = false;
+    for (const auto row : fleet.rowsOf(query.request.service)) {
+        const bool isPrefill = fleet.role[row] == target_role::prefill;
+        if (!fleet.acceptsWork({ row }, now) || !matchesServiceKind(row) || !(isPrefill || mayAnswer(row, query)))
             continue;
-        if (target_id { row } == query.avoid)
-            hasAvoided = true;
-        else
-            m_candidates.push_back(row);
+        if (target_id { row } == query.avoid) {
+            isAvoidedLeft = !isPrefill;
+            continue;
+        }
+        m_candidates.push_back(row);
+        canBeAnswered |= !isPrefill;
     }
-    if (m_candidates.empty() && hasAvoided)
+    if (!canBeAnswered && isAvoidedLeft) {
         m_candidates.push_back(query.avoid.value);
+        canBeAnswered = true;
+    }
+    // The answer may come from few targets, and a prompt that none of them can take is not prefilled.
+    if (!canBeAnswered && query.build.isValid())
+        m_candidates.clear();
     return m_candidates;
 }
 
+bool placement::mayAnswer(std::uint32_t row, const placement_query& query) const
+{
+    const auto& fleet = m_inputs.fleet;
+    return fleet.role[row] != target_role::prefill && (!query.build.isValid() || fleet.buildId[row] == query.build);
+}
+
 // Without this check prompts would go to targets that cannot prefill them: a record that no target has written may name
 // a service of engines without a role, or a service of plain targets with one.
 bool placement::matchesServiceKind(std::uint32_t row) const
@@ -123,7 +139,7 @@
     m_profile = query.request.configuration->findService(query.request.service);
     std::optional<instant> earliest;
     for (const auto row : fleet.rowsOf(query.request.service)) {
-        const bool canAnswer = !fleet.isDraining[row] && fleet.role[row] != target_role::prefill;
+        const bool canAnswer = !fleet.isDraining[row] && mayAnswer(row, query);
         if (!canAnswer || !matchesServiceKind(row))
             continue;
         if (!fleet.isResting({ row }, now))
