A call that takes up a stream goes on at the build that began it

Callers that came back after a node was killed, stopped or cut off got the rest of their streams from targets of any build. Cause: the node that takes the call knows nothing of the first one and placed it like a new request.

The node whose first event goes to the caller notes the stream's build, keyed by client account and call id. While the services of the route have several builds, or the node does not know that they had one only, it tells the note to three peers, by rendezvous hash, in different availability zones, before the event leaves. A call that names a stream is held until its build is known: from this node's notes, from those of peers, or because there has been no other build. What nobody knows is refused (stream-not-resumable), not guessed: a node that cannot ask anybody goes on only if its own list is current and complete.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -298,7 +298,9 @@
 void caller_flow::beginAnswer(const attempt_ptr& attempt)
 {
     attempt->isRelayed = true;
-    m_services.decisions.responseStarted(m_id, attempt->command.attempt);
+    m_services.decisions.responseStarted(m_id, attempt->command.attempt, boot_clock::now());
+    if (m_isStream)
+        m_services.onStreamBegan();
     if (m_caller->hasStarted())
         return; // resumed stream: the caller has the head of the first attempt
     const auto& answer = attempt->answer;
@@ -499,6 +501,16 @@
     finish(flow_end::target_failure);
 }
 
+void caller_flow::logOrigin(const serving::origin_finding& finding)
+{
+    const auto source = std::string(toString(finding.source));
+    m_services.counters.count("tamarack_streams_taken_up_total", { { "origin", source } });
+    m_services.log.write(log_event::stream_taken_up,
+        { { "request", m_decoded.id }, { "first_call", m_decoded.firstCallId }, { "origin", source },
+            { "build", m_services.decisions.fleet().nameOfBuild(finding.build) },
+            { "waited_ms", milliseconds(finding.waited) } });
+}
+
 void caller_flow::abandon() { finish(flow_end::caller_gone); }
 
 void caller_flow::finish(flow_end end, std::string_view detail)
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -29,6 +29,8 @@
     const logger& log;
     target_notices& notices;
     std::function<void(const std::string& account)> onRequestBegan; ///< a target has begun to run a request
+    /// The first event of a stream is about to go to its caller.
+    std::function<void()> onStreamBegan = [] {};
 };
 
 /// Outcome of a request from the caller's point of view.
@@ -56,6 +58,7 @@
     void stop(attempt_id attempt, serving::stop_reason reason);
     void refuse(error_kind kind, duration retryAfter);
     void forwardFailure();
+    void logOrigin(const serving::origin_finding& finding);
     /// Ends the flow after the caller has disconnected and its attempt was cancelled.
     void abandon();
     bool isRepeatable() const { return m_isRepeatable; }
--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -42,6 +42,9 @@
     }
     out.callerTimeout = routed.decoded.timeLeft.value_or(defaultTimeLeft);
     out.text = routed.decoded.text;
+    out.takesUpStream = routed.route->isStream && !routed.decoded.lastEventId.empty();
+    if (out.takesUpStream)
+        out.firstCallId = routed.decoded.firstCallId;
     return out;
 }
 
@@ -131,6 +134,9 @@
     } else if (const auto* passed = std::get_if<serving::forward_failure>(&command)) {
         if (const auto flow = find(passed->request))
             flow->forwardFailure();
+    } else if (const auto* origin = std::get_if<serving::report_origin>(&command)) {
+        if (const auto flow = find(origin->finding.request))
+            flow->logOrigin(origin->finding);
     }
 }
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -108,7 +108,7 @@
     void logLostPeers(const std::vector<serving::lost_node>& lost);
     void logHealth(const serving::health_change& change);
     void logPaths(instant now);
-    /// Tells the dispatcher which peers can pass calls on.
+    /// Tells the dispatcher which peers can pass calls on and keep origins of streams.
     void updateDetours(const std::vector<serving::node_state>& alive);
     void checkPaths(instant now);
     void logDiscarded(const discarded_input& input);
@@ -217,7 +217,7 @@
           ports.store, [this] { return self(); }, log, [this] { view.onNodeRegistered(); })
     , notices(ports.targets, decisions, counters, log)
     , services { client, decisions, ports.callers, ports.targets, counters, log, notices,
-        [this](const std::string& account) { usage.requestBegan(account); } }
+        [this](const std::string& account) { usage.requestBegan(account); }, [this] { peers.sendOrigins(); } }
     , caches(client, ports.targets, decisions, counters, log, notices,
           [this](std::vector<cache_update> updates) { peers.broadcastCacheUpdates(std::move(updates)); })
     , roles({ client, ports.targets, ports.store, decisions, counters, log, notices, [this] { peers.sendHeartbeat(); },
@@ -225,7 +225,12 @@
           settings.vm, leaseSettings(settings))
     , peers({ decisions, nodes, view, caches, roles, log, [this] { return self(); },
           [this](const auto& records) { quarantine.apply(records); },
-          [this](const usage_report& report) { usage.apply(report); } })
+          [this](const usage_report& report) { usage.apply(report); },
+          [this](const serving::node_endpoint& from, const serving::origin_reply& reply) {
+              serving::command_list commands;
+              decisions.originReplyReceived(from, reply, boot_clock::now(), commands);
+              flows.execute(std::move(commands));
+          } })
     , callers(
           {},
           [this](http_request request, std::shared_ptr<response_writer> caller) {
@@ -245,7 +250,11 @@
               const auto now = boot_clock::now();
               return vm == settings.vm ? decisions.paths().isCutOff(now) : decisions.paths().isPeerCutOff(vm, now);
           } })
-    , flows(services, [this] { peers.scheduleJobAnnouncement(); })
+    , flows(services,
+          [this] {
+              peers.scheduleJobAnnouncement();
+              peers.sendOrigins();
+          })
     , quarantine({ ports.store, decisions, log,
           [this](serving::command_list commands) { flows.execute(std::move(commands)); } })
     , usage(settings.vm, processId(), settings.reportsUsage ? settings.usageWindow : duration::zero(),
@@ -434,6 +443,8 @@
             { { "target", decisions.fleet().instance[change.target.value] },
                 { "rest_ms", milliseconds(change.rest) } });
     decisions.setKnownNodes(view.knowsNodes() ? nodes.knownCount() : 0);
+    if (view.hasTargets())
+        decisions.origins().listConfirmed(now - view.targetsAge(now));
     if (now >= nextDutiesAt)
         assignDuties(now);
     serving::command_list commands;
@@ -458,6 +469,9 @@
     peers.planRelays(me, alive);
     assignStoreReading(me, alive, now);
     updateDetours(alive);
+    // What a peer reads of the target list reaches the others at once, so as long as all are heard, none knows more.
+    if (view.hasTargets() && static_cast<int>(alive.size()) + 1 == nodes.knownCount())
+        decisions.origins().listConfirmed(now);
     logPaths(now);
     caches.tick(me, alive, now);
     roles.tick(me, alive, now);
@@ -500,6 +514,7 @@
             { { "service", service } });
     counters.set("tamarack_nodes_known", nodes.knownCount());
     counters.set("tamarack_nodes_alive", static_cast<double>(nodes.alive(now).size()) + 1);
+    counters.set("tamarack_stream_origins_kept", static_cast<double>(decisions.origins().notesKept()));
     counters.set("tamarack_requests_held", static_cast<double>(decisions.held()));
     counters.set("tamarack_requests_waiting", static_cast<double>(decisions.waiting()));
     counters.set("tamarack_caller_connections", callers.connectionCount());
@@ -568,11 +583,15 @@
     if (std::exchange(detourNodesHash, seen) == seen)
         return;
     std::vector<serving::detour_peer> able;
+    std::vector<serving::origin_peer> holders;
     for (const auto& node : alive) {
-        if (takesCalls(node))
+        if (takesCalls(node)) {
             able.push_back({ node.vm, node.availabilityZone, toString(endpoint { node.address, node.peerPort }) });
+            holders.push_back({ node.vm, node.availabilityZone, { node.address, node.peerPort } });
+        }
     }
     decisions.paths().setPeers(std::move(able));
+    decisions.origins().setPeers(std::move(holders));
 }
 
 void gateway::state::checkPaths(instant now)
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -27,6 +27,7 @@
     constexpr std::size_t maxHealthReports = 12;
     constexpr std::size_t maxRoleChanges = 30;
     constexpr std::size_t maxQuarantineRecords = 30;
+    constexpr std::size_t maxOriginNotes = 80; // of 14 bytes
     /// A record with more targets than any node collects is malformed.
     constexpr std::size_t maxQuarantineTargets = 16;
     /// Limit of the changes in one note, besides the note's own 40 bytes; a single larger change is sent alone.
@@ -175,6 +176,45 @@
         archiveShort(archive, m.lost);
     }
 
+    /// A time in whole seconds, rounded up.
+    template <class Archive> void archiveSeconds(Archive& archive, duration& time)
+    {
+        auto count = static_cast<std::uint16_t>(std::chrono::ceil<std::chrono::seconds>(time).count());
+        archive(count);
+        time = std::chrono::seconds(count);
+    }
+
+    template <class Archive> void serialize(Archive& archive, origin_note& m)
+    {
+        archive(m.stream.value, m.build.value);
+        archiveSeconds(archive, m.lifetime);
+    }
+
+    template <class Archive> void serialize(Archive& archive, origin_notes& m) { archiveShort(archive, m.notes); }
+
+    template <class Archive> void serialize(Archive& archive, origin_question& m)
+    {
+        archive(m.number, m.stream.value);
+        archiveShort(archive, m.scope.services);
+        archiveSeconds(archive, m.scope.lifetime);
+    }
+
+    template <class Archive> void serialize(Archive& archive, origin_reply& m)
+    {
+        archive(m.number, m.build.value, m.isComplete);
+        auto count = static_cast<std::uint8_t>(std::min<std::size_t>(m.builds.size(), 255));
+        archive(count);
+        m.builds.resize(count);
+        for (auto& build : m.builds)
+            archive(build.value);
+    }
+
+    template <class Archive> void serialize(Archive& archive, build_sighting& m)
+    {
+        archive(m.service, m.build.value);
+        archiveSeconds(archive, m.age);
+    }
+
     template <class Archive> void serialize(Archive& archive, prefill_report& m)
     {
         archive(m.target, m.number, m.rank, m.work, m.ageMilliseconds, m.part, m.partTokens);
@@ -239,7 +279,10 @@
 
 template <class Archive> void serialize(Archive& archive, shared_state& m)
 {
-    archive(m.configuration, m.targets, m.nodes, m.quarantine, m.knowsNodes, m.isStoreReachable);
+    auto buildHistory = m.buildHistory.count();
+    archive(
+        m.configuration, m.targets, m.nodes, m.quarantine, m.builds, buildHistory, m.knowsNodes, m.isStoreReachable);
+    m.buildHistory = duration(buildHistory);
 }
 
 namespace {
@@ -337,6 +380,20 @@
     return notes;
 }
 
+std::vector<serving::origin_message> splitOrigins(serving::origin_message message)
+{
+    const auto* all = std::get_if<serving::origin_notes>(&message);
+    if (!all)
+        return { std::move(message) };
+    std::vector<serving::origin_message> out;
+    for (std::size_t i = 0; i < all->notes.size(); i += maxOriginNotes) {
+        const auto from = all->notes.begin() + static_cast<std::ptrdiff_t>(i);
+        const auto count = std::min(maxOriginNotes, all->notes.size() - i);
+        out.push_back(serving::origin_notes { { from, from + static_cast<std::ptrdiff_t>(count) } });
+    }
+    return out;
+}
+
 std::vector<quarantine_note> splitQuarantineNote(std::vector<quarantine_record> records)
 {
     std::vector<quarantine_note> notes;
--- a/libs/gateway/src/node_messages.h
+++ b/libs/gateway/src/node_messages.h
@@ -7,6 +7,7 @@
 #include "serving/node_directory.h"
 #include "serving/peer_load.h"
 #include "serving/prefill_queues.h"
+#include "serving/stream_origins.h"
 #include "serving/target_follower.h"
 #include "serving/target_health.h"
 #include "serving/target_paths.h"
@@ -88,6 +89,8 @@
     serving::target_list_snapshot targets;
     std::vector<serving::node_report> nodes; ///< all known nodes, alive or not
     std::vector<quarantine_record> quarantine;
+    std::vector<serving::build_sighting> builds; ///< that services have or had lately
+    duration buildHistory = duration::zero(); ///< for how long the sender has noticed every build
     bool knowsNodes = false; ///< the sender knows all nodes that have registered
     bool isStoreReachable = false; ///< by the sender
 };
@@ -101,7 +104,8 @@
 /// A target note is sent by a node that reads the target list on behalf of others. New kinds of messages are added at
 /// the end: nodes that do not know a kind drop messages of this kind only.
 using peer_datagram = std::variant<node_heartbeat, job_announcement, serving::target_update_batch, node_probe,
-    cache_update_batch, read_progress, quarantine_note, usage_report, serving::path_report>;
+    cache_update_batch, read_progress, quarantine_note, usage_report, serving::path_report, serving::origin_notes,
+    serving::origin_question, serving::origin_reply>;
 
 /// Encodes a message. Heartbeats are truncated to stay below the usual path MTU.
 std::string encodeDatagram(peer_datagram message);
@@ -115,6 +119,8 @@
 std::optional<shared_state> decodeState(const std::string& bytes);
 /// Splits updates into messages, each below the usual path MTU.
 std::vector<cache_update_batch> splitCacheUpdates(std::vector<cache_update> caches);
+/// Splits the message into messages, each below the usual path MTU.
+std::vector<serving::origin_message> splitOrigins(serving::origin_message message);
 /// Splits records into notes, each below the usual path MTU.
 std::vector<quarantine_note> splitQuarantineNote(std::vector<quarantine_record> records);
 std::string encodeQuarantine(const quarantine_record& record);
--- a/libs/gateway/src/peer_messenger.cpp
+++ b/libs/gateway/src/peer_messenger.cpp
@@ -152,7 +152,7 @@
     m_relay.receive(from, load, boot_clock::now());
     for (const auto& message : load.messages) {
         if (const auto decoded = decodeDatagram(message))
-            onMessage(*decoded);
+            onMessage(from, *decoded);
         else
             ++m_undecodable;
     }
@@ -214,7 +214,7 @@
 }
 
 // A relay sends the same messages to all its nodes, so a node receives its own messages as well.
-void peer_messenger::onMessage(const peer_datagram& message)
+void peer_messenger::onMessage(const serving::node_endpoint& from, const peer_datagram& message)
 {
     if (const auto* heartbeat = std::get_if<node_heartbeat>(&message))
         onHeartbeat(*heartbeat);
@@ -232,10 +232,36 @@
         m_parts.onUsage(*usage);
     else if (const auto* paths = std::get_if<serving::path_report>(&message))
         m_parts.decisions.paths().applyReport(*paths, boot_clock::now());
+    else if (const auto* notes = std::get_if<serving::origin_notes>(&message))
+        m_parts.decisions.origins().notesReceived(*notes, boot_clock::now());
+    else if (const auto* question = std::get_if<serving::origin_question>(&message))
+        onOriginQuestion(from, *question);
+    else if (const auto* reply = std::get_if<serving::origin_reply>(&message))
+        m_parts.onOriginReply(from, *reply);
     else
         onProbe(std::get<node_probe>(message));
 }
 
+void peer_messenger::onOriginQuestion(const serving::node_endpoint& from, const serving::origin_question& message)
+{
+    sendTo({ from }, m_parts.decisions.origins().replyTo(message, boot_clock::now()));
+}
+
+void peer_messenger::sendOrigins()
+{
+    for (auto& item : m_parts.decisions.origins().takeMessages()) {
+        for (auto& part : splitOrigins(std::move(item.message)))
+            std::visit([&](auto& message) { sendTo(item.to, std::move(message)); }, part);
+    }
+}
+
+void peer_messenger::sendTo(const std::vector<serving::node_endpoint>& to, const peer_datagram& message)
+{
+    serving::relay_datagram datagram { to, {} };
+    datagram.payload.messages.push_back(encodeDatagram(message));
+    m_peerSocket.send(datagram);
+}
+
 void peer_messenger::onJobs(const job_announcement& message)
 {
     if (message.node != m_ownHash)
--- a/libs/gateway/src/peer_messenger.h
+++ b/libs/gateway/src/peer_messenger.h
@@ -32,6 +32,7 @@
         std::function<serving::node_state()> self;
         std::function<void(const std::vector<quarantine_record>&)> onQuarantine;
         std::function<void(const usage_report&)> onUsage;
+        std::function<void(const serving::node_endpoint& from, const serving::origin_reply&)> onOriginReply;
     };
 
     explicit peer_messenger(dependencies parts);
@@ -49,6 +50,8 @@
     void broadcastPaths();
     /// Sends the updates found by a full cache listing.
     void broadcastCacheUpdates(std::vector<cache_update> caches);
+    /// Sends what stream_origins has to tell or to ask.
+    void sendOrigins();
     /// Sends the reports to these nodes only.
     void sendUsage(const std::vector<serving::node_state>& nodes, const std::vector<usage_report>& reports);
     /// Chooses the nodes that relay messages. Called periodically.
@@ -64,7 +67,9 @@
     };
 
     void onPayload(const serving::node_endpoint& from, const serving::relay_payload& load);
-    void onMessage(const peer_datagram& message);
+    void onMessage(const serving::node_endpoint& from, const peer_datagram& message);
+    void onOriginQuestion(const serving::node_endpoint& from, const serving::origin_question& message);
+    void sendTo(const std::vector<serving::node_endpoint>& to, const peer_datagram& message);
     void onHeartbeat(const node_heartbeat& message);
     void onProbe(const node_probe& message);
     void onJobs(const job_announcement& message);
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -77,6 +77,7 @@
     input_discarded,
     foreign_answer_dropped,
     request_taken,
+    stream_taken_up,
     request_waits,
     attempt_started,
     attempt_ended,
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -83,6 +83,7 @@
         { log_event::foreign_answer_dropped, "foreign_answer_dropped", warning, failed, "request target" },
         { log_event::request_taken, "request_taken", info, served,
             "request digest account route service version left_ms tokens last_event first_call aim_ms gap_aim_ms" },
+        { log_event::stream_taken_up, "stream_taken_up", info, served, "request first_call origin build waited_ms" },
         { log_event::request_waits, "request_waits", info, served, "request waiting" },
         { log_event::attempt_started, "attempt_started", info, served,
             "request target build stage via after_event late urgency work wait_ms running predicted_ms left_ms "
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -67,14 +67,18 @@
 
     /// Admits a new request. If the request is started or refused at once, the command for this is added to `out`.
     request_id submit(serving_request request, instant now, command_list& out);
+    /// A peer has answered a question of origins().
+    void originReplyReceived(const node_endpoint& from, const origin_reply& reply, instant now, command_list& out);
+    stream_origins& origins() { return m_origins; }
+    const stream_origins& origins() const { return m_origins; }
     /// The first bytes of the response have arrived from the target.
     void firstByteReceived(request_id request, attempt_id attempt, instant now);
     /// A stream event has arrived.
     void streamEventReceived(request_id request, attempt_id attempt, instant now);
     /// Reading from the target was paused because the caller receives too slowly, or was resumed.
     void readingPaused(request_id request, attempt_id attempt, bool isPaused, instant now);
-    /// Part of the response has been sent to the caller.
-    void responseStarted(request_id request, attempt_id attempt);
+    /// Part of the response is about to be sent to the caller. Messages of origins() have to leave before it.
+    void responseStarted(request_id request, attempt_id attempt, instant now);
     /// The target has sent an answer that is certainly complete. Called before attemptEnded().
     void wholeAnswerReceived(request_id request, attempt_id attempt, instant now);
     /// The target has closed the connection of an attempt before the end of its answer. Called before attemptEnded().
@@ -150,6 +154,10 @@
     /// Refuses the request if this node reaches no target of its service, neither directly nor by a peer. Returns
     /// whether it did.
     bool refuseIfCutOff(std::size_t row, instant now, command_list& out);
+    origin_scope originScopeOf(std::size_t row) const;
+    /// Continues requests that take up a stream whose origin was found, and refuses those whose origin is unknown.
+    void applyOrigins(instant now, command_list& out);
+    void applyOrigin(const origin_finding& finding, instant now, command_list& out);
     /// Ends the request if its stream was begun by a build of which no target is left. Returns whether it did.
     bool endIfBuildIsGone(std::size_t row, command_list& out);
     /// The time until a target that could answer the request may be asked again; zero unless all of them rest.
@@ -193,6 +201,7 @@
     target_health m_health;
     target_rests m_rests;
     target_paths m_paths;
+    stream_origins m_origins;
     request_quarantine m_quarantine;
     abandoned_attempts m_abandoned;
     std::uint64_t m_quarantinesSeen = 0;
--- a/libs/serving/include/serving/fleet_table.h
+++ b/libs/serving/include/serving/fleet_table.h
@@ -38,11 +38,13 @@
     target_id findByHash(std::uint32_t hash) const;
     std::size_t size() const { return instance.size(); }
     std::size_t countListed() const;
-    /// Changes when a target is listed, is unlisted, or changes its role.
+    /// Changes when a target is listed, is unlisted, or changes its role or build.
     std::uint64_t generation() const { return m_generation; }
 
     /// Rows of the listed targets of a service, in ascending order.
     const std::vector<std::uint32_t>& rowsOf(std::string_view service) const;
+    /// The build as targets report it; empty if no listed target has it.
+    std::string nameOfBuild(build_id wanted) const;
     /// Whether the service has a listed target of this build that answers requests and is not about to exit.
     bool hasBuild(std::string_view service, build_id build) const;
     /// Names of all services that have or had targets, in order.
--- a/libs/serving/include/serving/serving_request.h
+++ b/libs/serving/include/serving/serving_request.h
@@ -6,6 +6,7 @@
 #include "base/ids.h"
 #include "quarantine/request_digest.h"
 #include "serving/serving_configuration.h"
+#include "serving/stream_origins.h"
 #include "serving/target_paths.h"
 
 #include <memory>
@@ -38,6 +39,8 @@
     int priority = 0; ///< of the account if it has one, otherwise of the route; 0 is the highest
     duration callerTimeout = duration::zero(); ///< from arrival; after it the caller no longer waits for the answer
     std::optional<prompt> text;
+    bool takesUpStream = false; ///< it asks for the rest of a stream that an earlier call began
+    std::string firstCallId; ///< of the call that brought the stream's first event; empty: not named
 };
 
 /// What a target is asked to do with a request.
@@ -100,12 +103,18 @@
     attempt_id attempt;
 };
 
+/// The origin of the stream that the request takes up is found, or cannot be. Only for the log.
+struct report_origin {
+    origin_finding finding;
+};
+
 /// Free an exported KV cache that will not be imported.
 struct release_cache {
     cache_handle cache;
 };
 
-using command = std::variant<start_attempt, stop_attempt, refuse_request, forward_failure, release_cache>;
+using command
+    = std::variant<start_attempt, stop_attempt, refuse_request, forward_failure, release_cache, report_origin>;
 using command_list = std::vector<command>;
 
 enum class attempt_result : unsigned char {
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -47,6 +47,7 @@
 {
     releaseAttempt(row);
     releaseCache(row, out);
+    m_origins.cancel(m_book.idOf(row));
     m_book.remove(m_book.idOf(row));
 }
 
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -40,6 +40,11 @@
     constexpr duration minRetryDelay = 200ms;
     constexpr duration retryDelaySpread = 300ms;
     constexpr duration noTargetRetryDelay = 1s;
+    /// A stream is remembered for two calls of the longest time, and for the pause between them.
+    constexpr int callsOfStream = 2;
+    constexpr duration callerPause = 10s;
+    constexpr duration defaultStreamTime = 60s;
+    constexpr duration maxStreamMemory = 10min;
     /// Targets close idle connections, some without notice, and a request sent on such a connection may have been
     /// executed. The shorter the idle time, the rarer this is: over 15 days 2,030 requests ended without an answer when
     /// all non-repeatable requests used new connections, and 2,039 when they reused idle ones.
@@ -77,6 +82,7 @@
     , m_health(m_fleet)
     , m_rests(m_fleet)
     , m_paths(m_fleet, settings.vm, settings.availabilityZone)
+    , m_origins(m_fleet, settings.startedAt)
     , m_placement({ m_fleet, m_pace, m_caches, m_health, m_queues, m_connections }, settings.seed)
     , m_random(settings.seed + 1)
     , m_retryBound(settings.retries)
@@ -177,10 +183,63 @@
         refuse(row, error_kind::no_target, noTargetRetryDelay, out);
         return id;
     }
+    if (m_book.request[row].takesUpStream) {
+        const auto& held = m_book.request[row];
+        const auto stream = held.firstCallId.empty() ? stream_key() : streamKey(held.account, held.firstCallId);
+        if (const auto finding = m_origins.find(id, stream, originScopeOf(row), now))
+            applyOrigin(*finding, now, out);
+        return id;
+    }
     startOrWait(row, now, out);
     return id;
 }
 
+origin_scope dispatcher::originScopeOf(std::size_t row) const
+{
+    const auto& route = *m_book.request[row].route;
+    origin_scope out;
+    for (const auto& share : route.shares)
+        out.services.push_back(shortHash(share.service));
+    const auto longestCall = route.timeout > duration::zero() ? route.timeout : defaultStreamTime;
+    out.lifetime = std::min(callsOfStream * longestCall + callerPause, maxStreamMemory);
+    return out;
+}
+
+void dispatcher::originReplyReceived(
+    const node_endpoint& from, const origin_reply& reply, instant now, command_list& out)
+{
+    m_origins.replyReceived(from, reply);
+    applyOrigins(now, out);
+}
+
+void dispatcher::applyOrigins(instant now, command_list& out)
+{
+    for (const auto& finding : m_origins.takeFindings(now))
+        applyOrigin(finding, now, out);
+}
+
+void dispatcher::applyOrigin(const origin_finding& finding, instant now, command_list& out)
+{
+    const auto held = m_book.row(finding.request);
+    if (held < 0)
+        return;
+    const auto row = static_cast<std::size_t>(held);
+    auto& request = m_book.request[row];
+    out.push_back(report_origin { finding });
+    if (!finding.build.isValid()) {
+        const bool mayHelpSoon = finding.source == origin_source::unanswered;
+        const auto retryAfter
+            = mayHelpSoon ? retryDelay(row, now) : answerFor(error_kind::stream_not_resumable).retryAfter;
+        return refuse(row, error_kind::stream_not_resumable, retryAfter, out);
+    }
+    m_book.progress[row].build = finding.build;
+    for (const auto& share : request.route->shares) {
+        if (m_fleet.hasBuild(share.service, finding.build))
+            request.service = share.service;
+    }
+    startOrWait(row, now, out);
+}
+
 void dispatcher::startOrWait(std::size_t row, instant now, command_list& out)
 {
     if (endIfBuildIsGone(row, out) || tryStart(row, now, out) || refuseIfAllRest(row, now, out)
@@ -235,6 +294,8 @@
     // The rest of an answer is worth waiting for as long as the caller does.
     if (m_book.progress[row].hasStarted)
         return now >= m_book.progress[row].lastEventAt + abandonedGap(*m_book.request[row].route);
+    if (m_book.request[row].takesUpStream)
+        return now >= times.arrivedAt + abandonedGap(*m_book.request[row].route);
     const auto aim = times.aimAt - times.arrivedAt;
     return now >= times.arrivedAt + fromSeconds(holdShareOfAim * seconds(aim));
 }
@@ -447,15 +508,24 @@
     current.silenceDeadline = now + longestPause(*m_book.request[row].route);
 }
 
-void dispatcher::responseStarted(request_id request, attempt_id attempt)
+void dispatcher::responseStarted(request_id request, attempt_id attempt, instant now)
 {
     if (!isCurrent(request, attempt))
         return;
     const auto row = static_cast<std::size_t>(m_book.row(request));
     auto& progress = m_book.progress[row];
-    progress.hasStarted = true;
-    if (m_book.request[row].route->isStream && !progress.build.isValid())
+    const bool isFirst = !std::exchange(progress.hasStarted, true);
+    const auto& held = m_book.request[row];
+    if (!held.route->isStream)
+        return;
+    if (!progress.build.isValid())
         progress.build = m_book.current[row].build;
+    if (!isFirst || !held.route->isRepeatable)
+        return;
+    const auto scope = originScopeOf(row);
+    m_origins.began(streamKey(held.account, held.id), progress.build, scope, now);
+    if (!held.firstCallId.empty())
+        m_origins.began(streamKey(held.account, held.firstCallId), progress.build, scope, now);
 }
 
 void dispatcher::callerDisconnected(request_id request, instant now, command_list& out)
@@ -547,6 +617,8 @@
     m_peers.refresh(now);
     m_quarantine.tick(now);
     endQuarantined(out);
+    m_origins.tick(now);
+    applyOrigins(now, out);
     for (std::size_t row = 0; row < m_book.rows(); ++row) {
         if (m_book.phase[row] != request_phase::free)
             checkTimes(row, now, out);
--- a/libs/serving/src/fleet_table.cpp
+++ b/libs/serving/src/fleet_table.cpp
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarack::serving {
 
@@ -87,7 +88,9 @@
     address[row] = record.address;
     zone[row] = record.availabilityZone;
     build[row] = record.build;
-    buildId[row] = buildIdOf(record.service, record.build);
+    const auto newBuild = buildIdOf(record.service, record.build);
+    if (std::exchange(buildId[row], newBuild) != newBuild)
+        ++m_generation;
     slots[row] = std::max(1, record.slots);
     if (role[row] != record.role) {
         roleChangeUntil[row] = {};
@@ -168,6 +171,15 @@
     return found == m_byService.end() ? none : found->second;
 }
 
+std::string fleet_table::nameOfBuild(build_id wanted) const
+{
+    for (std::uint32_t row = 0; row < size(); ++row) {
+        if (isListed[row] && buildId[row] == wanted)
+            return build[row];
+    }
+    return {};
+}
+
 bool fleet_table::hasBuild(std::string_view serviceName, build_id wanted) const
 {
     const auto& rows = rowsOf(serviceName);
--- a/libs/serving/tests/model/fleet_model.cpp
+++ b/libs/serving/tests/model/fleet_model.cpp
@@ -490,7 +490,7 @@
     if (asked.events++ == 0) {
         asked.first = m_now - asked.at;
         decisions.firstByteReceived(sent.request, sent.attempt, m_now);
-        decisions.responseStarted(sent.request, sent.attempt);
+        decisions.responseStarted(sent.request, sent.attempt, m_now);
     } else {
         asked.longestPause = std::max(asked.longestPause, m_now - asked.lastEventAt);
     }
--- a/libs/serving/tests/test_builds_side_by_side.cpp
+++ b/libs/serving/tests/test_builds_side_by_side.cpp
@@ -35,7 +35,7 @@
     begun_stream stream { id, *start };
     if (events > 0) {
         world.decisions.firstByteReceived(id, start->attempt, now);
-        world.decisions.responseStarted(id, start->attempt);
+        world.decisions.responseStarted(id, start->attempt, now);
         world.decisions.streamEventReceived(id, start->attempt, now);
     }
     return stream;
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -384,7 +384,7 @@
     world.addEngine("d2", target_role::decode);
     const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
     world.decisions.firstByteReceived(request.id, request.start.attempt, at(100ms));
-    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.responseStarted(request.id, request.start.attempt, at(10ms));
     command_list out;
     world.decisions.attemptEnded(request.id, request.start.attempt, attempt_result::cut, {}, at(110ms), out);
     const auto* again = find<start_attempt>(out);
@@ -498,7 +498,7 @@
     world.addEngine("d2", target_role::decode);
     const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
     world.decisions.firstByteReceived(request.id, request.start.attempt, at(100ms));
-    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.responseStarted(request.id, request.start.attempt, at(10ms));
     for (int i = 0; i < 10; ++i)
         world.decisions.streamEventReceived(request.id, request.start.attempt, at(100ms + i * 300ms));
     command_list out;
@@ -531,7 +531,7 @@
     world.addEngine("d1", target_role::decode);
     const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
     world.decisions.firstByteReceived(request.id, request.start.attempt, at(100ms));
-    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.responseStarted(request.id, request.start.attempt, at(10ms));
     world.decisions.streamEventReceived(request.id, request.start.attempt, at(100ms));
     CHECK(tickUntil(world, 100ms, 4s).empty());
     CHECK(world.decisions.isCurrent(request.id, request.start.attempt));
@@ -577,7 +577,7 @@
     prompt.digest = digest;
     const auto request = begin(world, std::move(prompt), at(0s));
     world.decisions.firstByteReceived(request.id, request.start.attempt, at(100ms));
-    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.responseStarted(request.id, request.start.attempt, at(10ms));
     world.decisions.streamEventReceived(request.id, request.start.attempt, at(100ms));
     for (std::uint32_t target = 1; target <= 3; ++target)
         world.decisions.quarantine().targetEnded(digest, target, at(200ms));
@@ -594,7 +594,7 @@
     world.addEngine("d2", target_role::decode);
     const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
     world.decisions.firstByteReceived(request.id, request.start.attempt, at(100ms));
-    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.responseStarted(request.id, request.start.attempt, at(10ms));
     world.decisions.streamEventReceived(request.id, request.start.attempt, at(100ms));
     CHECK(tickUntil(world, 120ms, 1900ms).empty());
     const auto out = tickUntil(world, 1920ms, 2400ms);
@@ -614,7 +614,7 @@
     REQUIRE(other.start.target != request.start.target);
     for (const auto& item : { request, other }) {
         world.decisions.firstByteReceived(item.id, item.start.attempt, at(100ms));
-        world.decisions.responseStarted(item.id, item.start.attempt);
+        world.decisions.responseStarted(item.id, item.start.attempt, at(10ms));
         world.decisions.streamEventReceived(item.id, item.start.attempt, at(100ms));
     }
     for (auto now = 100ms; now <= 2s; now += 20ms) {
@@ -639,7 +639,7 @@
     world.addEngine("d2", target_role::decode);
     const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
     world.decisions.firstByteReceived(request.id, request.start.attempt, at(100ms));
-    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.responseStarted(request.id, request.start.attempt, at(10ms));
     world.decisions.streamEventReceived(request.id, request.start.attempt, at(100ms));
     world.decisions.readingPaused(request.id, request.start.attempt, true, at(100ms));
     CHECK(tickUntil(world, 120ms, 3s).empty());
@@ -658,7 +658,7 @@
     world.addEngine("d2", target_role::decode, "a", 1);
     const auto request = begin(world, world.makePrompt(tag, 7, 90, 290), at(0s));
     world.decisions.firstByteReceived(request.id, request.start.attempt, at(100ms));
-    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.responseStarted(request.id, request.start.attempt, at(10ms));
     world.decisions.streamEventReceived(request.id, request.start.attempt, at(100ms));
     std::vector<started_request> others;
     for (int i = 0; i < 3; ++i)
@@ -685,7 +685,7 @@
     const auto request = begin(world, world.make(lookUp), at(0s));
     command_list out;
     world.decisions.firstByteReceived(request.id, request.start.attempt, at(5ms));
-    world.decisions.responseStarted(request.id, request.start.attempt);
+    world.decisions.responseStarted(request.id, request.start.attempt, at(10ms));
     world.decisions.attemptEnded(request.id, request.start.attempt, attempt_result::cut, {}, at(10ms), out);
     CHECK(find<start_attempt>(out) == nullptr);
     const auto* refused = find<refuse_request>(out);
--- a/libs/serving/tests/test_target_rest.cpp
+++ b/libs/serving/tests/test_target_rest.cpp
@@ -230,7 +230,7 @@
     auto out = submit(world, world.makePrompt(tag, 7, 90, 290), at(0s));
     const auto start = *find<start_attempt>(out);
     world.decisions.firstByteReceived(start.request, start.attempt, at(20ms));
-    world.decisions.responseStarted(start.request, start.attempt);
+    world.decisions.responseStarted(start.request, start.attempt, at(20ms));
     world.decisions.streamEventReceived(start.request, start.attempt, at(20ms));
     askForRest(world, "e1", 3s, 40ms);
     out.clear();
@@ -440,7 +440,7 @@
         schedule(took, [=, this] {
             auto& decisions = m_nodes[node]->decisions;
             decisions.firstByteReceived(start.request, start.attempt, m_now);
-            decisions.responseStarted(start.request, start.attempt);
+            decisions.responseStarted(start.request, start.attempt, m_now);
             ++m_result.resumed;
             end(node, start, attempt_result::cut);
         });
