--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -91,6 +91,7 @@
 ]
 
 SERVING = "libs/serving/"
+BUILDS = "*build*,*stream*,*origin*,*notes*,*node_that*,*peers_know*"
 # Mutations of the decisions for the users' platform, each with the test cases to run.
 SERVING_MUTATIONS = [
     ("declared-leaving-ignored", SERVING + "include/serving/fleet_table.h",
@@ -119,6 +120,33 @@
      "    if (startedAt < path.reachedAt)\n        return false;\n", "", "*path*,test_call_that*"),
     ("held-although-nobody-reaches-the-service", SERVING + "src/dispatcher.cpp",
      " || refuseIfCutOff(row, now, out))", ")", "*path*,*nobody*"),
+    ("cut-stream-goes-on-at-any-build", SERVING + "src/placement.cpp",
+     "(!query.build.isValid() || fleet.buildId[row] == query.build)", "true", BUILDS),
+    ("first-attempt-binds-the-build", SERVING + "src/dispatcher.cpp",
+     "    current.stage = choice.stage;\n", "    current.stage = choice.stage;\n    progress.build = current.build;\n", BUILDS),
+    ("held-although-the-build-is-gone", SERVING + "src/dispatcher.cpp",
+     "    if (endIfBuildIsGone(row, out) || ", "    if (", BUILDS),
+    ("taken-up-like-a-new-request", SERVING + "src/dispatcher.cpp",
+     "    if (m_book.request[row].takesUpStream) {\n", "    if (false) {\n", BUILDS),
+    ("origin-not-told", SERVING + "src/stream_origins.cpp",
+     "    if (mustTell)\n", "    if (false)\n", BUILDS),
+    ("running-streams-not-told", SERVING + "src/stream_origins.cpp",
+     "        tell(m_notes.takeUntold(now));\n", "        (void)now;\n", BUILDS),
+    ("old-list-trusted", SERVING + "src/stream_origins.cpp",
+     "    return isListCurrent(now) && m_builds", "    return m_builds", BUILDS),
+    ("builds-before-the-start-ignored", SERVING + "src/stream_origins.cpp",
+     "    return isListCurrent(now) && m_builds.historyLength(now) >= scope.lifetime;",
+     "    return isListCurrent(now) && !scope.services.empty();", BUILDS),
+    ("builds-that-peers-know-ignored", SERVING + "src/stream_origins.cpp",
+     "    merge(builds, asked.builds);\n", "", BUILDS),
+    ("unknown-origin-guessed", SERVING + "src/stream_origins.cpp",
+     "    if (builds.size() == 1 && isCertain)\n", "    if (!builds.empty())\n", BUILDS),
+    ("notes-that-disagree-trusted", SERVING + "src/origin_table.cpp",
+     "            known.build = {};\n", "            known.build = note.build;\n", BUILDS),
+    ("builds-that-have-left-forgotten", SERVING + "src/service_builds.cpp",
+     "item.isListed || item.lastListedAt + span >= now", "item.isListed", BUILDS),
+    ("holders-in-one-zone", SERVING + "src/origin_holders.cpp",
+     "inZone[peer->availabilityZone]++", "inZone[{}]++", BUILDS),
 ]
 
 
