--- a/libs/serving/tests/test_stream_origins.cpp
+++ b/libs/serving/tests/test_stream_origins.cpp
@@ -280,7 +280,7 @@
     for (const auto& item : cases) {
         origin_world world(item.nodes, item.zones);
         world.loss = 0.03;
-        constexpr int streams = 400;
+        constexpr int streams = 1500;
         std::vector<std::pair<int, std::string>> begun;
         for (int i = 0; i < streams; ++i) {
             begun.emplace_back(static_cast<int>(world.random.next() % static_cast<std::uint64_t>(item.nodes)),
@@ -320,6 +320,83 @@
     }
 }
 
+TEST_CASE("test_streams_of_an_availability_zone_that_is_lost_whole_stay_known")
+{
+    // Guards against holders of a stream that are all in the availability zone of the node that began it.
+    constexpr int nodes = 12;
+    constexpr int zones = 3;
+    origin_world world(nodes, zones);
+    for (int i = 0; i < 100; ++i)
+        world.begin(zones * (i % (nodes / zones)), streamKey("", "call-" + std::to_string(i)), "v2", at(0s));
+    for (int node = 0; node < nodes; node += zones)
+        world.nodes[static_cast<std::size_t>(node)]->isAlive = false;
+    for (int node = 0; node < nodes; ++node)
+        world.updatePeers(node);
+    for (int i = 0; i < 100; ++i) {
+        const auto found = world.find(1 + i % 2, streamKey("", "call-" + std::to_string(i)), at(1s));
+        CHECK(found.build == buildIdOf("engines", "v2"));
+    }
+}
+
+TEST_CASE("test_halves_of_a_fleet_that_are_cut_apart_take_up_most_streams_and_guess_none")
+{
+    // Guards against refusing most streams, or guessing, where a part of the holders cannot be asked.
+    constexpr int nodes = 9;
+    constexpr int streams = 200;
+    origin_world world(nodes, 3);
+    for (int i = 0; i < streams; ++i)
+        world.begin(i % 5, streamKey("", "call-" + std::to_string(i)), world.builds[static_cast<std::size_t>(i) % 2],
+            at(0s));
+    for (int node = 5; node < nodes; ++node)
+        world.nodes[static_cast<std::size_t>(node)]->side = 1;
+    for (int node = 0; node < nodes; ++node)
+        world.updatePeers(node);
+    int known = 0;
+    for (int i = 0; i < streams; ++i) {
+        const auto found = world.find(5 + i % 4, streamKey("", "call-" + std::to_string(i)), at(1s));
+        known += found.build.isValid();
+        if (found.build.isValid())
+            CHECK(found.build == buildIdOf("engines", world.builds[static_cast<std::size_t>(i) % 2]));
+    }
+    std::printf("9 nodes cut in two: the build of %d of %d streams is known\n", known, streams);
+    CHECK(2 * known >= streams);
+}
+
+TEST_CASE("test_stream_of_a_split_route_goes_on_at_the_service_that_began_it")
+{
+    // Guards against a call that takes up a stream and is sent to another service of its route, by its own id.
+    dispatch_world world;
+    auto route = world.configuration->routes()[3];
+    route.shares = { { "engines", 1 }, { "engines-2", 1 } };
+    auto services = std::vector { *world.configuration->findService("engines"),
+        *world.configuration->findService("engines") };
+    services[1].name = "engines-2";
+    world.configuration = std::make_shared<const serving_configuration>(
+        2, std::vector { route }, std::move(services), caller_limits {});
+    for (const auto* service : { "engines", "engines-2" })
+        world.decisions.targetListed(targetRecord(std::string("t-") + service, service, target_role::decode, 8));
+    for (int i = 0; i < 20; ++i) {
+        auto first = world.make(0);
+        first.service = chooseService(route, first.id);
+        command_list out;
+        const auto id = world.decisions.submit(first, at(i * 1s), out);
+        const auto start = *find<start_attempt>(out);
+        world.decisions.responseStarted(id, start.attempt, at(i * 1s));
+        world.decisions.callerDisconnected(id, at(i * 1s), out);
+        auto next = world.make(0);
+        next.service = chooseService(route, next.id);
+        next.takesUpStream = true;
+        next.firstCallId = first.id;
+        out.clear();
+        world.decisions.submit(next, at(i * 1s + 100ms), out);
+        const auto* resumed = find<start_attempt>(out);
+        REQUIRE(resumed);
+        CHECK(resumed->target == start.target);
+        world.decisions.attemptEnded(
+            resumed->request, resumed->attempt, attempt_result::answered, {}, at(i * 1s + 200ms), out);
+    }
+}
+
 TEST_CASE("test_call_waits_for_the_origin_of_its_stream_and_goes_on_at_its_build")
 {
     // Guards against a call that is placed before its stream's build is known, or held when it cannot be known.
