--- a/libs/serving/tests/test_builds_side_by_side.cpp
+++ b/libs/serving/tests/test_builds_side_by_side.cpp
@@ -102,6 +102,21 @@
     CHECK(next->target == stream.start.target);
 }
 
+// Guards against a target of another build that is taken for the one before, since it has its name.
+TEST_CASE("test_target_that_changes_its_build_under_its_name_gets_no_stream_of_the_former_one")
+{
+    dispatch_world world;
+    addEngine(world, "a1", "v1");
+    const auto stream = begin(world, at(0s));
+    auto record = targetRecord("a1", "engines", target_role::decode, 64);
+    record.build = "v2";
+    world.decisions.targetListed(record);
+    command_list out;
+    world.decisions.attemptEnded(stream.id, stream.start.attempt, attempt_result::cut, {}, at(10ms), out);
+    CHECK_FALSE(find<start_attempt>(out));
+    CHECK(find<refuse_request>(out));
+}
+
 // Guards against a stream that is held until its deadline, or goes on elsewhere, when its build has left.
 TEST_CASE("test_stream_whose_build_has_left_ends_as_cut_at_once")
 {
--- a/libs/serving/tests/test_stream_origins.cpp
+++ b/libs/serving/tests/test_stream_origins.cpp
@@ -325,14 +325,15 @@
     // Guards against holders of a stream that are all in the availability zone of the node that began it.
     constexpr int nodes = 12;
     constexpr int zones = 3;
+    constexpr int streams = 1000;
     origin_world world(nodes, zones);
-    for (int i = 0; i < 100; ++i)
+    for (int i = 0; i < streams; ++i)
         world.begin(zones * (i % (nodes / zones)), streamKey("", "call-" + std::to_string(i)), "v2", at(0s));
     for (int node = 0; node < nodes; node += zones)
         world.nodes[static_cast<std::size_t>(node)]->isAlive = false;
     for (int node = 0; node < nodes; ++node)
         world.updatePeers(node);
-    for (int i = 0; i < 100; ++i) {
+    for (int i = 0; i < streams; ++i) {
         const auto found = world.find(1 + i % 2, streamKey("", "call-" + std::to_string(i)), at(1s));
         CHECK(found.build == buildIdOf("engines", "v2"));
     }
