--- a/libs/gateway/tests/test_cluster_view.cpp
+++ b/libs/gateway/tests/test_cluster_view.cpp
@@ -11,7 +11,7 @@
 struct view_fixture {
     fake_store store;
     fake_decoder decoder;
-    serving::dispatcher decisions { {} };
+    serving::dispatcher decisions;
     serving::node_directory nodes { "n1", {} };
     metrics counters;
     logger log { quietLog() };
@@ -21,8 +21,17 @@
     int behindCalls = 0;
     cluster_view view;
 
-    explicit view_fixture(bool isStarted = true)
-        : view({ decoder, store, decisions, nodes, counters, log }, {},
+    static serving::dispatcher_settings settingsFor(instant processStart)
+    {
+        serving::dispatcher_settings out;
+        out.startedAt = processStart;
+        return out;
+    }
+
+    /// `processStart` is unset for the first start of the whole system.
+    explicit view_fixture(bool isStarted = true, instant processStart = {})
+        : decisions(settingsFor(processStart))
+        , view({ decoder, store, decisions, nodes, counters, log }, {},
             { [this](const auto& configuration) { versions.push_back(configuration->version()); },
                 [this](serving::target_update_batch note) { sentNotes.push_back(std::move(note)); },
                 [this] { ++storeLosses; }, [this] { ++behindCalls; } })
@@ -375,6 +384,42 @@
     CHECK_FALSE(received.quarantine);
 }
 
+TEST_CASE("test_origins_of_streams_fit_into_datagrams_and_round_trip")
+{
+    constexpr std::size_t mtu = 1'472;
+    const serving::origin_note note { { 0xfffffffffffffff0 }, { 7 }, 16s };
+    const auto parts = splitOrigins(serving::origin_notes { std::vector<serving::origin_note>(200, note) });
+    CHECK(parts.size() == 3);
+    std::size_t received = 0;
+    for (const auto& part : parts) {
+        const auto bytes = encodeDatagram(std::get<serving::origin_notes>(part));
+        CHECK(bytes.size() <= mtu);
+        const auto decoded = decodeDatagram(bytes);
+        REQUIRE(decoded);
+        for (const auto& item : std::get<serving::origin_notes>(*decoded).notes)
+            received += item == note;
+    }
+    CHECK(received == 200);
+    const auto question = decodeDatagram(encodeDatagram(serving::origin_question { 3, {}, { { 4, 5 }, 10min } }));
+    REQUIRE(question);
+    const auto& asked = std::get<serving::origin_question>(*question);
+    CHECK(asked.number == 3);
+    CHECK_FALSE(asked.stream.isValid());
+    CHECK(asked.scope.services == std::vector<std::uint32_t> { 4, 5 });
+    CHECK(asked.scope.lifetime == 10min);
+    const auto reply = decodeDatagram(encodeDatagram(serving::origin_reply { 3, { 8 }, { { 8 }, { 9 } }, true }));
+    REQUIRE(reply);
+    const auto& answer = std::get<serving::origin_reply>(*reply);
+    CHECK(answer.number == 3);
+    CHECK(answer.build == build_id { 8 });
+    CHECK(answer.builds == std::vector<build_id> { { 8 }, { 9 } });
+    CHECK(answer.isComplete);
+    // Cut off bytes are no message.
+    const auto bytes = encodeDatagram(serving::origin_reply { 3, { 8 }, { { 8 }, { 9 } }, true });
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        CHECK_FALSE(decodeDatagram(bytes.substr(0, length)));
+}
+
 TEST_CASE("test_quarantine_records_fit_into_datagrams_and_round_trip")
 {
     constexpr std::size_t mtu = 1'472;
@@ -446,6 +491,38 @@
     CHECK(world.acceptsWork("t2"));
 }
 
+TEST_CASE("test_node_that_starts_from_a_peers_state_knows_which_builds_there_have_been")
+{
+    // Guards against a restarted node that refuses each call which takes up a stream, or guesses its build.
+    const serving::origin_scope scope { { serving::shortHash("s") }, 16s };
+    const auto findAt = [&](view_fixture& world, const shared_state& state) {
+        const auto now = boot_clock::now();
+        auto& origins = world.decisions.origins();
+        const auto bytes = encodeState(state);
+        world.view.applyState(*decodeState(bytes));
+        origins.listConfirmed(now);
+        return origins.find({ 1 }, {}, scope, now)->source;
+    };
+    view_fixture source;
+    source.listTargets({ { 1, "t1", "s/1" } }, 2);
+    {
+        view_fixture world(true, boot_clock::now());
+        CHECK(findAt(world, source.view.exportState({})) == serving::origin_source::only_build);
+    }
+    {
+        view_fixture world(true, boot_clock::now());
+        auto state = source.view.exportState({});
+        state.builds.push_back({ serving::shortHash("s"), serving::buildIdOf("s", "former"), 5s });
+        CHECK(findAt(world, state) == serving::origin_source::unknown);
+    }
+    {
+        view_fixture world(true, boot_clock::now());
+        auto state = source.view.exportState({});
+        state.buildHistory = 1s;
+        CHECK(findAt(world, state) == serving::origin_source::unknown);
+    }
+}
+
 TEST_CASE("test_late_peer_note_does_not_revert_newer_records")
 {
     view_fixture world;
