--- a/libs/serving/src/stream_origins.cpp
+++ b/libs/serving/src/stream_origins.cpp
@@ -111,7 +111,7 @@
     open_question asked;
     asked.question = { request.value, stream, scope };
     asked.askedAt = now;
-    // A stream that the caller has not named still has a build in common with the others of its services.
+    // Peers can tell which builds there have been even if the caller has not named the stream.
     const auto rank = stream.isValid() ? stream : stream_key { request.value };
     asked.silent = m_holders.askedOf(rank);
     if (asked.silent.empty())
