--- a/libs/gateway/tests/test_cluster_view.cpp
+++ b/libs/gateway/tests/test_cluster_view.cpp
@@ -32,9 +32,9 @@
     explicit view_fixture(bool isStarted = true, instant processStart = {})
         : decisions(settingsFor(processStart))
         , view({ decoder, store, decisions, nodes, counters, log }, {},
-            { [this](const auto& configuration) { versions.push_back(configuration->version()); },
-                [this](serving::target_update_batch note) { sentNotes.push_back(std::move(note)); },
-                [this] { ++storeLosses; }, [this] { ++behindCalls; } })
+              { [this](const auto& configuration) { versions.push_back(configuration->version()); },
+                  [this](serving::target_update_batch note) { sentNotes.push_back(std::move(note)); },
+                  [this] { ++storeLosses; }, [this] { ++behindCalls; } })
     {
         if (!isStarted)
             return;
--- a/libs/serving/tests/test_stream_origins.cpp
+++ b/libs/serving/tests/test_stream_origins.cpp
@@ -346,8 +346,8 @@
     constexpr int streams = 200;
     origin_world world(nodes, 3);
     for (int i = 0; i < streams; ++i)
-        world.begin(i % 5, streamKey("", "call-" + std::to_string(i)), world.builds[static_cast<std::size_t>(i) % 2],
-            at(0s));
+        world.begin(
+            i % 5, streamKey("", "call-" + std::to_string(i)), world.builds[static_cast<std::size_t>(i) % 2], at(0s));
     for (int node = 5; node < nodes; ++node)
         world.nodes[static_cast<std::size_t>(node)]->side = 1;
     for (int node = 0; node < nodes; ++node)
@@ -369,8 +369,8 @@
     dispatch_world world;
     auto route = world.configuration->routes()[3];
     route.shares = { { "engines", 1 }, { "engines-2", 1 } };
-    auto services = std::vector { *world.configuration->findService("engines"),
-        *world.configuration->findService("engines") };
+    auto services
+        = std::vector { *world.configuration->findService("engines"), *world.configuration->findService("engines") };
     services[1].name = "engines-2";
     world.configuration = std::make_shared<const serving_configuration>(
         2, std::vector { route }, std::move(services), caller_limits {});
