Log the limits that targets name, count answers by kind of call, and name headers that nobody reads

No log line or metric bore the number, so a node that has not been told could not be told from one that ignores it, and what nodes send beside attempts left no trace. target_limits has each change of a limit at a node with the call whose answer named it; tamarack_target_answers_total counts all answers by kind. Headers of targets that the protocol does not define are logged once each (target_header_unknown): the limit is the third declaration of targets that no code read.

Values that are no decimal number neither set nor lift a limit. Nothing acts on a limit yet.

--- a/libs/gateway/include/gateway/target_protocol.h
+++ b/libs/gateway/include/gateway/target_protocol.h
@@ -2,6 +2,7 @@
 // responses. Each wire protocol has its own implementation.
 #pragma once
 
+#include "base/request_rate.h"
 #include "http/http_message.h"
 #include "serving/prompt_cache_map.h"
 #include "serving/serving_request.h"
@@ -10,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace tamarack {
 
@@ -43,6 +45,10 @@
     /// For how long the target wants no request of any kind from this node; empty: it has not said so.
     std::optional<duration> rest;
     bool isLeaving = false; ///< the target declares that it is about to exit and takes no further requests
+    /// The requests that the target takes from all nodes together; empty: the answer names no limit.
+    std::optional<request_rate> limit;
+    bool isLimitMalformed = false; ///< the answer names a limit that is not a number; it neither sets nor lifts one
+    std::vector<std::string> unknownHeaders; ///< names of headers that the protocol does not define
     /// False for a success that cannot originate from the target itself; it must not be relayed to the caller.
     bool isGenuine = true;
     std::optional<answer_load> load;
--- a/libs/gateway/src/target_notices.cpp
+++ b/libs/gateway/src/target_notices.cpp
@@ -3,6 +3,13 @@
 
 namespace tamarack {
 
+namespace {
+
+    /// The number of headers that are logged; a service may add any number of its own.
+    constexpr std::size_t maxUnknownHeaders = 32;
+
+}
+
 target_notices::target_notices(
     const target_protocol& protocol, serving::dispatcher& decisions, metrics& counters, const logger& log)
     : m_protocol(protocol)
@@ -16,6 +23,9 @@
 // that is not its own, or another instance has taken its address.
 void target_notices::received(const std::string& instance, const target_answer& answer, std::string_view call)
 {
+    m_counters.count("tamarack_target_answers_total", { { "call", std::string(call) } });
+    logUnknownHeaders(instance, answer, call);
+    logLimit(instance, answer, call);
     const auto& fleet = m_decisions.fleet();
     const target_id row = fleet.find(instance);
     if (answer.rest && row.isValid())
@@ -29,6 +39,34 @@
             { "draining", isListed && fleet.isDraining[row.value] } });
 }
 
+void target_notices::logLimit(const std::string& instance, const target_answer& answer, std::string_view call)
+{
+    if (answer.isLimitMalformed)
+        return m_log.write(log_event::target_limit_malformed,
+            { { "target", instance }, { "call", call }, { "status", answer.status } });
+    const auto known = m_limits.find(instance);
+    if (answer.limit ? known != m_limits.end() && known->second == *answer.limit : known == m_limits.end())
+        return;
+    if (answer.limit)
+        m_limits[instance] = *answer.limit;
+    else
+        m_limits.erase(known);
+    m_log.write(log_event::target_limits,
+        { { "target", instance }, { "call", call }, { "status", answer.status },
+            { "per_second", answer.limit ? answer.limit->perSecond : -1 } });
+}
+
+void target_notices::logUnknownHeaders(const std::string& instance, const target_answer& answer, std::string_view call)
+{
+    for (const auto& header : answer.unknownHeaders) {
+        if (m_unknownHeaders.size() >= maxUnknownHeaders || !m_unknownHeaders.insert(header).second)
+            continue;
+        m_counters.count("tamarack_target_headers_unknown_total");
+        m_log.write(
+            log_event::target_header_unknown, { { "target", instance }, { "call", call }, { "header", header } });
+    }
+}
+
 void target_notices::received(const std::string& instance, const http_response& response, std::string_view call)
 {
     received(instance, m_protocol.decode({ response.status, response.headers }), call);
--- a/libs/gateway/src/target_notices.h
+++ b/libs/gateway/src/target_notices.h
@@ -7,6 +7,9 @@
 #include "observe/metrics.h"
 #include "serving/dispatcher.h"
 
+#include <map>
+#include <set>
+
 namespace tamarack {
 
 class target_notices {
@@ -21,10 +24,16 @@
     bool isResting(const std::string& instance, instant now) const;
 
 private:
+    void logLimit(const std::string& instance, const target_answer& answer, std::string_view call);
+    /// Headers that the protocol does not define may be declarations that the node ignores.
+    void logUnknownHeaders(const std::string& instance, const target_answer& answer, std::string_view call);
+
     const target_protocol& m_protocol;
     serving::dispatcher& m_decisions;
     metrics& m_counters;
     const logger& m_log;
+    std::map<std::string, request_rate> m_limits; // by instance, as last named
+    std::set<std::string> m_unknownHeaders; // each is logged once
 };
 
 }
--- a/libs/observe/src/log_story.cpp
+++ b/libs/observe/src/log_story.cpp
@@ -36,7 +36,7 @@
     bool isStateChange(const logged_line& line)
     {
         static const std::set<std::string> events { "target_listed", "target_gone", "targets_changed", "target_blocked",
-            "target_returned", "service_unreached", "service_reached", "target_rests", "target_leaves",
+            "target_returned", "service_unreached", "service_reached", "target_rests", "target_leaves", "target_limits",
             "configuration_in_force", "store_lost", "store_reached", "peer_lost", "peers_lost", "readiness_changed" };
         return events.contains(line.text("event"));
     }
