Nodes tell each other the limits that targets name, and exchange permits

What callers and targets saw: an engine that took 4.8 requests a second got 66 in 4 s from nine nodes, where 34 were allowed.

Cause: no code read the number, and no part of the system could bound what all nodes send a target in sum.

A limit is told to the peers at once and repeated with heartbeats; nodes that start get it with the state. Permits and asks are datagrams between a node and the issuer. Everything that reaches a target counts: attempts of all stages, by detour too, and releases of KV caches take a permit; polls and listings of caches, role reports and orders leave limited engines alone. Datagrams have format 20.

Why it works: each request needs a permit, and the issuer's bucket bounds their sum whichever nodes know of the limit and however the demand is spread.

--- a/libs/gateway/src/cache_monitor.cpp
+++ b/libs/gateway/src/cache_monitor.cpp
@@ -65,8 +65,10 @@
     requestSnapshot(self, alive, now);
     for (auto& [instance, engine] : m_engines) {
         const bool isSameRow = m_decisions.fleet().instance[engine.row.value] == instance;
-        if (engine.call || now < engine.nextCallAt || m_notices.isResting(instance, now) || !isSameRow)
+        if (engine.call || now < engine.nextCallAt || m_notices.isResting(instance, now) || !isSameRow
+            || m_notices.isLimited(instance))
             continue;
+        engine.calledAt = now;
         if (engine.needsListing)
             requestListing(instance, engine);
         else
@@ -203,10 +205,16 @@
     return m_decisions.fleet().instance[engine.row.value] == instance ? &engine : nullptr;
 }
 
+instant cache_monitor::calledAt(const std::string& instance) const
+{
+    const auto found = m_engines.find(instance);
+    return found == m_engines.end() ? instant() : found->second.calledAt;
+}
+
 void cache_monitor::onEventsResponse(const std::string& instance, const http_response* response)
 {
     if (response)
-        m_notices.received(instance, *response, "cache_events");
+        m_notices.received(instance, *response, { "cache_events", calledAt(instance) });
     auto* called = finishCall(instance);
     if (!called)
         return;
@@ -251,7 +259,7 @@
 void cache_monitor::onListResponse(const std::string& instance, const http_response* response)
 {
     if (response)
-        m_notices.received(instance, *response, "cache_list");
+        m_notices.received(instance, *response, { "cache_list", calledAt(instance) });
     auto* called = finishCall(instance);
     if (!called)
         return;
--- a/libs/gateway/src/cache_monitor.h
+++ b/libs/gateway/src/cache_monitor.h
@@ -50,6 +50,7 @@
         std::uint64_t epoch = 0;
         bool hasEpoch = false;
         std::shared_ptr<http_exchange> call; // outstanding call, or null
+        instant calledAt; // time of the latest call
         instant nextCallAt; // earliest time of the next call
         bool needsListing = false; // events were missed, and this node is the one to request the listing
         bool isDesignatedLister = false;
@@ -68,6 +69,7 @@
     std::vector<cache_update> updatesFrom(monitored_engine& engine, const std::vector<serving::cache_event>& events);
     void queueUpdates(monitored_engine& engine, const std::vector<serving::cache_event>& events);
     void applyReport(const std::string& instance, monitored_engine& engine, const cache_report& report);
+    instant calledAt(const std::string& instance) const;
     /// Clears the outstanding call of the engine and returns the engine. Null if it is no longer monitored or its table
     /// row belongs to another target.
     monitored_engine* finishCall(const std::string& instance);
--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -261,7 +261,7 @@
     attempt->answer = m_services.targets.decode(head);
     attempt->answer.isDelimited &= !attempt->isUndelimited;
     m_services.notices.received(m_services.decisions.fleet().instance[attempt->command.target.value], attempt->answer,
-        nameOf(stageNames, attempt->command.stage));
+        { nameOf(stageNames, attempt->command.stage), attempt->startedAt, true });
     if (const auto& load = attempt->answer.load)
         m_services.decisions.updateTargetLoad(
             attempt->command.target, { boot_clock::now(), load->running, load->waiting, load->slots });
--- a/libs/gateway/src/cluster_view.cpp
+++ b/libs/gateway/src/cluster_view.cpp
@@ -455,6 +455,8 @@
     applyFollowStep(m_targets.snapshotReceived(state.targets, boot_clock::now()));
     for (const auto& node : state.nodes)
         m_parts.nodes.applyReport(node, boot_clock::now());
+    for (const auto& limit : state.limits)
+        m_parts.decisions.limits().apply(limit, boot_clock::now());
     auto& builds = m_parts.decisions.origins().builds();
     builds.add(state.builds, boot_clock::now());
     if (state.targets.upTo >= 0)
@@ -479,6 +481,7 @@
     out.targets = m_targets.known();
     out.nodes = m_parts.nodes.reports(boot_clock::now());
     out.quarantine = m_parts.decisions.quarantine().records(boot_clock::now());
+    out.limits = m_parts.decisions.limits().reports(boot_clock::now());
     const auto& builds = m_parts.decisions.origins().builds();
     out.builds = builds.recent(boot_clock::now());
     out.buildHistory = builds.historyLength(boot_clock::now());
--- a/libs/gateway/src/detour_server.cpp
+++ b/libs/gateway/src/detour_server.cpp
@@ -167,7 +167,8 @@
     if (decisions.fleet().instance[call->target.value] == call->detour.target)
         decisions.paths().reached(call->target, call->startedAt);
     const auto answer = m_parts.protocol.decode(head);
-    m_parts.notices.received(call->detour.target, answer, "detour");
+    m_parts.notices.received(
+        call->detour.target, answer, { "detour", call->startedAt, !call->detour.requestId.empty() });
     detour_answer passed;
     passed.isUndelimited = !answer.isDelimited;
     passed.head = head;
--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -16,6 +16,8 @@
     constexpr duration releaseTimeout = 1s;
     /// A release that would have to wait for longer comes after the engine has freed the KV cache itself.
     constexpr duration maxReleaseDelay = 5s;
+    /// Interval at which a release looks for a permit of an engine that names a limit.
+    constexpr auto permitCheckInterval = 50ms;
 
 }
 
@@ -116,7 +118,8 @@
 void flow_table::executeCommand(const serving::command& command)
 {
     if (const auto* released = std::get_if<serving::release_cache>(&command))
-        return release(released->cache, m_services.decisions.fleet().instance[released->cache.source.value]);
+        return release(released->cache, m_services.decisions.fleet().instance[released->cache.source.value],
+            boot_clock::now() + maxReleaseDelay);
     if (const auto* start = std::get_if<serving::start_attempt>(&command)) {
         const auto flow = find(start->request);
         if (!flow || !m_services.decisions.isCurrent(start->request, start->attempt))
@@ -142,24 +145,33 @@
 
 // Without this call the engine would hold a KV cache that no decode stage fetches, leaving it less capacity for
 // requests.
-void flow_table::release(const serving::cache_handle& cache, const std::string& instance)
+void flow_table::release(const serving::cache_handle& cache, const std::string& instance, instant giveUpAt)
 {
+    const auto now = boot_clock::now();
     const auto& fleet = m_services.decisions.fleet();
     if (fleet.instance[cache.source.value] != instance)
         return; // the row belongs to another engine now
-    const auto delay = fleet.restUntil[cache.source.value] - boot_clock::now();
-    if (delay > maxReleaseDelay)
+    const auto repeatAfter = [&](duration delay) {
+        QTimer::singleShot(std::chrono::ceil<std::chrono::milliseconds>(delay), &m_timers,
+            [this, cache, instance, giveUpAt] { release(cache, instance, giveUpAt); });
+    };
+    const auto restUntil = fleet.restUntil[cache.source.value];
+    if (restUntil > giveUpAt)
         return m_services.log.write(log_event::cache_not_released, { { "reason", "the engine rests" } });
-    if (delay > duration::zero())
-        return QTimer::singleShot(std::chrono::ceil<std::chrono::milliseconds>(delay), &m_timers,
-            [this, cache, instance] { release(cache, instance); });
+    if (restUntil > now)
+        return repeatAfter(restUntil - now);
+    if (!m_services.decisions.takePermit(cache.source, now)) {
+        if (now + permitCheckInterval > giveUpAt)
+            return m_services.log.write(log_event::cache_not_released, { { "reason", "the engine names a limit" } });
+        return repeatAfter(permitCheckInterval);
+    }
     const auto request = m_services.targets.releaseCache(cache.name, fleet.name[cache.source.value]);
     exchange_options options;
     options.silenceTimeout = releaseTimeout;
     m_calls.fetch(cache.source, request, options,
-        [this, instance](const http_response* response, const exchange_failure& failure) {
+        [this, instance, now](const http_response* response, const exchange_failure& failure) {
             if (response)
-                m_services.notices.received(instance, *response, "cache_release");
+                m_services.notices.received(instance, *response, { "cache_release", now });
             else
                 m_services.log.write(log_event::cache_not_released, { { "reason", failure.reason } });
         });
--- a/libs/gateway/src/flow_table.h
+++ b/libs/gateway/src/flow_table.h
@@ -37,7 +37,7 @@
     void handleCallerGone(request_id id);
     void executeCommand(const serving::command& command);
     /// Calls the engine to free the KV cache, after its rest if it rests.
-    void release(const serving::cache_handle& cache, const std::string& instance);
+    void release(const serving::cache_handle& cache, const std::string& instance, instant giveUpAt);
     /// Returns null if the caller has disconnected meanwhile.
     std::shared_ptr<caller_flow> find(request_id id) const;
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -6,6 +6,7 @@
 #include "detour_server.h"
 #include "duty_coordinator.h"
 #include "flow_table.h"
+#include "limit_sharing.h"
 #include "node_endpoints.h"
 #include "peer_messenger.h"
 #include "quarantine_sync.h"
@@ -85,7 +86,7 @@
     void startFromPeer();
     void drain();
     void configure(const std::shared_ptr<const serving::serving_configuration>& configuration);
-    http_server_limits limits() const;
+    http_server_limits callerLimits() const;
     http_server_limits detourLimits() const;
     serving::node_state self() const;
     bool isReady() const;
@@ -96,6 +97,7 @@
     /// Refuses a request whose credential gives no access to its route.
     void deny(const std::shared_ptr<response_writer>& caller, const caller_request& call, std::string_view reason);
 
+    void applyPermits(const std::vector<serving::permit_grant>& grants);
     bool release(const request_trait& trait);
     void tick();
     void checkDrain(instant now);
@@ -129,6 +131,7 @@
     cache_monitor caches;
     role_coordinator roles;
     peer_messenger peers;
+    limit_sharing limits;
     http_server callers;
     detour_server detours;
     node_endpoints pages;
@@ -226,11 +229,13 @@
     , peers({ decisions, nodes, view, caches, roles, log, [this] { return self(); },
           [this](const auto& records) { quarantine.apply(records); },
           [this](const usage_report& report) { usage.apply(report); },
+          [this](const std::vector<serving::permit_grant>& grants) { applyPermits(grants); },
           [this](const serving::node_endpoint& from, const serving::origin_reply& reply) {
               serving::command_list commands;
               decisions.originReplyReceived(from, reply, boot_clock::now(), commands);
               flows.execute(std::move(commands));
           } })
+    , limits({ decisions, peers, counters, log })
     , callers(
           {},
           [this](http_request request, std::shared_ptr<response_writer> caller) {
@@ -267,7 +272,7 @@
 
 std::string gateway::state::start()
 {
-    callers.setLimits(limits());
+    callers.setLimits(callerLimits());
     detours.setLimits(detourLimits());
     if (!callers.listen(addressOf(settings.callers), settings.callers.port))
         return toString(settings.callers) + ": cannot listen on this address";
@@ -302,7 +307,7 @@
         [this] { nodeRegistration.start(); });
 }
 
-http_server_limits gateway::state::limits() const
+http_server_limits gateway::state::callerLimits() const
 {
     http_server_limits out;
     out.connections = static_cast<int>(settings.descriptors * callerDescriptorShare);
@@ -321,7 +326,7 @@
 http_server_limits gateway::state::detourLimits() const
 {
     http_server_limits out;
-    const auto own = limits();
+    const auto own = callerLimits();
     out.headerBytes = own.headerBytes + addedHeaderBytes;
     out.bodyBytes = own.bodyBytes;
     out.totalBodyBytes = static_cast<std::uint64_t>(
@@ -334,7 +339,7 @@
 void gateway::state::configure(const std::shared_ptr<const serving::serving_configuration>& configuration)
 {
     usage.configure(*configuration);
-    callers.setLimits(limits());
+    callers.setLimits(callerLimits());
     detours.setLimits(detourLimits());
     if (view.sharesReads())
         peers.sendHeartbeat(); // announces the version to peers at once
@@ -424,6 +429,13 @@
     flows.submit({ std::move(request), std::move(call), view.configuration(), route, account, std::move(caller) });
 }
 
+void gateway::state::applyPermits(const std::vector<serving::permit_grant>& grants)
+{
+    serving::command_list commands;
+    decisions.permitsGranted(grants, boot_clock::now(), commands);
+    flows.execute(std::move(commands));
+}
+
 bool gateway::state::release(const request_trait& trait)
 {
     const bool isReleased = decisions.quarantine().release(trait, boot_clock::now());
@@ -447,6 +459,7 @@
         decisions.origins().listConfirmed(now - view.targetsAge(now));
     if (now >= nextDutiesAt)
         assignDuties(now);
+    limits.tick(now);
     serving::command_list commands;
     decisions.tick(now, commands);
     flows.execute(std::move(commands));
@@ -469,6 +482,7 @@
     peers.planRelays(me, alive);
     assignStoreReading(me, alive, now);
     updateDetours(alive);
+    limits.setNodes(me, alive, view.knowsNodes() ? nodes.knownCount() : 0, nodes.peerTimeout());
     // What a peer reads of the target list reaches the others at once, so as long as all are heard, none knows more.
     if (view.hasTargets() && static_cast<int>(alive.size()) + 1 == nodes.knownCount())
         decisions.origins().listConfirmed(now);
@@ -500,14 +514,17 @@
     int known = 0;
     int draining = 0;
     int resting = 0;
+    int limited = 0;
     for (std::uint32_t row = 0; row < fleet.size(); ++row) {
         known += fleet.isListed[row];
         draining += fleet.isListed[row] && fleet.isLeaving({ row });
         resting += fleet.isListed[row] && fleet.isResting({ row }, now);
+        limited += fleet.isListed[row] && fleet.isLimited[row];
     }
     counters.set("tamarack_targets_known", known);
     counters.set("tamarack_targets_draining", draining);
     counters.set("tamarack_targets_resting", resting);
+    counters.set("tamarack_targets_limited", limited);
     publishBuilds();
     for (const auto& service : fleet.services())
         counters.set("tamarack_targets_unreached", static_cast<double>(decisions.paths().countLost(service)),
@@ -710,7 +727,7 @@
     m_state->settings.stopBound = settings.stopBound;
     m_state->pull.setSeeds(settings.seeds);
     m_state->pages.setMaxEntryLifetime(settings.maxEntryLifetime);
-    m_state->callers.setLimits(m_state->limits());
+    m_state->callers.setLimits(m_state->callerLimits());
     m_state->log.write(log_event::settings_reloaded);
 }
 
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -9,6 +9,8 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
+#include <cmath>
+#include <limits>
 #include <sstream>
 
 namespace tamarack {
@@ -16,7 +18,7 @@
 namespace {
 
     /// Messages of another version are dropped as unreadable, so only nodes of the same version communicate.
-    constexpr char formatVersion = 19;
+    constexpr char formatVersion = 20;
     /// A datagram that is not fragmented holds 1,472 bytes. A load entry takes 6 bytes, a job 27, a cache update 16, a
     /// target's health 8, a role change 4, a quarantine record up to 91, and the sender some 35, or 140 with its full
     /// state. There are rarely many role changes, and then only before there is any load.
@@ -32,6 +34,7 @@
     constexpr std::size_t maxOriginNotes = 80; // of 14 bytes
     /// A record with more targets than any node collects is malformed.
     constexpr std::size_t maxQuarantineTargets = 16;
+    constexpr std::size_t maxLimitReports = 50; // of 22 bytes
     /// Limit of the changes in one note, besides the note's own 40 bytes; a single larger change is sent alone.
     constexpr std::size_t maxNoteBytes = 1'300;
     /// Encoded size of a change without the contents of its strings: their length fields and the numbers.
@@ -192,6 +195,41 @@
         archiveSeconds(archive, m.lifetime);
     }
 
+    /// A time in milliseconds.
+    template <class Archive> void archiveMilliseconds(Archive& archive, duration& time)
+    {
+        constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+        const auto exact = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+        auto count = static_cast<std::uint32_t>(std::clamp<std::int64_t>(exact, 0, most));
+        archive(count);
+        time = std::chrono::milliseconds(count);
+    }
+
+    template <class Archive> void serialize(Archive& archive, limit_report& m)
+    {
+        double perSecond = m.rate ? m.rate->perSecond : -1;
+        archive(m.target, perSecond);
+        archiveMilliseconds(archive, m.askedAge);
+        archiveMilliseconds(archive, m.answeredAge);
+        if (Archive::is_loading::value && !std::isfinite(perSecond))
+            throw cereal::Exception("a limit is not a number");
+        m.rate = perSecond >= 0 ? std::optional(request_rate { perSecond }) : std::nullopt;
+    }
+
+    template <class Archive> void serialize(Archive& archive, permit_ask& m)
+    {
+        archive(m.target, m.use, m.returned);
+        archiveMilliseconds(archive, m.lifetime);
+        if (Archive::is_loading::value && m.use >= permit_use::count)
+            throw cereal::Exception("unknown use of a permit");
+    }
+
+    template <class Archive> void serialize(Archive& archive, permit_grant& m)
+    {
+        archive(m.target, m.count);
+        archiveMilliseconds(archive, m.lifetime);
+    }
+
     template <class Archive> void serialize(Archive& archive, origin_notes& m) { archiveShort(archive, m.notes); }
 
     template <class Archive> void serialize(Archive& archive, origin_question& m)
@@ -267,9 +305,15 @@
     archiveShort(archive, m.caches);
     archiveShort(archive, m.health);
     archiveShort(archive, m.changingEngines);
-    archive(m.quarantine);
+    archive(m.quarantine, m.limit);
 }
 
+template <class Archive> void serialize(Archive& archive, limit_note& m) { archiveShort(archive, m.limits); }
+
+template <class Archive> void serialize(Archive& archive, permit_request& m) { archiveShort(archive, m.asks); }
+
+template <class Archive> void serialize(Archive& archive, permit_reply& m) { archiveShort(archive, m.grants); }
+
 template <class Archive> void serialize(Archive& archive, job_announcement& m)
 {
     archive(m.node);
@@ -292,8 +336,8 @@
 template <class Archive> void serialize(Archive& archive, shared_state& m)
 {
     auto buildHistory = m.buildHistory.count();
-    archive(
-        m.configuration, m.targets, m.nodes, m.quarantine, m.builds, buildHistory, m.knowsNodes, m.isStoreReachable);
+    archive(m.configuration, m.targets, m.nodes, m.quarantine, m.limits, m.builds, buildHistory, m.knowsNodes,
+        m.isStoreReachable);
     m.buildHistory = duration(buildHistory);
 }
 
@@ -424,6 +468,17 @@
     return notes;
 }
 
+std::vector<limit_note> splitLimits(const std::vector<serving::limit_report>& limits)
+{
+    std::vector<limit_note> notes;
+    for (const auto& report : limits) {
+        if (notes.empty() || notes.back().limits.size() >= maxLimitReports)
+            notes.emplace_back();
+        notes.back().limits.push_back(report);
+    }
+    return notes;
+}
+
 std::string encodeQuarantine(const quarantine_record& record) { return encode(record); }
 
 std::optional<quarantine_record> decodeQuarantine(const std::string& bytes) { return decode<quarantine_record>(bytes); }
--- a/libs/gateway/src/node_messages.h
+++ b/libs/gateway/src/node_messages.h
@@ -6,10 +6,12 @@
 #include "serving/message_relay.h"
 #include "serving/node_directory.h"
 #include "serving/peer_load.h"
+#include "serving/permit_issuer.h"
 #include "serving/prefill_queues.h"
 #include "serving/stream_origins.h"
 #include "serving/target_follower.h"
 #include "serving/target_health.h"
+#include "serving/target_limits.h"
 #include "serving/target_paths.h"
 #include "usage/usage_report.h"
 
@@ -36,6 +38,7 @@
     std::vector<serving::health_report> health; ///< of targets with recent failures
     std::vector<std::uint32_t> changingEngines; ///< shortHash() of each engine whose role the sender is changing
     std::optional<quarantine_record> quarantine; ///< one of the sender's records, in rotation
+    std::optional<serving::limit_report> limit; ///< one of the limits that the sender knows, in rotation
 };
 
 /// Sent when quarantine records have changed.
@@ -43,6 +46,21 @@
     std::vector<quarantine_record> records;
 };
 
+/// Sent when limits of targets have changed.
+struct limit_note {
+    std::vector<serving::limit_report> limits;
+};
+
+/// Sent to the node that issues the permits of the targets.
+struct permit_request {
+    std::vector<serving::permit_ask> asks;
+};
+
+/// The permits for nodes that have asked.
+struct permit_reply {
+    std::vector<serving::permit_grant> grants;
+};
+
 /// Sent when prompts are sent to engines, so that peers do not choose the same engine before the next heartbeat.
 struct job_announcement {
     std::uint32_t node = 0; ///< shortHash() of the sender's VM
@@ -89,6 +107,7 @@
     serving::target_list_snapshot targets;
     std::vector<serving::node_report> nodes; ///< all known nodes, alive or not
     std::vector<quarantine_record> quarantine;
+    std::vector<serving::limit_report> limits; ///< of targets
     std::vector<serving::build_sighting> builds; ///< that services have or had lately
     duration buildHistory = duration::zero(); ///< for how long the sender has noticed every build
     bool knowsNodes = false; ///< the sender knows all nodes that have registered
@@ -105,7 +124,7 @@
 /// the end: nodes that do not know a kind drop messages of this kind only.
 using peer_datagram = std::variant<node_heartbeat, job_announcement, serving::target_update_batch, node_probe,
     cache_update_batch, read_progress, quarantine_note, usage_report, serving::path_report, serving::origin_notes,
-    serving::origin_question, serving::origin_reply>;
+    serving::origin_question, serving::origin_reply, limit_note, permit_request, permit_reply>;
 
 /// Encodes a message. Heartbeats are truncated to stay below the usual path MTU.
 std::string encodeDatagram(peer_datagram message);
@@ -123,6 +142,8 @@
 std::vector<serving::origin_message> splitOrigins(serving::origin_message message);
 /// Splits records into notes, each below the usual path MTU.
 std::vector<quarantine_note> splitQuarantineNote(std::vector<quarantine_record> records);
+/// Splits reports into notes, each below the usual path MTU.
+std::vector<limit_note> splitLimits(const std::vector<serving::limit_report>& limits);
 std::string encodeQuarantine(const quarantine_record& record);
 std::optional<quarantine_record> decodeQuarantine(const std::string& bytes);
 std::string encodeCaches(const cache_snapshot& caches);
--- a/libs/gateway/src/peer_messenger.cpp
+++ b/libs/gateway/src/peer_messenger.cpp
@@ -84,7 +84,8 @@
     const auto self = m_parts.self();
     return { serving::nodeStatusOf(self), isFull ? std::optional(self) : std::nullopt, decisions.ownLoad(),
         decisions.ownJobs(now), m_parts.caches.takeUpdates(maxCacheUpdatesPerHeartbeat),
-        decisions.takeHealthReports(now), m_parts.roles.changingEngines(), decisions.quarantine().nextRecord(now) };
+        decisions.takeHealthReports(now), m_parts.roles.changingEngines(), decisions.quarantine().nextRecord(now),
+        decisions.limits().nextReport(now) };
 }
 
 void peer_messenger::broadcast(const std::string& message, serving::send_pace pace)
@@ -230,6 +231,12 @@
         m_parts.onQuarantine(quarantine->records);
     else if (const auto* usage = std::get_if<usage_report>(&message))
         m_parts.onUsage(*usage);
+    else if (const auto* limits = std::get_if<limit_note>(&message))
+        onLimits(limits->limits);
+    else if (const auto* asks = std::get_if<permit_request>(&message))
+        onPermitRequest(from, *asks);
+    else if (const auto* permits = std::get_if<permit_reply>(&message))
+        m_parts.onPermits(permits->grants);
     else if (const auto* paths = std::get_if<serving::path_report>(&message))
         m_parts.decisions.paths().applyReport(*paths, boot_clock::now());
     else if (const auto* notes = std::get_if<serving::origin_notes>(&message))
@@ -242,6 +249,43 @@
         onProbe(std::get<node_probe>(message));
 }
 
+void peer_messenger::broadcastLimits(const std::vector<serving::limit_report>& limits)
+{
+    for (auto& note : splitLimits(limits))
+        broadcast(encodeDatagram(std::move(note)), serving::send_pace::immediate);
+}
+
+void peer_messenger::sendPermitRequest(const serving::node_endpoint& issuer, std::vector<serving::permit_ask> asks)
+{
+    sendTo({ issuer }, permit_request { std::move(asks) });
+}
+
+void peer_messenger::sendPermits(const serving::node_endpoint& node, std::vector<serving::permit_grant> grants)
+{
+    sendTo({ node }, permit_reply { std::move(grants) });
+}
+
+void peer_messenger::onLimits(const std::vector<serving::limit_report>& limits)
+{
+    const auto now = boot_clock::now();
+    for (const auto& report : limits)
+        m_parts.decisions.limits().apply(report, now);
+}
+
+void peer_messenger::onPermitRequest(const serving::node_endpoint& from, const permit_request& message)
+{
+    const auto now = boot_clock::now();
+    limit_note ended;
+    for (const auto& ask : message.asks) {
+        if (const auto end = m_parts.decisions.limits().endOf(ask.target, now))
+            ended.limits.push_back(*end);
+        m_parts.decisions.permitIssuer().asked(from, ask, now);
+    }
+    // A node that has missed the end of a limit would wait for permits for ever.
+    if (!ended.limits.empty())
+        sendTo({ from }, std::move(ended));
+}
+
 void peer_messenger::onOriginQuestion(const serving::node_endpoint& from, const serving::origin_question& message)
 {
     sendTo({ from }, m_parts.decisions.origins().replyTo(message, boot_clock::now()));
@@ -340,6 +384,8 @@
     m_parts.roles.markPeerChanges(message.changingEngines, now);
     if (message.quarantine)
         m_parts.onQuarantine({ *message.quarantine });
+    if (message.limit)
+        m_parts.decisions.limits().apply(*message.limit, now);
 }
 
 }
--- a/libs/gateway/src/peer_messenger.h
+++ b/libs/gateway/src/peer_messenger.h
@@ -32,6 +32,7 @@
         std::function<serving::node_state()> self;
         std::function<void(const std::vector<quarantine_record>&)> onQuarantine;
         std::function<void(const usage_report&)> onUsage;
+        std::function<void(const std::vector<serving::permit_grant>&)> onPermits;
         std::function<void(const serving::node_endpoint& from, const serving::origin_reply&)> onOriginReply;
     };
 
@@ -50,6 +51,9 @@
     void broadcastPaths();
     /// Sends the updates found by a full cache listing.
     void broadcastCacheUpdates(std::vector<cache_update> caches);
+    void broadcastLimits(const std::vector<serving::limit_report>& limits);
+    void sendPermitRequest(const serving::node_endpoint& issuer, std::vector<serving::permit_ask> asks);
+    void sendPermits(const serving::node_endpoint& node, std::vector<serving::permit_grant> grants);
     /// Sends what stream_origins has to tell or to ask.
     void sendOrigins();
     /// Sends the reports to these nodes only.
@@ -71,6 +75,8 @@
     void onOriginQuestion(const serving::node_endpoint& from, const serving::origin_question& message);
     void sendTo(const std::vector<serving::node_endpoint>& to, const peer_datagram& message);
     void onHeartbeat(const node_heartbeat& message);
+    void onLimits(const std::vector<serving::limit_report>& limits);
+    void onPermitRequest(const serving::node_endpoint& from, const permit_request& message);
     void onProbe(const node_probe& message);
     void onJobs(const job_announcement& message);
     void onReadProgress(const read_progress& message);
--- a/libs/gateway/src/role_coordinator.cpp
+++ b/libs/gateway/src/role_coordinator.cpp
@@ -29,6 +29,7 @@
 
     constexpr std::string_view dutyKey = "roles";
     constexpr std::string_view restReason = "the engine rests";
+    constexpr std::string_view limitReason = "the engine names a limit";
 
     std::string_view roleName(target_role role) { return role == target_role::prefill ? "prefill" : "decode"; }
 
@@ -172,6 +173,8 @@
     for (const auto& instance : toQuery) {
         if (m_parts.notices.isResting(instance, now))
             abortChange(instance, restReason);
+        else if (m_parts.notices.isLimited(instance))
+            abortChange(instance, limitReason);
         else
             requestReport(instance);
     }
@@ -198,19 +201,22 @@
     const auto row = fleet.find(instance);
     const auto& address = fleet.address[row.value];
     m_parts.client.fetch(parseEndpoint(address), m_parts.protocol.roleReport(fleet.name[row.value]), callOptions(),
-        [this, instance](const http_response* response, const exchange_failure&) { onReport(instance, response); });
+        [this, instance, sentAt = boot_clock::now()](
+            const http_response* response, const exchange_failure&) { onReport(instance, response, sentAt); });
 }
 
-void role_coordinator::onReport(const std::string& instance, const http_response* response)
+void role_coordinator::onReport(const std::string& instance, const http_response* response, instant sentAt)
 {
     const auto now = boot_clock::now();
     if (response)
-        m_parts.notices.received(instance, *response, "role_report");
+        m_parts.notices.received(instance, *response, { "role_report", sentAt });
     auto* change = find(instance);
     if (!change)
         return;
     if (m_parts.notices.isResting(instance, now))
         return abortChange(instance, restReason);
+    if (m_parts.notices.isLimited(instance))
+        return abortChange(instance, limitReason);
     const auto report
         = response && response->status == 200 ? m_parts.protocol.decodeRoleReport(response->body) : std::nullopt;
     if (!report || report->isChanging || report->role == change->role)
@@ -243,16 +249,16 @@
     const auto request = m_parts.protocol.orderRole(
         { fleet.name[row.value], change.role, m_vm, m_lease.fencingNumber(), ordersTaken });
     m_parts.client.fetch(parseEndpoint(address), request, callOptions(),
-        [this, instance](const http_response* response, const exchange_failure& failure) {
-            onOrderResponse(instance, response, failure);
+        [this, instance, now](const http_response* response, const exchange_failure& failure) {
+            onOrderResponse(instance, response, failure, now);
         });
 }
 
 void role_coordinator::onOrderResponse(
-    const std::string& instance, const http_response* response, const exchange_failure& failure)
+    const std::string& instance, const http_response* response, const exchange_failure& failure, instant sentAt)
 {
     if (response)
-        m_parts.notices.received(instance, *response, "role_order");
+        m_parts.notices.received(instance, *response, { "role_order", sentAt });
     if (!response) {
         m_parts.counters.count("tamarack_role_orders_total", { { "result", "unanswered" } });
         m_parts.log.write(log_event::order_unanswered,
--- a/libs/gateway/src/role_coordinator.h
+++ b/libs/gateway/src/role_coordinator.h
@@ -63,9 +63,10 @@
     void advanceChanges(instant now);
     bool isFinished(const pending_role_change& change, instant now) const;
     void requestReport(const std::string& instance);
-    void onReport(const std::string& instance, const http_response* response);
+    void onReport(const std::string& instance, const http_response* response, instant sentAt);
     void sendOrder(pending_role_change& change, std::uint64_t ordersTaken, instant now);
-    void onOrderResponse(const std::string& instance, const http_response* response, const exchange_failure& failure);
+    void onOrderResponse(
+        const std::string& instance, const http_response* response, const exchange_failure& failure, instant sentAt);
     void abortChange(const std::string& instance, std::string_view reason);
     /// Whether `bornAt` matches the process start time in the target list; true if either of them is unknown.
     bool isSameProcess(target_id engine, std::uint64_t bornAt) const;
--- a/libs/gateway/src/target_notices.cpp
+++ b/libs/gateway/src/target_notices.cpp
@@ -21,11 +21,11 @@
 
 // A misdirected call counts against the instance that was called as well: either it has answered itself, for a stage
 // that is not its own, or another instance has taken its address.
-void target_notices::received(const std::string& instance, const target_answer& answer, std::string_view call)
+void target_notices::received(const std::string& instance, const target_answer& answer, const answered_call& call)
 {
-    m_counters.count("tamarack_target_answers_total", { { "call", std::string(call) } });
+    m_counters.count("tamarack_target_answers_total", { { "call", std::string(call.kind) } });
     logUnknownHeaders(instance, answer, call);
-    logLimit(instance, answer, call);
+    applyLimit(instance, answer, call);
     const auto& fleet = m_decisions.fleet();
     const target_id row = fleet.find(instance);
     if (answer.rest && row.isValid())
@@ -33,41 +33,38 @@
     if (!answer.isLeaving || !m_decisions.targetLeaves(instance))
         return;
     const bool isListed = row.isValid() && fleet.isListed[row.value];
-    m_counters.count("tamarack_targets_leaving_total", { { "call", std::string(call) } });
+    m_counters.count("tamarack_targets_leaving_total", { { "call", std::string(call.kind) } });
     m_log.write(log_event::target_leaves,
-        { { "target", instance }, { "call", call }, { "status", answer.status }, { "listed", isListed },
+        { { "target", instance }, { "call", call.kind }, { "status", answer.status }, { "listed", isListed },
             { "draining", isListed && fleet.isDraining[row.value] } });
 }
 
-void target_notices::logLimit(const std::string& instance, const target_answer& answer, std::string_view call)
+// Another instance at the address does not speak for this one.
+void target_notices::applyLimit(const std::string& instance, const target_answer& answer, const answered_call& call)
 {
+    const target_id row = m_decisions.fleet().find(instance);
+    if (!row.isValid() || answer.isMisdirected)
+        return;
     if (answer.isLimitMalformed)
         return m_log.write(log_event::target_limit_malformed,
-            { { "target", instance }, { "call", call }, { "status", answer.status } });
-    const auto known = m_limits.find(instance);
-    if (answer.limit ? known != m_limits.end() && known->second == *answer.limit : known == m_limits.end())
-        return;
-    if (answer.limit)
-        m_limits[instance] = *answer.limit;
-    else
-        m_limits.erase(known);
-    m_log.write(log_event::target_limits,
-        { { "target", instance }, { "call", call }, { "status", answer.status },
-            { "per_second", answer.limit ? answer.limit->perSecond : -1 } });
+            { { "target", instance }, { "call", call.kind }, { "status", answer.status } });
+    if (answer.limit || call.isAttempt)
+        m_decisions.limits().answered(row, answer.limit, call.sentAt, boot_clock::now());
 }
 
-void target_notices::logUnknownHeaders(const std::string& instance, const target_answer& answer, std::string_view call)
+void target_notices::logUnknownHeaders(
+    const std::string& instance, const target_answer& answer, const answered_call& call)
 {
     for (const auto& header : answer.unknownHeaders) {
         if (m_unknownHeaders.size() >= maxUnknownHeaders || !m_unknownHeaders.insert(header).second)
             continue;
         m_counters.count("tamarack_target_headers_unknown_total");
         m_log.write(
-            log_event::target_header_unknown, { { "target", instance }, { "call", call }, { "header", header } });
+            log_event::target_header_unknown, { { "target", instance }, { "call", call.kind }, { "header", header } });
     }
 }
 
-void target_notices::received(const std::string& instance, const http_response& response, std::string_view call)
+void target_notices::received(const std::string& instance, const http_response& response, const answered_call& call)
 {
     received(instance, m_protocol.decode({ response.status, response.headers }), call);
 }
@@ -78,4 +75,10 @@
     return row.isValid() && m_decisions.fleet().isResting(row, now);
 }
 
+bool target_notices::isLimited(const std::string& instance) const
+{
+    const auto row = m_decisions.fleet().find(instance);
+    return row.isValid() && m_decisions.fleet().isLimited[row.value];
+}
+
 }
--- a/libs/gateway/tests/test_cluster_view.cpp
+++ b/libs/gateway/tests/test_cluster_view.cpp
@@ -2,6 +2,8 @@
 #include "cluster_view.h"
 #include "fake_ports.h"
 
+#include <limits>
+
 using namespace tamarack;
 using namespace tamarack::tests;
 using namespace std::chrono_literals;
@@ -360,6 +362,9 @@
     full.changingEngines.resize(200);
     full.quarantine
         = quarantine_record { promptPartTrait(2), 1, 1, std::vector<std::uint32_t>(12, 3), true, {}, 1h, 2h, true };
+    full.limit = serving::limit_report { 7, request_rate { 4.8 }, 20ms, 10ms };
+    CHECK(encodeDatagram(full).size() <= mtu);
+    full.fullState.reset();
     CHECK(encodeDatagram(full).size() <= mtu);
     const auto notes = splitCacheUpdates(std::vector<cache_update>(300));
     CHECK(notes.size() == 4);
@@ -576,3 +581,44 @@
     world.lastCall("read", store_topic::targets).onRead(record_page { { { 7, "t1", std::nullopt } }, 8, 8 });
     CHECK_FALSE(world.acceptsWork("t1"));
 }
+
+TEST_CASE("test_limits_and_permits_survive_the_way_to_a_peer")
+{
+    constexpr std::size_t mtu = 1'472;
+    const std::vector<serving::limit_report> reports(120, { 7, request_rate { 4.8 }, 2s, 1500ms });
+    const auto notes = splitLimits(reports);
+    CHECK(notes.size() == 3);
+    for (const auto& note : notes)
+        CHECK(encodeDatagram(note).size() <= mtu);
+    const auto note = decodeDatagram(encodeDatagram(notes.front()));
+    REQUIRE(note);
+    const auto& report = std::get<limit_note>(*note).limits.front();
+    CHECK(report.target == 7);
+    CHECK(report.rate == request_rate { 4.8 });
+    CHECK(report.askedAge == 2s);
+    CHECK(report.answeredAge == 1500ms);
+    const auto ended = decodeDatagram(encodeDatagram(limit_note { { { 7, std::nullopt, 2s, 1s } } }));
+    REQUIRE(ended);
+    CHECK_FALSE(std::get<limit_note>(*ended).limits.front().rate);
+
+    const permit_request asks { std::vector<serving::permit_ask>(100, { 7, serving::permit_use::waiting, 2, 150ms }) };
+    CHECK(encodeDatagram(asks).size() <= mtu);
+    const auto ask = decodeDatagram(encodeDatagram(asks));
+    REQUIRE(ask);
+    CHECK(std::get<permit_request>(*ask).asks.front().use == serving::permit_use::waiting);
+    CHECK(std::get<permit_request>(*ask).asks.front().returned == 2);
+    CHECK(std::get<permit_request>(*ask).asks.front().lifetime == 150ms);
+    const permit_reply permits { std::vector<serving::permit_grant>(100, { 7, 3, 180ms }) };
+    CHECK(encodeDatagram(permits).size() <= mtu);
+    const auto permit = decodeDatagram(encodeDatagram(permits));
+    REQUIRE(permit);
+    CHECK(std::get<permit_reply>(*permit).grants.front().count == 3);
+    CHECK(std::get<permit_reply>(*permit).grants.front().lifetime == 180ms);
+
+    CHECK_FALSE(decodeDatagram(encodeDatagram(permit_request { { { 7, serving::permit_use::count, 0, 1s } } })));
+    const auto infinite = std::numeric_limits<double>::infinity();
+    CHECK_FALSE(decodeDatagram(encodeDatagram(limit_note { { { 7, request_rate { infinite }, 2s, 1s } } })));
+    const auto bytes = encodeDatagram(permits);
+    for (std::size_t size = 0; size < bytes.size(); size += 7)
+        CHECK_FALSE(decodeDatagram(bytes.substr(0, size)));
+}
--- a/libs/gateway/tests/test_resting_targets.cpp
+++ b/libs/gateway/tests/test_resting_targets.cpp
@@ -1,5 +1,5 @@
-// Tests that a target which rests gets none of the calls that a node makes besides attempts: cache polls, role reports,
-// orders and releases of KV caches.
+// Tests that a target which rests or names a limit gets none of the calls that a node makes besides attempts, unless it
+// has a permit: cache polls, role reports, orders and releases of KV caches.
 #include "cache_monitor.h"
 #include "fake_ports.h"
 #include "flow_table.h"
@@ -91,6 +91,12 @@
         for (std::uint32_t row = 0; row < decisions.fleet().size(); ++row)
             decisions.targetAskedForRest({ row }, length, boot_clock::now());
     }
+    void limit(double perSecond)
+    {
+        const auto now = boot_clock::now();
+        for (std::uint32_t row = 0; row < decisions.fleet().size(); ++row)
+            decisions.limits().answered({ row }, request_rate { perSecond }, now, now);
+    }
     void tick()
     {
         serving::node_state self;
@@ -194,3 +200,35 @@
     spinUntil([begin = boot_clock::now()] { return boot_clock::now() >= begin + 150ms; });
     CHECK(node.calls["/release"] == 0);
 }
+
+TEST_CASE("test_engine_that_names_a_limit_is_not_polled")
+{
+    // Guards against polls of all nodes that use up the limit.
+    resting_fixture node;
+    node.limit(4);
+    node.tickFor(300ms);
+    CHECK(node.calls["/events"] == 0);
+}
+
+TEST_CASE("test_engine_that_names_a_limit_gets_no_order_that_was_decided_before")
+{
+    resting_fixture node;
+    node.announceChange();
+    node.limit(4);
+    REQUIRE(node.tickUntil([&] { return node.roles.changingEngines().empty(); }));
+    CHECK(node.calls["/report"] == 0);
+    CHECK(node.calls["/order"] == 0);
+}
+
+TEST_CASE("test_kv_cache_of_an_engine_that_names_a_limit_is_released_with_a_permit")
+{
+    // Guards against releases beyond a limit, and against KV caches that are kept because of it.
+    resting_fixture node;
+    node.limit(4);
+    node.flows.execute({ serving::release_cache { { { 0 }, "cache" } } });
+    spinUntil([begin = boot_clock::now()] { return boot_clock::now() >= begin + 150ms; });
+    CHECK(node.calls["/release"] == 0);
+    node.decisions.permits().granted({ node.decisions.fleet().instanceHash[0], 1, 1s }, boot_clock::now());
+    CHECK(spinUntil([&] { return node.calls["/release"] == 1; }));
+    CHECK(node.decisions.fleet().permits[0] == 0);
+}
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -46,7 +46,7 @@
         { log_event::service_reached, "service_reached", info, belief, "service targets away_ms" },
         { log_event::target_rests, "target_rests", info, belief, "target rest_ms" },
         { log_event::target_leaves, "target_leaves", info, belief, "target call status listed draining" },
-        { log_event::target_limits, "target_limits", info, belief, "target call status per_second (-1: no limit)" },
+        { log_event::target_limits, "target_limits", info, belief, "target per_second since_ms issuer" },
         { log_event::target_limit_malformed, "target_limit_malformed", warning, belief, "target call status" },
         { log_event::target_header_unknown, "target_header_unknown", warning, belief, "target call header" },
         { log_event::request_quarantined, "request_quarantined", warning, belief,
