Operators see requests that were refused because all their targets name limits

request_refused says for_limits, failures and explain name it, and tamarack_refused_for_limits_total and tamarack_targets_limited (by service) count.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -490,7 +490,7 @@
     m_attempt = nullptr;
 }
 
-void caller_flow::refuse(error_kind kind, duration retryAfter)
+void caller_flow::refuse(error_kind kind, duration retryAfter, bool isForLimits)
 {
     const auto self = shared_from_this();
     if (m_isFinished)
@@ -503,8 +503,10 @@
     m_services.log.write(log_event::request_refused,
         { { "request", m_decoded.id }, { "route", m_routeName }, { "kind", answerFor(kind).type },
             { "retry_after_ms", milliseconds(retryAfter) }, { "held_ms", millisecondsSince(m_startedAt) },
-            { "waiting", m_services.decisions.waiting() } });
+            { "waiting", m_services.decisions.waiting() }, { "for_limits", isForLimits } });
     m_services.counters.count("tamarack_refused_total", { { "kind", std::string(answerFor(kind).type) } });
+    if (isForLimits)
+        m_services.counters.count("tamarack_refused_for_limits_total");
     m_caller->sendWhole(m_services.callers.refusal(kind, answerFor(kind).title, retryAfter));
     finish(flow_end::refused);
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -514,21 +514,23 @@
     int known = 0;
     int draining = 0;
     int resting = 0;
-    int limited = 0;
+    std::map<std::string, int> limited; // by service
     for (std::uint32_t row = 0; row < fleet.size(); ++row) {
         known += fleet.isListed[row];
         draining += fleet.isListed[row] && fleet.isLeaving({ row });
         resting += fleet.isListed[row] && fleet.isResting({ row }, now);
-        limited += fleet.isListed[row] && fleet.isLimited[row];
+        if (fleet.isListed[row] && fleet.isLimited[row])
+            ++limited[fleet.service[row]];
     }
     counters.set("tamarack_targets_known", known);
     counters.set("tamarack_targets_draining", draining);
     counters.set("tamarack_targets_resting", resting);
-    counters.set("tamarack_targets_limited", limited);
     publishBuilds();
-    for (const auto& service : fleet.services())
+    for (const auto& service : fleet.services()) {
         counters.set("tamarack_targets_unreached", static_cast<double>(decisions.paths().countLost(service)),
             { { "service", service } });
+        counters.set("tamarack_targets_limited", limited[service], { { "service", service } });
+    }
     counters.set("tamarack_nodes_known", nodes.knownCount());
     counters.set("tamarack_nodes_alive", static_cast<double>(nodes.alive(now).size()) + 1);
     counters.set("tamarack_stream_origins_kept", static_cast<double>(decisions.origins().notesKept()));
--- a/libs/gateway/src/limit_sharing.cpp
+++ b/libs/gateway/src/limit_sharing.cpp
@@ -32,13 +32,13 @@
     auto& limits = m_parts.decisions.limits();
     if (const auto news = limits.takeNews(now); !news.empty())
         m_parts.peers.broadcastLimits(news);
-    logChanges(now);
+    logChanges();
     // The asks come first, so that this node's own ones are served with the others.
     askForPermits(now);
     issuePermits(now);
 }
 
-void limit_sharing::logChanges(instant now)
+void limit_sharing::logChanges()
 {
     for (const auto& change : m_parts.decisions.limits().takeChanges())
         m_parts.log.write(log_event::target_limits,
@@ -46,7 +46,6 @@
                 { "per_second", change.rate ? change.rate->perSecond : -1 },
                 { "since_ms", milliseconds(change.length) },
                 { "issuer", m_parts.decisions.permitIssuer().isIssuer(change.target) } });
-    (void)now;
 }
 
 void limit_sharing::askForPermits(instant now)
--- a/libs/gateway/src/limit_sharing.h
+++ b/libs/gateway/src/limit_sharing.h
@@ -31,7 +31,7 @@
 private:
     void issuePermits(instant now);
     void askForPermits(instant now);
-    void logChanges(instant now);
+    void logChanges();
 
     dependencies m_parts;
     serving::node_endpoint m_self;
--- a/libs/observe/src/log_story.cpp
+++ b/libs/observe/src/log_story.cpp
@@ -69,6 +69,7 @@
     std::set<std::string> nodes;
     std::int64_t first = std::numeric_limits<std::int64_t>::max();
     std::int64_t last = 0;
+    bool isRefusedForLimits = false;
     for (const auto& line : all) {
         if (line.text("request") != requestId)
             continue;
@@ -76,6 +77,7 @@
         nodes.insert(line.text("vm"));
         first = std::min(first, line.at);
         last = std::max(last, line.at);
+        isRefusedForLimits |= line.text("for_limits") == "true";
     }
     if (nodes.empty())
         return {};
@@ -85,7 +87,7 @@
         const bool isInWindow = line.at >= first - contextMilliseconds && line.at <= last;
         const auto target = line.text("target");
         const bool isContext = isInWindow && isStateChange(line) && nodes.contains(line.text("vm"))
-            && (target.empty() || targets.contains(target));
+            && (target.empty() || targets.contains(target) || (isRefusedForLimits && line.is("target_limits")));
         if (namesRequest || isContext)
             out += describe(line, first);
     }
@@ -116,7 +118,8 @@
         if (line.is("request_denied"))
             cause += "denied: " + line.text("reason") + ", by version " + line.text("version");
         else if (isRefusal)
-            cause += "refused: " + line.text("kind");
+            cause += "refused: " + line.text("kind")
+                + (line.text("for_limits") == "true" ? ", since all its targets name limits" : "");
         else
             cause += line.is("request_failed") ? line.text("outcome") : "no route in version " + line.text("version");
         if (const auto attempt = attempts.find(id); attempt != attempts.end())
--- a/libs/observe/tests/test_log_story.cpp
+++ b/libs/observe/tests/test_log_story.cpp
@@ -103,6 +103,20 @@
     CHECK(summary.find("whole rejected 503, the target rests") == std::string::npos);
 }
 
+TEST_CASE("test_summary_and_timeline_say_that_targets_name_limits")
+{
+    const std::vector<std::string> limited {
+        R"({"ts_ms":1900,"level":"info","event":"target_limits","vm":"n1","instance":"n1/1","target":"t1","per_second":4.8,"since_ms":0})",
+        R"({"ts_ms":2000,"level":"info","event":"request_taken","vm":"n1","instance":"n1/1","request":"r1","route":"tag"})",
+        R"({"ts_ms":2200,"level":"info","event":"request_refused","vm":"n1","instance":"n1/1","request":"r1","route":"tag","kind":"overloaded","for_limits":true})",
+        R"({"ts_ms":2400,"level":"info","event":"request_refused","vm":"n1","instance":"n1/1","request":"r2","route":"tag","kind":"overloaded","for_limits":false})",
+    };
+    CHECK(formatRequestTimeline(limited, "r1").find("target_limits") != std::string::npos);
+    const auto summary = formatFailureSummary(limited, { 0, 5000 });
+    CHECK(summary.find("refused: overloaded, since all its targets name limits") != std::string::npos);
+    CHECK(summary.find("refused: overloaded  ") != std::string::npos);
+}
+
 TEST_CASE("test_summary_says_that_an_attempt_went_by_a_peer")
 {
     const std::vector<std::string> lines {
--- a/libs/serving/include/serving/in_flight_requests.h
+++ b/libs/serving/include/serving/in_flight_requests.h
@@ -26,6 +26,7 @@
     build_id build; ///< that began the stream, so that only its targets may go on with it; invalid: not begun
     bool hasFailed = false; ///< an attempt has failed, so the next one uses a new connection
     bool hasFailureAnswer = false; ///< the last attempt's target gave a failure answer that can be forwarded
+    bool isLimited = false; ///< when last looked at, all targets that could answer it had limits, and none a permit
     target_id avoid; ///< the target that failed last
     /// The request is the trial of what is quarantined in it, and may be sent from then on; not set: it is none.
     instant trialFrom;
--- a/libs/serving/include/serving/serving_request.h
+++ b/libs/serving/include/serving/serving_request.h
@@ -102,6 +102,7 @@
     request_id request;
     error_kind kind = error_kind::overloaded;
     duration retryAfter = duration::zero();
+    bool isForLimits = false; ///< all targets that could answer it name limits, and this node had no permit
 };
 
 /// Answer the request with the failure answer of its last attempt's target; this ends it.
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -114,8 +114,9 @@
     const auto attempt = m_book.current[row].id;
     if (attempt.isValid())
         out.push_back(stop_attempt { id, attempt, stop_reason::refused });
+    const bool isForLimits = m_book.progress[row].isLimited;
     remove(row, out);
-    out.push_back(refuse_request { id, kind, retryAfter });
+    out.push_back(refuse_request { id, kind, retryAfter, isForLimits });
 }
 
 void dispatcher::endWithFailure(std::size_t row, error_kind kind, instant now, command_list& out)
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -309,7 +309,7 @@
     if (m_limits.limited().empty())
         return duration::zero();
     const auto query = needOf(row, now);
-    if (!m_placement.isLimited(query, now))
+    if (m_book.progress[row].isLimited = m_placement.isLimited(query, now); !m_book.progress[row].isLimited)
         return duration::zero();
     double shared = 0;
     double lately = 0;
--- a/libs/serving/tests/test_target_limits.cpp
+++ b/libs/serving/tests/test_target_limits.cpp
@@ -163,6 +163,7 @@
     const auto* refusal = find<refuse_request>(out);
     REQUIRE(refusal);
     CHECK(refusal->kind == error_kind::overloaded);
+    CHECK(refusal->isForLimits);
     CHECK(refusal->retryAfter >= 1s); // one a second is allowed
     CHECK(refusal->retryAfter <= 2s);
 }
