--- a/libs/serving/tests/test_plain_targets.cpp
+++ b/libs/serving/tests/test_plain_targets.cpp
@@ -250,3 +250,25 @@
         CHECK(result.share(result.late) <= 0.1);
     }
 }
+
+TEST_CASE("test_connections_of_all_nodes_stay_within_the_cap_of_a_target")
+{
+    // Guards against a part for each node whose sum exceeds the cap that all nodes share.
+    constexpr int cap = 96; // of the sample configuration
+    for (const int nodes : { 6, 9, 90, 300 }) {
+        INFO(nodes << " nodes");
+        int connections = 0;
+        for (int node = 0; node < nodes; ++node) {
+            auto settings = dispatch_world::settings();
+            settings.vm = "node-" + std::to_string(node);
+            dispatch_world world(settings);
+            world.decisions.setKnownNodes(nodes);
+            world.addPlain("p1", "a", 1000);
+            command_list out;
+            for (int request = 0; request < 2 * cap; ++request)
+                world.decisions.submit(world.make(0), at(0s), out);
+            connections += count<start_attempt>(out);
+        }
+        CHECK(connections <= cap);
+    }
+}
