--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -93,6 +93,7 @@
 SERVING = "libs/serving/"
 PARTS = "test_harmful_part*,test_harmless_parts*,test_part_*,test_trial_of*,test_request_with_a_quarantined*"
 BUILDS = "*build*,*stream*,*origin*,*notes*,*node_that*,*peers_know*"
+LIMITS = "*limit*,*permit*,test_old_answer*,test_rate_grows*"
 # Mutations of the decisions for the users' platform, each with the test cases to run.
 SERVING_MUTATIONS = [
     ("declared-leaving-ignored", SERVING + "include/serving/fleet_table.h",
@@ -168,6 +169,32 @@
      "    speakFor(found, now);\n", "", PARTS),
     ("ends-not-explained", "libs/quarantine/src/request_quarantine.cpp",
      "        && countUnexplained(known) >=", "        && known.targets.size() >=", PARTS),
+    ("limits-ignored", SERVING + "src/fleet_table.cpp", " && hasPermit(id, now)", "", LIMITS),
+    ("permits-used-twice", SERVING + "src/permit_holder.cpp", "    lapseAt.erase(valid);\n", "", LIMITS),
+    ("permits-that-never-lapse", SERVING + "src/permit_holder.cpp",
+     "    std::erase_if(lapseAt, [now](instant end) { return now >= end; });\n", "    (void)now;\n", LIMITS),
+    ("every-node-issues", SERVING + "src/permit_issuer.cpp",
+     "    item.isOwn = best && best->seed == m_self.seed;\n",
+     "    item.isOwn = best;\n    item.issuer = m_self.endpoint;\n", LIMITS),
+    ("taken-over-at-once", SERVING + "src/permit_issuer.cpp",
+     "isNewLimit && !wasSuspended ? now : now + m_takeoverTime", "isNewLimit ? now : now", LIMITS),
+    ("minority-issues-all", SERVING + "src/permit_issuer.cpp",
+     "m_share = 2 * seen > known ? 1 : seen / known", "m_share = known > 0 && seen > 0 ? 1 : 0", LIMITS),
+    ("unused-permits-kept", SERVING + "src/permit_issuer.cpp",
+     "        item.tokens += ask.returned; // what nobody takes with the next tick is lost\n", "", LIMITS),
+    ("old-answer-ends-a-limit", SERVING + "src/target_limits.cpp",
+     " || !seen.isNewerThan(row.named))\n        return;\n    if (seen.askedAt > row", ")\n        return;\n    if (seen.askedAt > row", LIMITS),
+    ("old-answer-brings-a-limit-back", SERVING + "src/target_limits.cpp",
+     "    if (hasEnded && row.silent && !seen.isNewerThan(*row.silent))\n        return;\n", "", LIMITS),
+    ("reports-that-never-age", SERVING + "src/target_limits.cpp",
+     "{ now - report.askedAge - messageTime, now - report.answeredAge - messageTime }",
+     "{ now - report.askedAge + 0 * messageTime, now - report.answeredAge }", LIMITS),
+    ("limit-ends-at-once", SERVING + "src/target_limits.cpp",
+     "now >= row.silent->answeredAt + confirmationTime)", "now >= row.silent->answeredAt)", LIMITS),
+    ("held-beyond-the-rate-of-all", SERVING + "src/dispatcher.cpp",
+     " || refuseIfAllLimited(row, now, out))", ")", LIMITS),
+    ("prefilled-without-a-permit-to-answer", SERVING + "src/placement.cpp",
+     " || (isAnyLimited && !isAnyOpen))", ")", LIMITS),
 ]
 
 
