An issuer that does not know the other nodes issues nothing, and takes back only permits that it has issued

Found by reading the change: with an unknown number of nodes, as at a start without store and peers, each node would have issued the whole rate of a target; and repeated or forged returns could fill its bucket. Both concern limited targets only.

--- a/libs/serving/include/serving/permit_issuer.h
+++ b/libs/serving/include/serving/permit_issuer.h
@@ -52,7 +52,8 @@
     permit_issuer(const target_limits& limits, const fleet_table& fleet);
 
     /// Replaces the nodes among which issuers are chosen. `known` is the number of known nodes, reachable or not,
-    /// including this one. `takeoverTime` is the time in which a former issuer hears of a change.
+    /// including this one, or 0 if it is unknown; then this node issues nothing. `takeoverTime` is the time in which a
+    /// former issuer hears of a change.
     void setNodes(const node_state& self, const std::vector<node_state>& alive, int known, duration takeoverTime);
     /// The node that issues the permits of a limited target, which may be this one; null if none is known.
     const node_endpoint* issuerOf(target_id id) const;
@@ -86,6 +87,7 @@
         bool mayExpect = false;
         instant issuesFrom;
         double tokens = 0;
+        double returnable = 0; // permits that were issued lately, of which unused ones may come back
         instant filledAt;
         std::deque<asker> askers; // in the order in which they are served
     };
--- a/libs/serving/src/permit_issuer.cpp
+++ b/libs/serving/src/permit_issuer.cpp
@@ -49,7 +49,10 @@
     const auto takesPart = [](const node_state& node) { return node.isReady && !node.isStopping; };
     m_takeoverTime = takeoverTime;
     const auto seen = static_cast<double>(alive.size() + 1);
-    m_share = 2 * seen > known ? 1 : seen / known;
+    if (known <= 0)
+        m_share = 0; // any number of other nodes may issue as well
+    else
+        m_share = 2 * seen > known ? 1 : seen / known;
     std::uint64_t hash = takesPart(self) ? rendezvousSeed(self.vm) : 1;
     for (const auto& node : alive) {
         if (takesPart(node))
@@ -124,7 +127,9 @@
     auto known
         = std::find_if(item.askers.begin(), item.askers.end(), [&](const asker& other) { return other.node == from; });
     if (ask.returned > 0) {
-        item.tokens += ask.returned; // what nobody takes with the next tick is lost
+        const auto returned = std::min<double>(ask.returned, item.returnable);
+        item.returnable -= returned;
+        item.tokens += returned; // what nobody takes with the next tick is lost
         // A node that does not use its permits asks again when it has work.
         if (known != item.askers.end())
             known->until[static_cast<std::size_t>(permit_use::expected)] = {};
@@ -168,6 +173,7 @@
     const auto first = out.size();
     while (item.tokens >= 1 && !item.askers.empty()) {
         item.tokens -= 1;
+        item.returnable += 1;
         auto next = item.askers.front();
         item.askers.pop_front();
         const auto message = std::find_if(out.begin() + static_cast<std::ptrdiff_t>(first), out.end(),
@@ -203,6 +209,7 @@
         item.tokens += perSecond * seconds(now - item.filledAt);
         item.filledAt = now;
         issue(row, item, *rate, now, out);
+        item.returnable = std::min(item.returnable, 1 + perSecond * seconds(2 * maxLifetime));
         item.tokens = std::min(item.tokens, 1 + perSecond * seconds(issueInterval));
     }
     return out;
--- a/libs/serving/tests/test_target_limits.cpp
+++ b/libs/serving/tests/test_target_limits.cpp
@@ -242,6 +242,59 @@
     }
 }
 
+namespace {
+
+/// A node that issues the permits of one target, and the permits that it issues to a peer which always asks.
+struct issuer_fixture : limit_fixture {
+    permit_issuer issuer { limits, fleet };
+    node_endpoint peer { "10.0.0.2", 7 };
+
+    explicit issuer_fixture(int known)
+    {
+        node_state self;
+        self.vm = "node-1";
+        self.isReady = true;
+        issuer.setNodes(self, {}, known, 0s);
+    }
+
+    int issued(duration from, duration to)
+    {
+        int out = 0;
+        for (auto when = from; when < to; when += 20ms) {
+            issuer.asked(peer, { shortHash("p1"), permit_use::waiting, 0, 1s }, at(when));
+            for (const auto& message : issuer.tick(at(when)))
+                out += message.grant.count;
+        }
+        return out;
+    }
+};
+
+}
+
+TEST_CASE("test_node_that_does_not_know_the_others_issues_no_permits")
+{
+    // Guards against nodes that start without their peers and each take the whole rate of a target.
+    for (const auto& [known, least, most] : { std::tuple(0, 0, 0), std::tuple(1, 45, 52), std::tuple(10, 4, 6) }) {
+        INFO(known << " known nodes");
+        issuer_fixture world(known);
+        world.names(10, 0ms, 10ms);
+        const int issued = world.issued(10ms, 5s);
+        CHECK(issued >= least);
+        CHECK(issued <= most);
+    }
+}
+
+TEST_CASE("test_permits_that_were_not_issued_are_not_taken_back")
+{
+    // Guards against repeated or forged datagrams that fill the bucket of a target.
+    issuer_fixture world(1);
+    world.names(1, 0ms, 10ms);
+    CHECK(world.issued(10ms, 3s) <= 4);
+    for (int i = 0; i < 10; ++i)
+        world.issuer.asked(world.peer, { shortHash("p1"), permit_use::expected, 255, 0s }, at(3s));
+    CHECK(world.issued(3s, 3100ms) <= 4);
+}
+
 TEST_CASE("test_limits_hold_and_are_used_at_any_size")
 {
     // Guards against rates that are split among nodes so that their sum breaks, or lies idle.
