A seed that starts asks another seed for what only nodes know

Seen in an instrumented run: of the arrivals at limited targets each was on a permit but those of nodes within 0.2 s after their start, one or two for each start. Nodes other than seeds get the state of a peer before they serve, with the limits; seeds read the store, which holds none, and heard of the limits one by one with heartbeats. In a small fleet all nodes are seeds.

Now a seed asks the other seeds in turn, while it reads the store, until one answers; it does not wait for it. Red before: test_seed_that_starts_gets_the_ limits_of_targets_from_another_seed, test_seed_that_starts_before_the_others_ asks_each_of_them_once.

--- a/libs/gateway/src/state_pull.cpp
+++ b/libs/gateway/src/state_pull.cpp
@@ -40,9 +40,12 @@
 {
     m_timer.start(std::chrono::duration_cast<std::chrono::milliseconds>(m_interval));
     m_isStarting = !m_seeds.empty() && !isSeed();
-    if (!m_isStarting)
-        return false;
     m_seedIndex = stableHash(m_parts.self().vm);
+    if (!m_isStarting) {
+        m_seedsToAsk = m_seeds.size();
+        pullFromNextSeed();
+        return false;
+    }
     m_startTimer.start(seedTimeout);
     pull();
     return true;
@@ -119,6 +122,15 @@
         pullFrom(m_seeds[m_seedIndex++ % m_seeds.size()]);
 }
 
+// The store does not hold what nodes tell each other, such as the limits of targets.
+void state_pull::pullFromNextSeed()
+{
+    while (m_seedsToAsk > 0 && !m_seeds.empty() && !m_isRequestPending) {
+        --m_seedsToAsk;
+        pullFrom(m_seeds[m_seedIndex++ % m_seeds.size()]);
+    }
+}
+
 void state_pull::pullFrom(const endpoint& peer)
 {
     const auto self = m_parts.self();
@@ -145,6 +157,7 @@
         m_parts.log.write(
             log_event::state_pulled, { { "peer", toString(peer) }, { "targets", decoded->targets.targets.size() } });
         m_parts.view.applyState(*decoded);
+        m_seedsToAsk = 0;
     } else {
         m_parts.log.write(log_event::state_not_pulled, { { "peer", toString(peer) }, { "reason", failure.reason } });
     }
@@ -155,6 +168,8 @@
         if (decoded && decoded->isStoreReachable)
             m_startTimer.start(seedTimeout);
         QTimer::singleShot(startRetryDelay, &m_timer, [this] { pull(); });
+    } else if (m_seedsToAsk > 0) {
+        pullFromNextSeed();
     } else if (!decoded) {
         m_parts.view.readMissing();
     }
--- a/libs/gateway/src/state_pull.h
+++ b/libs/gateway/src/state_pull.h
@@ -44,6 +44,7 @@
     void pull();
     /// Returns the peer to ask among those that know more; port 0 if there is none.
     endpoint bestPeer(instant now) const;
+    void pullFromNextSeed();
     void pullFrom(const endpoint& peer);
     void onResponse(const endpoint& peer, const http_response* response, const exchange_failure& failure);
     void finishStart(bool isFromPeer);
@@ -54,6 +55,7 @@
     QTimer m_timer;
     QTimer m_startTimer; // expires when the store is to be read instead
     std::size_t m_seedIndex = 0;
+    std::size_t m_seedsToAsk = 0; // at the start of a seed, until one of them has answered
     bool m_isRequestPending = false;
     bool m_isStarting = false; // peers are asked before the store
 };
--- a/libs/gateway/tests/test_state_pull.cpp
+++ b/libs/gateway/tests/test_state_pull.cpp
@@ -35,6 +35,7 @@
                 other.vm = "n3";
                 state.nodes.push_back({ other, 5s });
                 state.knowsNodes = true;
+                state.limits.push_back({ serving::shortHash(target.instance()), request_rate { 4.8 }, 20ms, 10ms });
                 writer->sendWhole({ 200, {}, encodeState(state) });
             },
             [](error_kind, std::string_view) { return http_response {}; })
@@ -116,6 +117,35 @@
     CHECK(node.store.count("newest", store_topic::configuration) == 1);
 }
 
+TEST_CASE("test_seed_that_starts_gets_the_limits_of_targets_from_another_seed")
+{
+    // Guards against nodes that start from the store, which holds no limits, and learn them by exceeding them.
+    peer_with_state peer;
+    starting_node node({ ownAddress, { "127.0.0.1", 1 }, peer.address() }, ownAddress);
+    CHECK(spinUntil([&] { return !node.decisions.limits().limited().empty(); }));
+    CHECK(node.store.count("newest", store_topic::configuration) == 1);
+    CHECK(peer.asked == 1);
+}
+
+TEST_CASE("test_seed_that_starts_before_the_others_asks_each_of_them_once")
+{
+    int asked = 0;
+    http_server empty(
+        {},
+        [&](const http_request&, const std::shared_ptr<response_writer>& writer) {
+            ++asked;
+            writer->sendWhole({ 503, {}, "" });
+        },
+        [](error_kind, std::string_view) { return http_response {}; });
+    REQUIRE(empty.listen(QHostAddress::LocalHost, 0));
+    const endpoint other { "127.0.0.1", empty.port() };
+    starting_node node({ other, ownAddress, other }, ownAddress);
+    CHECK(spinUntil([&] { return asked == 2; }));
+    const auto end = boot_clock::now() + 300ms;
+    spinUntil([&] { return boot_clock::now() >= end; });
+    CHECK(asked == 2);
+}
+
 TEST_CASE("test_node_that_starts_without_the_store_asks_a_peer_at_once")
 {
     // Guards against a node that rejects requests for half a second longer than necessary after a restart during an
