--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -121,7 +121,7 @@
     ("late-failure-loses-a-path", SERVING + "src/target_paths.cpp",
      "    if (startedAt < path.reachedAt)\n        return false;\n", "", "*path*,test_call_that*"),
     ("held-although-nobody-reaches-the-service", SERVING + "src/dispatcher.cpp",
-     " || refuseIfCutOff(row, now, out))", ")", "*path*,*nobody*"),
+     "refuseIfCutOff(row, now, out) || ", "", "*path*,*nobody*"),
     ("cut-stream-goes-on-at-any-build", SERVING + "src/placement.cpp",
      "(!query.build.isValid() || fleet.buildId[row] == query.build)", "true", BUILDS),
     ("first-attempt-binds-the-build", SERVING + "src/dispatcher.cpp",
