--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -12,6 +12,8 @@
 #include "serving/target_limits.h"
 #include "serving/target_paths.h"
 #include "serving/target_rest.h"
+#include "serving/target_room.h"
+#include "serving/waiting_queue.h"
 
 #include "serving/in_flight_requests.h"
 #include <map>
@@ -203,6 +205,8 @@
     /// nodes.
     void countArrival(std::size_t row, instant now);
     void dispatch(instant now, command_list& out);
+    /// What decides the request's place among those that wait; nothing if it does not wait.
+    std::optional<waiting_key> waitingKeyOf(request_id id) const;
     void handleAttemptResult(
         std::size_t row, attempt_result result, const std::string& cacheName, instant now, command_list& out);
     void succeeded(std::size_t row, instant now);
@@ -242,13 +246,14 @@
     abandoned_attempts m_abandoned;
     std::uint64_t m_quarantinesSeen = 0;
     idle_connections m_connections;
+    target_room m_room;
     placement m_placement;
     random_source m_random;
     in_flight_requests m_book;
     retry_bound m_retryBound;
     instant m_startedAt;
     std::map<std::string, retry_limiter> m_retryLimiters; // by service
-    std::vector<request_id> m_waiting; // in order of arrival
+    waiting_queue m_waiting;
     double m_prefillWaitSeconds = 0;
     std::uint64_t m_nextAttempt = 1;
     int m_knownNodes = 0;
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -10,6 +10,7 @@
 #include "serving/prompt_cache_map.h"
 #include "serving/stream_pauses.h"
 #include "serving/target_health.h"
+#include "serving/target_room.h"
 
 #include <optional>
 #include <vector>
@@ -48,14 +49,13 @@
     const target_health& health;
     prefill_queues& queues;
     const idle_connections& connections;
+    const target_room& room;
 };
 
 class placement {
 public:
     placement(placement_inputs inputs, std::uint64_t seed);
 
-    /// Sets the number of nodes, this one included, that share the connections of each target.
-    void setKnownNodes(int nodes) { m_knownNodes = nodes < 1 ? 1 : nodes; }
     /// Chooses the first target of a request, or the next one after a failure.
     target_choice chooseFirst(const placement_query& query, instant now);
     /// Chooses the engine that decodes the answer to a prompt that `source` has prefilled.
@@ -84,7 +84,6 @@
     const std::vector<std::uint32_t>& candidates(const placement_query& query, instant now);
     /// Whether the target's role fits its service: engines for a service of engines, plain targets for others.
     bool matchesServiceKind(std::uint32_t row) const;
-    bool hasCapacity(target_id id) const;
     target_choice choosePlain(instant now);
     /// The mean number of peers' requests at a candidate.
     double meanPeersRunning() const;
@@ -121,7 +120,6 @@
     placement_inputs m_inputs;
     stream_pauses m_pauses;
     random_source m_random;
-    int m_knownNodes = 1;
     const service_profile* m_profile = nullptr; // of the service to choose for; may be null
     // Buffers reused between calls to avoid allocation.
     std::vector<std::uint32_t> m_candidates;
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -344,7 +344,7 @@
     if (refuseIfQuarantined(row, now, out))
         return;
     if (!startDecode(row, now, out))
-        m_waiting.insert(m_waiting.begin(), m_book.idOf(row));
+        m_waiting.addFirst(m_book.idOf(row));
 }
 
 void dispatcher::retryOrEnd(std::size_t row, bool countsAsSend, error_kind kind, instant now, command_list& out)
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -94,7 +94,8 @@
     , m_paths(m_fleet, settings.vm, settings.availabilityZone)
     , m_origins(m_fleet, settings.startedAt)
     , m_quarantine({}, shortHash(settings.vm))
-    , m_placement({ m_fleet, m_pace, m_caches, m_health, m_queues, m_connections }, settings.seed)
+    , m_room(m_fleet)
+    , m_placement({ m_fleet, m_pace, m_caches, m_health, m_queues, m_connections, m_room }, settings.seed)
     , m_random(settings.seed + 1)
     , m_retryBound(settings.retries)
     , m_startedAt(settings.startedAt)
@@ -168,7 +169,7 @@
 void dispatcher::setKnownNodes(int nodes)
 {
     m_knownNodes = nodes;
-    m_placement.setKnownNodes(std::max(1, nodes));
+    m_room.setKnownNodes(nodes);
     m_queues.setKnownNodes(std::max(1, nodes));
     m_quarantine.setKnownNodes(std::max(1, nodes));
 }
@@ -265,7 +266,7 @@
     if (isHoldTimeOver(row, now))
         return refuse(row, error_kind::overloaded, std::max(retryDelay(row, now), permitDelay(row, now)), out);
     wantPermits(row, permit_use::waiting, now);
-    m_waiting.push_back(m_book.idOf(row));
+    m_waiting.add(m_book.idOf(row));
 }
 
 bool dispatcher::endIfBuildIsGone(std::size_t row, command_list& out)
@@ -321,7 +322,7 @@
         lately += m_permits.recentRate({ limited }, now);
     }
     const auto& service = m_book.request[row].service;
-    const auto ahead = std::count_if(m_waiting.begin(), m_waiting.end(), [&](request_id id) {
+    const auto ahead = std::count_if(m_waiting.ids().begin(), m_waiting.ids().end(), [&](request_id id) {
         const auto other = m_book.row(id);
         return other >= 0 && m_book.request[static_cast<std::size_t>(other)].service == service;
     });
@@ -685,24 +686,22 @@
 
 void dispatcher::dispatch(instant now, command_list& out)
 {
-    std::vector<request_id> waiting;
-    waiting.swap(m_waiting);
-    std::stable_sort(waiting.begin(), waiting.end(), [this](request_id a, request_id b) {
-        const auto rowA = m_book.row(a);
-        const auto rowB = m_book.row(b);
-        if (rowA < 0 || rowB < 0)
-            return rowA < rowB;
-        return m_book.request[static_cast<std::size_t>(rowA)].priority
-            < m_book.request[static_cast<std::size_t>(rowB)].priority;
-    });
+    const auto waiting = m_waiting.takeAll([this](request_id id) { return waitingKeyOf(id); });
     for (const auto id : waiting) {
         const auto row = m_book.row(id);
-        if (row < 0 || m_book.phase[static_cast<std::size_t>(row)] != request_phase::waiting)
-            continue;
-        startOrWait(static_cast<std::size_t>(row), now, out);
+        if (row >= 0 && m_book.phase[static_cast<std::size_t>(row)] == request_phase::waiting)
+            startOrWait(static_cast<std::size_t>(row), now, out);
     }
 }
 
+std::optional<waiting_key> dispatcher::waitingKeyOf(request_id id) const
+{
+    const auto row = m_book.row(id);
+    if (row < 0 || m_book.phase[static_cast<std::size_t>(row)] != request_phase::waiting)
+        return std::nullopt;
+    return waiting_key { m_book.request[static_cast<std::size_t>(row)].priority };
+}
+
 bool dispatcher::canMove(std::size_t row, instant now)
 {
     const auto& request = m_book.request[row];
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -52,13 +52,6 @@
     constexpr double ownPauseShare = 0.5;
     /// The typical length of a stream; after it an engine has other streams.
     constexpr double typicalStreamSeconds = 2;
-    /// The number of requests for each slot that an engine may hold. It queues them by urgency, so queued ones do not
-    /// delay urgent ones.
-    constexpr int requestsPerEngineSlot = 2;
-    /// The number of requests for each slot that a plain target may hold. With fewer, calls are held or refused while
-    /// the target has free slots, because most of the calls that peers report are over. All calls that were held are
-    /// then sent at once with the next heartbeats.
-    constexpr int requestsPerPlainSlot = 3;
     /// The cost of a late answer; it makes a fast answer at any target better than a late one.
     constexpr double latePenaltySeconds = 10;
     /// A prefill that a cached prefix would save delays other requests at the engine as well as this one.
@@ -186,18 +179,6 @@
     return isAnyLimited;
 }
 
-// A target resets each connection above its own limit, which all nodes share, and the requests on these connections are
-// lost. Each node therefore keeps to its share of the limit.
-bool placement::hasCapacity(target_id id) const
-{
-    const auto& fleet = m_inputs.fleet;
-    const int cap = m_profile ? m_profile->connectionCap : 0;
-    if (cap > 0 && fleet.ownRunning[id.value] >= std::max(1, cap / m_knownNodes))
-        return false;
-    const int requestsPerSlot = isEngine(fleet.role[id.value]) ? requestsPerEngineSlot : requestsPerPlainSlot;
-    return fleet.running(id) < requestsPerSlot * fleet.slots[id.value];
-}
-
 target_choice placement::chooseFirst(const placement_query& query, instant now)
 {
     const auto& rows = candidates(query, now);
@@ -223,7 +204,7 @@
     const double noise = noiseSlots + staleLoadNoise * meanPeersRunning();
     for (const auto row : m_candidates) {
         const target_id id { row };
-        if (!hasCapacity(id))
+        if (!m_inputs.room.accepts(id, m_profile))
             continue;
         double cost
             = fleet.running(id) + noise * m_random.unit() + failurePenaltySlots * m_inputs.health.failureShare(id, now);
@@ -386,7 +367,7 @@
     for (const auto row : m_candidates) {
         const target_id id { row };
         const bool isPrefill = fleet.role[row] == target_role::prefill;
-        if (!hasCapacity(id) || (isPrefill && !(query.request.text && query.maySplitPrefill)))
+        if (!m_inputs.room.accepts(id, m_profile) || (isPrefill && !(query.request.text && query.maySplitPrefill)))
             continue;
         const auto choice = estimatePrefill(id, query, now);
         double cost = choice.seconds + sharedWorkWeight * m_inputs.queues.prefillSeconds(id, choice.work, now);
@@ -445,7 +426,7 @@
     double lowest = std::numeric_limits<double>::max();
     for (const auto row : m_candidates) {
         const target_id id { row };
-        if (fleet.role[row] == target_role::prefill || !hasCapacity(id))
+        if (fleet.role[row] == target_role::prefill || !m_inputs.room.accepts(id, m_profile))
             continue;
         // Where prefill makes streams pause, all queued prefill counts, whenever it will run.
         const bool isPauseProne
