Entry addresses by the capacity of nodes and by availability zone

Cause: nodes with 0.09 core and 10 Mbit/s got as many callers as nodes with 0.5 core and 200 Mbit/s, and callers of one zone went to nodes of all zones. Change: entry_choice draws the addresses of an answer by weight from the caller's zone, with at least one node of each other zone; nodes tell each other what their VMs can carry and how busy their processors are.

--- a/libs/gateway/include/gateway/gateway_settings.h
+++ b/libs/gateway/include/gateway/gateway_settings.h
@@ -43,6 +43,7 @@
     duration retryWindow = std::chrono::seconds(10);
     int descriptors = 1024; ///< limit of open file descriptors of the process
     std::int64_t memoryMegabytes = 256; ///< memory limit of the process
+    double processorShare = 0; ///< of the VM, in cores; 0: unknown
     std::uint32_t linkMegabits = 0; ///< link bandwidth of the VM per second; 0: unknown
 };
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -9,6 +9,7 @@
 #include "limit_sharing.h"
 #include "node_endpoints.h"
 #include "peer_messenger.h"
+#include "processor_load.h"
 #include "quarantine_sync.h"
 #include "registration.h"
 #include "role_coordinator.h"
@@ -19,6 +20,7 @@
 #include "base/hash.h"
 #include "http/http_server.h"
 #include "serving/duty_assignment.h"
+#include "serving/entry_choice.h"
 #include "serving/freshness.h"
 
 #include <QTimer>
@@ -134,6 +136,7 @@
     limit_sharing limits;
     http_server callers;
     detour_server detours;
+    processor_load processor;
     node_endpoints pages;
     flow_table flows;
     quarantine_sync quarantine;
@@ -246,6 +249,7 @@
           },
           [this](const discarded_input& input) { logDiscarded(input); })
     , detours({ client, ports.targets, decisions, notices, counters, log }, maxPassedCalls(settings))
+    , processor(settings.processorShare)
     , pages({ ports.callers, nodes, counters, [this] { return self(); }, [this] { return encodedState(); },
           [this] { return encodeState(view.exportConfiguration()); },
           [this] { return encodeCaches(caches.snapshot(boot_clock::now())); },
@@ -377,6 +381,9 @@
     out.readsForOthers = view.isReader();
     out.linkMegabits = settings.linkMegabits;
     out.knownNodes = static_cast<std::uint16_t>(std::min(nodes.knownCount(), 65535));
+    out.requestsPerSecond = serving::requestCapacity(
+        { settings.processorShare, static_cast<double>(settings.linkMegabits), settings.descriptors });
+    out.busyPercent = processor.busyPercent();
     return out;
 }
 
@@ -465,6 +472,7 @@
     flows.execute(std::move(commands));
     checkPaths(now);
     logReadiness();
+    processor.update(now);
     publishMetrics(now);
     if (isDraining)
         checkDrain(now);
@@ -551,6 +559,7 @@
     counters.set("tamarack_reads_store_for_zone", view.isReader() ? 1 : 0);
     counters.set("tamarack_configuration_age_seconds", seconds(view.configurationAge(now)));
     counters.set("tamarack_target_list_age_seconds", seconds(view.targetsAge(now)));
+    counters.set("tamarack_processor_busy_percent", processor.busyPercent());
     counters.set("tamarack_log_lines_left_out", static_cast<double>(log.linesLeftOut()));
     counters.set("tamarack_peer_undecodable", static_cast<double>(peers.undecodable()));
     counters.set("tamarack_peer_datagrams_sent", static_cast<double>(peers.counts().sent));
--- a/libs/gateway/src/node_endpoints.cpp
+++ b/libs/gateway/src/node_endpoints.cpp
@@ -1,6 +1,8 @@
 // Implements the endpoints, each on an address of its own.
 #include "node_endpoints.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -57,6 +59,7 @@
     , m_metrics(
           {}, [this](const http_request& request, const auto& writer) { answerMetrics(request, writer); },
           malformedRequestResponse)
+    , m_entryChoice(stableHash(m_sources.self().vm))
 {
 }
 
@@ -84,7 +87,8 @@
 
 void node_endpoints::answerEntries(const http_request& request, const std::shared_ptr<response_writer>& writer)
 {
-    if (!m_sources.callers.decodeEntryQuery(request))
+    const auto query = m_sources.callers.decodeEntryQuery(request);
+    if (!query)
         return writer->sendWhole(plainText(404));
     std::vector<serving::node_state> usable = m_sources.nodes.alive(boot_clock::now());
     std::erase_if(usable, [](const serving::node_state& node) { return !node.isReady || node.isStopping; });
@@ -98,7 +102,7 @@
         return writer->sendWhole(m_sources.callers.refusal(error_kind::not_ready, "no node is ready", 1s));
     const duration lifetime = std::min(defaultEntryLifetime, m_maxEntryLifetime);
     writer->sendWhole(
-        m_sources.callers.entries({ serving::entryAddresses(usable, maxEntries, m_entryRotation++), lifetime }));
+        m_sources.callers.entries({ m_entryChoice.choose(usable, query->availabilityZone, maxEntries), lifetime }));
 }
 
 void node_endpoints::answerPeer(const http_request& request, const std::shared_ptr<response_writer>& writer)
--- a/libs/gateway/src/node_endpoints.h
+++ b/libs/gateway/src/node_endpoints.h
@@ -7,6 +7,7 @@
 #include "http/http_server.h"
 #include "observe/metrics.h"
 #include "quarantine/request_trait.h"
+#include "serving/entry_choice.h"
 #include "serving/node_directory.h"
 
 #include <functional>
@@ -57,7 +58,7 @@
     http_server m_metrics;
     duration m_maxEntryLifetime = duration::zero();
     std::vector<std::weak_ptr<response_writer>> m_largeResponses; // large responses that may still be in flight
-    std::size_t m_entryRotation = 0; // rotates the address list, so that callers do not all start with the same node
+    serving::entry_choice m_entryChoice;
 };
 
 }
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -18,7 +18,7 @@
 namespace {
 
     /// Messages of another version are dropped as unreadable, so only nodes of the same version communicate.
-    constexpr char formatVersion = 20;
+    constexpr char formatVersion = 21;
     /// A datagram that is not fragmented holds 1,472 bytes. A load entry takes 6 bytes, a job 27, a cache update 16, a
     /// target's health 8, a role change 4, a quarantine record up to 91, and the sender some 35, or 140 with its full
     /// state. There are rarely many role changes, and then only before there is any load.
@@ -119,13 +119,13 @@
     {
         archive(m.vm, m.incarnation, m.availabilityZone, m.address, m.callerPort, m.peerPort, m.adminPort, m.isReady,
             m.isStopping, m.configurationVersion, m.storeReach, m.lastTargetChange, m.readsForOthers, m.linkMegabits,
-            m.knownNodes);
+            m.knownNodes, m.requestsPerSecond, m.busyPercent);
     }
 
     template <class Archive> void serialize(Archive& archive, node_status& m)
     {
         archive(m.node, m.incarnation, m.configurationVersion, m.lastTargetChange, m.isReady, m.isStopping,
-            m.storeReach, m.readsForOthers, m.knownNodes);
+            m.storeReach, m.readsForOthers, m.knownNodes, m.busyPercent);
     }
 
     template <class Archive> void serialize(Archive& archive, node_report& m)
--- a/libs/serving/include/serving/node_directory.h
+++ b/libs/serving/include/serving/node_directory.h
@@ -37,6 +37,8 @@
         = false; ///< polls the target list and the configuration at short intervals and distributes changes
     std::uint32_t linkMegabits = 0; ///< megabits per second of the link of its VM; 0 if unknown
     std::uint16_t knownNodes = 0; ///< number of nodes it knows, including itself
+    std::uint32_t requestsPerSecond = 0; ///< that its VM can carry; 0 if unknown
+    std::uint8_t busyPercent = 0; ///< of its VM's processor, lately
 
     bool operator==(const node_state&) const = default;
 };
@@ -53,6 +55,7 @@
     store_reach storeReach = store_reach::unknown;
     bool readsForOthers = false;
     std::uint16_t knownNodes = 0;
+    std::uint8_t busyPercent = 0;
 };
 
 /// Information on a third node, passed from one node to another.
--- a/libs/serving/src/node_directory.cpp
+++ b/libs/serving/src/node_directory.cpp
@@ -17,7 +17,7 @@
 node_status nodeStatusOf(const node_state& state)
 {
     return { shortHash(state.vm), state.incarnation, state.configurationVersion, state.lastTargetChange, state.isReady,
-        state.isStopping, state.storeReach, state.readsForOthers, state.knownNodes };
+        state.isStopping, state.storeReach, state.readsForOthers, state.knownNodes, state.busyPercent };
 }
 
 node_directory::known_node& node_directory::known(const std::string& vm, instant now)
@@ -51,6 +51,7 @@
     known.state.storeReach = pulse.storeReach;
     known.state.readsForOthers = pulse.readsForOthers;
     known.state.knownNodes = pulse.knownNodes;
+    known.state.busyPercent = pulse.busyPercent;
     known.lastHeartbeatAt = now;
     known.hasHeartbeat = true;
     return { &known.state, wasUnreachable };
