--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -93,6 +93,7 @@
 SERVING = "libs/serving/"
 PARTS = "test_harmful_part*,test_harmless_parts*,test_part_*,test_trial_of*,test_request_with_a_quarantined*"
 BUILDS = "*build*,*stream*,*origin*,*notes*,*node_that*,*peers_know*"
+ENTRIES = "*entr*,test_large_nodes*,test_callers_*,test_busy_zone*,test_wrong_report*"
 LIMITS = "*limit*,*permit*,test_old_answer*,test_rate_grows*"
 # Mutations of the decisions for the users' platform, each with the test cases to run.
 SERVING_MUTATIONS = [
@@ -195,6 +196,12 @@
      "{ now - report.askedAge + 0 * messageTime, now - report.answeredAge }", LIMITS),
     ("limit-ends-at-once", SERVING + "src/target_limits.cpp",
      "now >= row.silent->answeredAt + confirmationTime)", "now >= row.silent->answeredAt)", LIMITS),
+    ("callers-by-count-of-nodes", SERVING + "src/entry_choice.cpp",
+     "    return node.requestsPerSecond * free;", "    return node.requestsPerSecond > 0 ? 100 * free : 0;", ENTRIES),
+    ("busy-nodes-keep-their-weight", SERVING + "src/entry_choice.cpp",
+     "std::clamp((1 - busy) / (1 - busyThreshold), minWeightShare, 1.0)", "busy < 0 ? 0.0 : 1.0", ENTRIES),
+    ("callers-know-only-their-zone", SERVING + "src/entry_choice.cpp",
+     "std::max(byZone.size(), static_cast<std::size_t>(wanted))", "static_cast<std::size_t>(wanted)", ENTRIES),
     ("held-beyond-the-rate-of-all", SERVING + "src/dispatcher.cpp",
      " || refuseIfAllLimited(row, now, out))", ")", LIMITS),
     ("prefilled-without-a-permit-to-answer", SERVING + "src/placement.cpp",
