Peers pass on only calls that name their key

Cause: the port at which a node passes calls on for its peers took a call from anybody and sent it to the target that it named; the API key of a caller is checked at admission only. Change: each process draws a random key, tells it in its full heartbeats and its registration, and refuses calls without it as not passed on. The state that anybody may ask for leaves the keys out. Not authentic against somebody who reads the nodes' datagrams.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -190,8 +190,8 @@
     auto address = fleet.address[command.target.value];
     if (command.detour) {
         address = command.detour->address;
-        request = encodeDetourCall(
-            std::move(request), { fleet.instance[command.target.value], m_decoded.id, command.longestIdle });
+        request = encodeDetourCall(std::move(request),
+            { fleet.instance[command.target.value], command.detour->key, m_decoded.id, command.longestIdle });
         m_services.counters.count("tamarack_detours_total");
     }
     attempt->exchange = m_services.client.start(parseEndpoint(address), request, options, std::move(handlers));
--- a/libs/gateway/src/cluster_view.cpp
+++ b/libs/gateway/src/cluster_view.cpp
@@ -486,6 +486,9 @@
     out.builds = builds.recent(boot_clock::now());
     out.buildHistory = builds.historyLength(boot_clock::now());
     out.nodes.push_back({ self, duration::zero() });
+    // Anyone may ask for the state; heartbeats bring the keys to peers.
+    for (auto& node : out.nodes)
+        node.state.detourKey.clear();
     out.knowsNodes = knowsNodes();
     out.isStoreReachable = storeReach() == serving::store_reach::reached;
     return out;
--- a/libs/gateway/src/detour_protocol.cpp
+++ b/libs/gateway/src/detour_protocol.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr std::string_view targetHeader = "Tamarack-Detour-Target";
+    constexpr std::string_view keyHeader = "Tamarack-Detour-Key";
     constexpr std::string_view requestHeader = "Tamarack-Detour-Request";
     constexpr std::string_view idleHeader = "Tamarack-Detour-Idle-Ms";
     constexpr std::string_view outcomeHeader = "Tamarack-Detour-Outcome";
@@ -55,6 +56,7 @@
 {
     removeOwn(call.headers);
     call.headers.set(std::string(targetHeader), detour.target);
+    call.headers.set(std::string(keyHeader), detour.key);
     if (!detour.requestId.empty())
         call.headers.set(std::string(requestHeader), detour.requestId);
     call.headers.set(std::string(idleHeader), std::to_string(milliseconds(detour.longestIdle)));
@@ -65,6 +67,7 @@
 {
     detour_call out;
     out.target = call.headers.find(targetHeader);
+    out.key = call.headers.find(keyHeader);
     out.requestId = call.headers.find(requestHeader);
     out.longestIdle = readMilliseconds(call.headers.find(idleHeader));
     removeOwn(call.headers);
--- a/libs/gateway/src/detour_protocol.h
+++ b/libs/gateway/src/detour_protocol.h
@@ -13,6 +13,7 @@
 /// What the peer has to know besides the call.
 struct detour_call {
     std::string target; ///< the target's instance
+    std::string key; ///< the peer's, see node_state::detourKey
     std::string requestId; ///< to recognize late responses to other requests; empty: there is none
     /// Connections to the target that have been idle for longer are not used; zero: only a new one is.
     duration longestIdle = duration::zero();
@@ -22,7 +23,7 @@
 enum class detour_outcome : unsigned char {
     answered, ///< the response is the target's
     unreached, ///< the peer does not reach the target, either
-    refused, ///< the peer takes no calls now
+    refused, ///< the peer takes no calls now, or not with this key
     unknown_target, ///< the peer's target list does not have the target
     resting, ///< the target has asked the peer for rest
     leaving, ///< the target has declared that it leaves
--- a/libs/gateway/src/detour_server.cpp
+++ b/libs/gateway/src/detour_server.cpp
@@ -26,6 +26,17 @@
         writer.sendWhole({ head.status, head.headers, {} });
     }
 
+    /// The time does not tell how much of the text is right.
+    bool equalsConstantTime(std::string_view a, std::string_view b)
+    {
+        if (a.size() != b.size())
+            return false;
+        unsigned difference = 0;
+        for (std::size_t i = 0; i < a.size(); ++i)
+            difference |= static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
+        return difference == 0;
+    }
+
     std::string_view nameOf(detour_outcome outcome)
     {
         switch (outcome) {
@@ -53,9 +64,10 @@
     bool isFinished = false;
 };
 
-detour_server::detour_server(dependencies parts, std::size_t maxCalls)
+detour_server::detour_server(dependencies parts, std::size_t maxCalls, std::string key)
     : m_parts(parts)
     , m_maxCalls(maxCalls)
+    , m_key(std::move(key))
     , m_server(
           {},
           [this](http_request request, const std::shared_ptr<response_writer>& writer) {
@@ -107,6 +119,13 @@
     auto detour = takeDetourCall(request);
     if (!detour)
         return writer->sendWhole({ 400, {}, "the call names no target\n" });
+    // A peer that has not heard of this process yet has the key of the former one.
+    if (m_key.empty() || !equalsConstantTime(detour->key, m_key)) {
+        m_parts.counters.count("tamarack_calls_passed_on_total", { { "result", "wrong_key" } });
+        detour_answer answer;
+        answer.outcome = detour_outcome::refused;
+        return send(*writer, answer);
+    }
     const auto target = m_parts.decisions.fleet().find(detour->target);
     if (const auto refusal = refusalOf(target, boot_clock::now())) {
         m_parts.counters.count(
--- a/libs/gateway/src/detour_server.h
+++ b/libs/gateway/src/detour_server.h
@@ -12,6 +12,7 @@
 #include "serving/dispatcher.h"
 
 #include <memory>
+#include <string>
 
 namespace tamarack {
 
@@ -28,8 +29,8 @@
         const logger& log;
     };
 
-    /// At most `maxCalls` calls are in progress; further ones are refused.
-    detour_server(dependencies parts, std::size_t maxCalls);
+    /// At most `maxCalls` calls are in progress; further ones are refused, and so are calls that do not name `key`.
+    detour_server(dependencies parts, std::size_t maxCalls, std::string key);
 
     /// Returns false if the address cannot be bound.
     bool listen(const endpoint& address);
@@ -53,6 +54,7 @@
 
     dependencies m_parts;
     std::size_t m_maxCalls;
+    std::string m_key; // never empty while calls are taken
     std::size_t m_calls = 0;
     bool m_isDraining = false;
     http_server m_server;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -23,7 +23,9 @@
 #include "serving/entry_choice.h"
 #include "serving/freshness.h"
 
+#include <QRandomGenerator>
 #include <QTimer>
+#include <cstdio>
 #include <map>
 
 namespace tamarack {
@@ -135,6 +137,7 @@
     peer_messenger peers;
     limit_sharing limits;
     http_server callers;
+    const std::string detourKey; // of this process
     detour_server detours;
     processor_load processor;
     node_endpoints pages;
@@ -177,6 +180,15 @@
     /// Distinguishes the processes of a VM.
     std::int64_t processId() { return wallMilliseconds(); }
 
+    std::string randomKey()
+    {
+        auto& random = *QRandomGenerator::system();
+        char text[33];
+        std::snprintf(text, sizeof text, "%016llx%016llx", static_cast<unsigned long long>(random.generate64()),
+            static_cast<unsigned long long>(random.generate64()));
+        return text;
+    }
+
     std::size_t maxPassedCalls(const gateway_settings& settings)
     {
         return static_cast<std::size_t>(settings.descriptors * passedCallShare);
@@ -248,7 +260,8 @@
               return ports.callers.refusal(kind, detail, answerFor(kind).retryAfter);
           },
           [this](const discarded_input& input) { logDiscarded(input); })
-    , detours({ client, ports.targets, decisions, notices, counters, log }, maxPassedCalls(settings))
+    , detourKey(randomKey())
+    , detours({ client, ports.targets, decisions, notices, counters, log }, maxPassedCalls(settings), detourKey)
     , processor(settings.processorShare)
     , pages({ ports.callers, nodes, counters, [this] { return self(); }, [this] { return encodedState(); },
           [this] { return encodeState(view.exportConfiguration()); },
@@ -381,6 +394,7 @@
     out.readsForOthers = view.isReader();
     out.linkMegabits = settings.linkMegabits;
     out.knownNodes = static_cast<std::uint16_t>(std::min(nodes.knownCount(), 65535));
+    out.detourKey = detourKey;
     out.requestsPerSecond = serving::requestCapacity(
         { settings.processorShare, static_cast<double>(settings.linkMegabits), settings.descriptors });
     out.busyPercent = processor.busyPercent();
@@ -609,7 +623,7 @@
         = [](const serving::node_state& node) { return node.isReady && !node.isStopping && node.peerPort != 0; };
     for (const auto& node : alive) {
         if (takesCalls(node))
-            seen += rendezvousSeed(node.vm) + stableHash(node.address);
+            seen += rendezvousSeed(node.vm) + stableHash(node.address + node.detourKey);
     }
     if (std::exchange(detourNodesHash, seen) == seen)
         return;
@@ -617,7 +631,9 @@
     std::vector<serving::origin_peer> holders;
     for (const auto& node : alive) {
         if (takesCalls(node)) {
-            able.push_back({ node.vm, node.availabilityZone, toString(endpoint { node.address, node.peerPort }) });
+            if (!node.detourKey.empty())
+                able.push_back({ node.vm, node.availabilityZone, toString(endpoint { node.address, node.peerPort }),
+                    node.detourKey });
             holders.push_back({ node.vm, node.availabilityZone, { node.address, node.peerPort } });
         }
     }
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -119,7 +119,7 @@
     {
         archive(m.vm, m.incarnation, m.availabilityZone, m.address, m.callerPort, m.peerPort, m.adminPort, m.isReady,
             m.isStopping, m.configurationVersion, m.storeReach, m.lastTargetChange, m.readsForOthers, m.linkMegabits,
-            m.knownNodes, m.requestsPerSecond, m.busyPercent);
+            m.knownNodes, m.detourKey, m.requestsPerSecond, m.busyPercent);
     }
 
     template <class Archive> void serialize(Archive& archive, node_status& m)
--- a/libs/gateway/src/target_calls.cpp
+++ b/libs/gateway/src/target_calls.cpp
@@ -55,7 +55,7 @@
 {
     const auto& instance = m_decisions.fleet().instance[target.value];
     return m_client.fetch(parseEndpoint(detour.address),
-        encodeDetourCall(std::move(request), { instance, {}, options.maxIdleTime }), options,
+        encodeDetourCall(std::move(request), { instance, detour.key, {}, options.maxIdleTime }), options,
         [this, instance, vm = detour.vm, done = std::move(done)](
             const http_response* response, const exchange_failure& failure) {
             const auto answer = response ? decodeDetourAnswer({ response->status, response->headers }) : std::nullopt;
--- a/libs/gateway/tests/test_detours.cpp
+++ b/libs/gateway/tests/test_detours.cpp
@@ -42,8 +42,9 @@
     logger log { quietLog() };
     http_client client;
     target_notices notices { protocol, decisions, counters, log };
-    detour_server peer { { client, protocol, decisions, notices, counters, log }, 2 };
+    detour_server peer { { client, protocol, decisions, notices, counters, log }, 2, "key" };
     endpoint address { "127.0.0.1", 0 };
+    std::string key = "key"; // named in calls
 
     detour_world()
         : target(
@@ -90,8 +91,8 @@
         handlers.onBody = [out](std::string_view bytes) { out->body += bytes; };
         handlers.onEnd = [out] { out->isEnded = true; };
         handlers.onFailure = [out](const exchange_failure&) { out->isEnded = out->hasFailed = true; };
-        out->exchange
-            = client.start(address, encodeDetourCall(std::move(call), { instance, "r1", 2s }), {}, std::move(handlers));
+        out->exchange = client.start(
+            address, encodeDetourCall(std::move(call), { instance, key, "r1", 2s }), {}, std::move(handlers));
         return out;
     }
 
@@ -135,6 +136,24 @@
     CHECK(outcome->body == "whole");
 }
 
+TEST_CASE("test_call_without_the_key_of_the_peer_reaches_no_target")
+{
+    // Guards against callers that reach targets by the port for peers, where no API key is asked for.
+    detour_world world;
+    for (const char* wrong : { "", "ke", "kez", "key2" }) {
+        world.key = wrong;
+        const auto outcome = world.call("t1");
+        REQUIRE(outcome->answer);
+        CHECK(outcome->answer->outcome == detour_outcome::refused);
+    }
+    CHECK(world.arrived.empty());
+    world.key = "key";
+    world.respond = [](const auto& writer) { writer->sendWhole({ 200, {}, {} }); };
+    CHECK(world.call("t1")->answer->outcome == detour_outcome::answered);
+    for (const auto& header : world.arrived.front().headers.entries)
+        CHECK(header.value.find("key") == std::string::npos); // targets do not learn it
+}
+
 TEST_CASE("test_peer_says_truly_that_it_has_not_sent_a_call")
 {
     // Guards against a call that may be sent again although it has reached its target, or the other way round.
@@ -258,7 +277,7 @@
     record.service = "s";
     record.address = "127.0.0.1:9";
     own.targetListed(record);
-    own.paths().setPeers({ { "peer", "a", toString(world.address) } });
+    own.paths().setPeers({ { "peer", "a", toString(world.address), world.key } });
     target_calls calls(world.client, own);
     const auto row = own.fleet().find("t1");
     const auto fetch = [&] {
--- a/libs/serving/include/serving/node_directory.h
+++ b/libs/serving/include/serving/node_directory.h
@@ -37,6 +37,9 @@
         = false; ///< polls the target list and the configuration at short intervals and distributes changes
     std::uint32_t linkMegabits = 0; ///< megabits per second of the link of its VM; 0 if unknown
     std::uint16_t knownNodes = 0; ///< number of nodes it knows, including itself
+    /// Has to be named in calls that this node is to pass on; random, new with each start. Peers learn it, callers do
+    /// not.
+    std::string detourKey;
     std::uint32_t requestsPerSecond = 0; ///< that its VM can carry; 0 if unknown
     std::uint8_t busyPercent = 0; ///< of its VM's processor, lately
 
--- a/libs/serving/include/serving/target_paths.h
+++ b/libs/serving/include/serving/target_paths.h
@@ -37,6 +37,7 @@
     std::string vm;
     std::string availabilityZone;
     std::string address; ///< `ip:port` at which it takes calls to pass on
+    std::string key; ///< without it the peer takes no calls; empty: not known yet
 };
 
 /// The targets that a node does not reach directly, sent to its peers.
