Limits on what an HTTP exchange takes from its peer

Cause: the client set no bound on informational responses, responses to other requests, chunk lines, trailers and collected bodies, and reserved the whole length that a peer announces. A faulty target could make a node hold all that it sends, keep an exchange in progress for ever, or end the process (std::bad_alloc for a Content-Length of 10^15).

The response parser appends to its body instead of reserving its length. An exchange above a limit fails like one whose peer does not send HTTP, and its connection is reset. Bodies that are passed on have no bound.

--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "http/exchange_limits.h"
 #include "http/http_message.h"
 
 #include <QHostAddress>
@@ -42,6 +43,7 @@
     duration maxIdleTime = std::chrono::seconds(60);
     /// Whether the connection may be reused for later exchanges.
     bool keepConnection = true;
+    exchange_limits limits;
 };
 
 /// Callbacks of an exchange, called on the thread of the event loop. Unless the exchange is cancelled, exactly one of
@@ -84,8 +86,8 @@
 
     std::shared_ptr<http_exchange> start(
         const endpoint& peer, const http_request& request, const exchange_options& options, exchange_handlers handlers);
-    /// Sends a request and calls `done` with the complete response, which is collected in memory, or with null and the
-    /// failure.
+    /// Sends a request and calls `done` with the complete response, which is collected in memory within
+    /// `exchange_options::limits`, or with null and the failure.
     std::shared_ptr<http_exchange> fetch(const endpoint& peer, const http_request& request,
         const exchange_options& options, std::function<void(const http_response*, const exchange_failure&)> done);
     /// Opens a connection to `peer` and keeps it for reuse. `done` gets null, or the failure after `timeout` at the
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -3,6 +3,8 @@
 // at-most-once delivery.
 #include "http/http_client.h"
 
+#include "answer_meter.h"
+#include "appended_body.h"
 #include "connection_pool.h"
 
 #include <QHostAddress>
@@ -80,12 +82,13 @@
                             public detail::stream_listener {
     public:
         pooled_exchange(detail::connection_pool& pool, endpoint peer, const http_request& request,
-            const exchange_options& options, exchange_handlers handlers)
+            const exchange_options& options, exchange_handlers handlers, bool isCollected)
             : m_pool(&pool)
             , m_peer(std::move(peer))
             , m_text(serializeRequest(m_peer, request))
             , m_options(options)
             , m_handlers(std::make_shared<exchange_handlers>(std::move(handlers)))
+            , m_meter(options.limits, isCollected)
             , m_isHead(request.method == "HEAD")
         {
             m_timer.setSingleShot(true);
@@ -130,7 +133,8 @@
         {
             m_parser.emplace();
             m_parser->eager(true);
-            m_parser->body_limit(boost::none);
+            m_parser->body_limit(boost::none); // what is held of bodies is measured by m_meter
+            m_parser->header_limit(m_options.limits.headBytes);
             m_parser->skip(m_isHead);
             m_isHeadDone = false;
             m_isSkipped = false;
@@ -151,6 +155,7 @@
             const auto keepAlive = shared_from_this(); // a handler may drop the last reference
             const auto end = m_socket->read(m_buffer);
             m_timer.start(milliseconds(m_options.silenceTimeout));
+            m_meter.bytesArrived(boot_clock::now());
             parse();
             if (m_socket && end != stream_end::none)
                 onPeerEnd(end);
@@ -164,7 +169,13 @@
                 m_buffer.erase(0, used);
                 if (error && error != beast_http::error::need_more)
                     return fail("answer is not HTTP: " + error.message(), false);
+                m_meter.bodyReceived(m_parser->get().body().size());
                 deliver();
+                if (m_isSkipped)
+                    m_meter.skipped(used);
+                // While a message is incomplete, the parser leaves no more than an incomplete line or head.
+                if (const auto excess = m_meter.excess(m_parser->is_done() ? 0 : m_buffer.size()); !excess.empty())
+                    return fail(excess, false);
                 if (m_socket && m_parser->is_done() && !handleMessageEnd())
                     return;
                 if (used == 0)
@@ -284,8 +295,9 @@
         exchange_options m_options;
         std::shared_ptr<exchange_handlers> m_handlers; // null once the exchange has ended or was cancelled
         std::unique_ptr<detail::stream_socket> m_socket; // null before begin() and after the end
-        std::optional<beast_http::response_parser<beast_http::string_body>> m_parser;
-        std::string m_buffer;
+        std::optional<beast_http::response_parser<detail::appended_body>> m_parser;
+        std::string m_buffer; // at most one read beyond the limit of a head
+        detail::answer_meter m_meter;
         QTimer m_timer;
         duration m_idleLimit = defaultIdleLimit;
         duration m_reusableFor = duration::zero();
@@ -354,6 +366,15 @@
 
 struct http_client::state {
     detail::connection_pool pool;
+
+    std::shared_ptr<http_exchange> start(const endpoint& peer, const http_request& request,
+        const exchange_options& options, exchange_handlers handlers, bool isCollected)
+    {
+        auto exchange
+            = std::make_shared<pooled_exchange>(pool, peer, request, options, std::move(handlers), isCollected);
+        exchange->begin();
+        return exchange;
+    }
 };
 
 http_client::http_client(address_map connectTo)
@@ -367,9 +388,7 @@
 std::shared_ptr<http_exchange> http_client::start(
     const endpoint& peer, const http_request& request, const exchange_options& options, exchange_handlers handlers)
 {
-    auto exchange = std::make_shared<pooled_exchange>(m_state->pool, peer, request, options, std::move(handlers));
-    exchange->begin();
-    return exchange;
+    return m_state->start(peer, request, options, std::move(handlers), false);
 }
 
 std::shared_ptr<http_exchange> http_client::fetch(const endpoint& peer, const http_request& request,
@@ -384,7 +403,7 @@
     handlers.onBody = [response](std::string_view bytes) { response->body += bytes; };
     handlers.onEnd = [response, done] { done(response.get(), {}); };
     handlers.onFailure = [done](const exchange_failure& failure) { done(nullptr, failure); };
-    return start(peer, request, options, std::move(handlers));
+    return m_state->start(peer, request, options, std::move(handlers), true);
 }
 
 void http_client::connect(
