Bounds of stream events and of responses without a caller in attempts

Cause: a stream event that never ends grew in the splitter until the process was killed, each read searched all of it again, and the response to a non-idempotent request was read for ever after its caller had left.

Change: event_splitter takes events of up to 256 KiB and searches only new bytes; an attempt above a limit is cut or broken (counter tamarack_answers_over_limit_total, reason in attempt_failed). 8 MiB are taken from a target for a caller that has left.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -1,11 +1,13 @@
 // Implements the flow of one request.
 #include "caller_flow.h"
 
+#include "attempt_limits.h"
+#include "prompt_parts.h"
+
 #include "base/contract.h"
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 #include <utility>
 
 namespace tamarack {
@@ -17,19 +19,12 @@
 
     using namespace std::chrono_literals;
 
-    /// Responses up to this size are buffered until complete, so that an interrupted one can be retried at another
-    /// target instead of reaching the caller in part.
-    constexpr std::size_t maxBufferedBytes = 64 * 1024;
     constexpr std::size_t pauseAboveBytes = 256 * 1024;
     constexpr std::size_t resumeBelowBytes = 64 * 1024;
-    /// Connecting takes one round trip plus a millisecond, and a target in another availability zone responds within 4
-    /// ms. If it takes longer, the target is gone or its accept queue is full.
-    constexpr duration connectTimeout = 150ms;
     constexpr int firstFailureStatus = 500;
     /// A peer that has not answered a call gets no others for this time, and one that takes no more calls for a moment.
     constexpr duration lostPeerPause = 1s;
     constexpr duration busyPeerPause = 200ms;
-    constexpr std::size_t maxLoggedParts = 12;
 
     constexpr std::array<std::string_view, static_cast<std::size_t>(attempt_result::count)> resultNames { "answered",
         "prefilled", "unreached", "not_passed_on", "rejected", "misdirected", "failure_answer", "broken", "cut" };
@@ -43,19 +38,6 @@
 
     std::int64_t millisecondsSince(instant begin) { return milliseconds(boot_clock::now() - begin); }
 
-    /// Ids of the parts that the prompt shares with others, in hexadecimal and separated by commas.
-    std::string partNames(const serving::prompt& text)
-    {
-        std::string out;
-        const auto parts = serving::sharedParts(text);
-        for (const auto& part : parts.first(std::min(parts.size(), maxLoggedParts))) {
-            char id[20];
-            std::snprintf(id, sizeof id, "%s%llx", out.empty() ? "" : ",", static_cast<unsigned long long>(part.id));
-            out += id;
-        }
-        return parts.size() > maxLoggedParts ? out + ",..." : out;
-    }
-
     template <class Names, class Value> std::string nameOf(const Names& names, Value value)
     {
         return std::string(names[static_cast<std::size_t>(value)]);
@@ -143,10 +125,6 @@
     m_attempt = attempt;
     ++m_attempts;
     m_isPaused = false;
-    exchange_options options;
-    options.connectTimeout = connectTimeout;
-    options.silenceTimeout = command.timeLeft + connectTimeout; // the dispatcher gives up a silent target earlier
-    options.maxIdleTime = command.longestIdle;
     exchange_handlers handlers;
     const auto weak = weak_from_this();
     handlers.accepts = [weak](const http_response_head& head) {
@@ -194,7 +172,8 @@
             { fleet.instance[command.target.value], command.detour->key, m_decoded.id, command.longestIdle });
         m_services.counters.count("tamarack_detours_total");
     }
-    attempt->exchange = m_services.client.start(parseEndpoint(address), request, options, std::move(handlers));
+    attempt->exchange
+        = m_services.client.start(parseEndpoint(address), request, attemptOptions(command), std::move(handlers));
 }
 
 std::string_view caller_flow::viaOf(const attempt_state& attempt)
@@ -283,10 +262,14 @@
         return;
     attempt->lastBytesAt = boot_clock::now();
     if (isEventStream(attempt)) {
-        attempt->splitter.feed(bytes, [&](const stream_event& event) { onEvent(attempt, event); });
+        if (!attempt->splitter.feed(bytes, [&](const stream_event& event) { onEvent(attempt, event); }))
+            return onTooLarge(attempt, "stream event", maxEventBytes);
         return applyBackPressure();
     }
     if (attempt->isRelayed) {
+        attempt->unreadBytes += m_caller->isOpen() ? 0 : bytes.size();
+        if (attempt->unreadBytes > maxUnreadBytes)
+            return onTooLarge(attempt, "response without a caller", maxUnreadBytes);
         m_caller->write(bytes);
         return applyBackPressure();
     }
@@ -296,7 +279,16 @@
     const bool mayRelay = attempt->command.stage != attempt_stage::prefill && !isFailure(attempt->answer);
     if (mayRelay)
         return relayBuffered(attempt);
-    conclude(attempt, attempt_result::broken);
+    onTooLarge(attempt, "response that is not passed on", maxBufferedBytes);
+}
+
+void caller_flow::onTooLarge(const attempt_ptr& attempt, const char* what, std::size_t maxBytes)
+{
+    if (attempt != m_attempt)
+        return;
+    attempt->failureReason = tooLargeReason(what, maxBytes);
+    m_services.counters.count("tamarack_answers_over_limit_total");
+    concludeBroken(attempt);
 }
 
 void caller_flow::requestBegan()
@@ -408,6 +400,8 @@
         return;
     attempt->failureReason = failure.reason;
     attempt->mayHaveReached = failure.mayHaveReachedPeer;
+    if (failure.isOverLimit)
+        m_services.counters.count("tamarack_answers_over_limit_total");
     if (attempt->command.detour) {
         // Once the head has come, it may be the target that has broken off.
         if (attempt->answer.status == 0)
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -73,6 +73,7 @@
         target_answer answer;
         std::string body; // buffered until it is known whether the response is relayed
         event_splitter splitter;
+        std::size_t unreadBytes = 0; // relayed after the caller had left
         bool isRelayed = false; // part of the response was sent to the caller
         instant startedAt;
         instant lastBytesAt; // startedAt until the first bytes of the answer
@@ -90,6 +91,8 @@
     /// The peer has answered for itself. `answer` is empty if it is not one that passes calls on.
     void onDetourFailure(const attempt_ptr& attempt, const std::optional<detour_answer>& answer);
     void onBody(const attempt_ptr& attempt, std::string_view bytes);
+    /// The target sends more of `what` than is taken.
+    void onTooLarge(const attempt_ptr& attempt, const char* what, std::size_t maxBytes);
     void onEnd(const attempt_ptr& attempt);
     void onFailure(const attempt_ptr& attempt, const exchange_failure& failure);
     void onEvent(const attempt_ptr& attempt, const stream_event& event);
--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -30,6 +30,8 @@
     std::string reason;
     /// The peer has closed or reset the established connection.
     bool isClosedByPeer = false;
+    /// The response exceeds a limit of the exchange.
+    bool isOverLimit = false;
 };
 
 struct exchange_options {
--- a/libs/http/src/event_stream.cpp
+++ b/libs/http/src/event_stream.cpp
@@ -3,6 +3,8 @@
 
 #include "http/http_message.h"
 
+#include <algorithm>
+
 namespace tamarack {
 
 namespace {
@@ -39,19 +41,25 @@
 
 }
 
-void event_splitter::feed(std::string_view bytes, const std::function<void(const stream_event&)>& onEvent)
+bool event_splitter::feed(std::string_view bytes, const std::function<void(const stream_event&)>& onEvent)
 {
     m_pending += bytes;
     std::size_t start = 0;
-    for (;;) {
-        const auto end = m_pending.find("\n\n", start);
+    bool isWithinLimit = true;
+    while (isWithinLimit) {
+        const auto end = m_pending.find("\n\n", std::max(start, m_searched));
         if (end == std::string::npos)
             break;
         const auto length = end + 2 - start;
-        onEvent(parseEvent(std::string_view(m_pending).substr(start, length)));
+        isWithinLimit = length <= m_maxEvent;
+        if (isWithinLimit)
+            onEvent(parseEvent(std::string_view(m_pending).substr(start, length)));
         start += length;
     }
     m_pending.erase(0, start);
+    // The last byte may be the first half of the end.
+    m_searched = m_pending.empty() ? 0 : m_pending.size() - 1;
+    return isWithinLimit && m_pending.size() <= m_maxEvent;
 }
 
 }
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -168,14 +168,15 @@
                 const auto used = m_parser->put(boost::asio::buffer(m_buffer), error);
                 m_buffer.erase(0, used);
                 if (error && error != beast_http::error::need_more)
-                    return fail("answer is not HTTP: " + error.message(), false);
+                    return fail("answer is not HTTP: " + error.message(), false, false,
+                        error == beast_http::error::header_limit);
                 m_meter.bodyReceived(m_parser->get().body().size());
                 deliver();
                 if (m_isSkipped)
                     m_meter.skipped(used);
                 // While a message is incomplete, the parser leaves no more than an incomplete line or head.
                 if (const auto excess = m_meter.excess(m_parser->is_done() ? 0 : m_buffer.size()); !excess.empty())
-                    return fail(excess, false);
+                    return fail(excess, false, false, true);
                 if (m_socket && m_parser->is_done() && !handleMessageEnd())
                     return;
                 if (used == 0)
@@ -264,12 +265,13 @@
                 reason == stream_end::reset);
         }
 
-        void fail(std::string reason, bool timedOut, bool isClosedByPeer = false)
+        void fail(std::string reason, bool timedOut, bool isClosedByPeer = false, bool isOverLimit = false)
         {
             const auto keepAlive = shared_from_this();
             const auto handlers = std::move(m_handlers);
             m_handlers = nullptr;
-            const exchange_failure failure { m_mayHaveReached, timedOut, std::move(reason), isClosedByPeer };
+            const exchange_failure failure { m_mayHaveReached, timedOut, std::move(reason), isClosedByPeer,
+                isOverLimit };
             release(false);
             if (handlers && handlers->onFailure)
                 handlers->onFailure(failure);
--- a/libs/http/tests/test_http.cpp
+++ b/libs/http/tests/test_http.cpp
@@ -23,7 +23,7 @@
                 ids.push_back(*event.id);
         };
         for (std::size_t at = 0; at < stream.size(); at += part)
-            splitter.feed(std::string_view(stream).substr(at, part), onEvent);
+            REQUIRE(splitter.feed(std::string_view(stream).substr(at, part), onEvent));
         CHECK(joined == stream);
         CHECK(ids == std::vector<std::uint64_t> { 0, 1 });
         CHECK(comments == 1);
@@ -31,6 +31,30 @@
     }
 }
 
+TEST_CASE("test_event_above_its_limit_ends_the_splitting")
+{
+    // Guards against a target whose event never ends making a node hold all that it sends.
+    for (const std::size_t part : { 1, 3, 1000 }) {
+        INFO(part);
+        event_splitter splitter(20);
+        int events = 0;
+        const auto feed = [&](std::string_view bytes) {
+            bool isGood = true;
+            for (std::size_t at = 0; at < bytes.size() && isGood; at += part)
+                isGood = splitter.feed(bytes.substr(at, part), [&](const stream_event&) { ++events; });
+            return isGood;
+        };
+        CHECK(feed("data: 12345678901a\n\ndata: 12345678901b\n\n"));
+        CHECK(events == 2);
+        CHECK_FALSE(feed("data: c\n\ndata: 1234567890abc\n\ndata: d\n\n"));
+        CHECK(events == 3);
+        CHECK(splitter.pendingBytes() <= 20 + part);
+        splitter.reset();
+        CHECK(feed("data: e\n\n"));
+        CHECK(events == 4);
+    }
+}
+
 TEST_CASE("test_request_is_sent_once_when_the_peer_closes_without_answer")
 {
     // Guards against a target executing a request twice that its caller sent once. This happens if the peer reads the
--- a/libs/node/src/relay.cpp
+++ b/libs/node/src/relay.cpp
@@ -252,7 +252,11 @@
         m_services.counters.count("tamarack_answers_too_large_total");
         return conclude(attempt, attempt_result::maybe_run);
     }
-    attempt->splitter.feed(bytes, [&](const stream_event& event) { onEvent(attempt, event); });
+    const bool isSplit = attempt->splitter.feed(bytes, [&](const stream_event& event) { onEvent(attempt, event); });
+    if (!isSplit && isCurrent(attempt)) {
+        m_services.counters.count("tamarack_answers_too_large_total");
+        return conclude(attempt, attempt_result::cut);
+    }
     applyBackPressure();
 }
 
