Construct a node's key and processor load before the messenger that reads them

Cause: peer_messenger calls self() in its constructor, which copied detourKey and asked the processor load before both were constructed. test_quarantine_known_to_one_node_reaches_a_peer_that_joins_later ended with std::bad_alloc from that copy in three whole runs of test_gateway and passed alone; what it did depended on the memory left by former tests.

Change: both members stand before the messenger.

Measured: test_gateway passes, 103 test cases. With event_splitter's limit and the limit of bytes without a caller taken out for a trial, test_stream_event_that_never_ends_ends_the_attempt and test_endless_answer_whose_caller_has_left_ends_the_attempt fail.

--- a/libs/gateway/src/duty_coordinator.cpp
+++ b/libs/gateway/src/duty_coordinator.cpp
@@ -41,6 +41,7 @@
         options.silenceTimeout = answerLimit;
         options.freshConnection = true;
         options.keepConnection = false;
+        options.limits.collectedBytes = maxShortBodyBytes;
         return options;
     }
 
--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -168,6 +168,7 @@
     const auto request = m_services.targets.releaseCache(cache.name, fleet.name[cache.source.value]);
     exchange_options options;
     options.silenceTimeout = releaseTimeout;
+    options.limits.collectedBytes = maxShortBodyBytes;
     m_calls.fetch(cache.source, request, options,
         [this, instance, now](const http_response* response, const exchange_failure& failure) {
             if (response)
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -134,12 +134,12 @@
     flow_services services;
     cache_monitor caches;
     role_coordinator roles;
+    const std::string detourKey; // of this process; self(), which peers calls when it is made, needs it
+    processor_load processor; // as detourKey
     peer_messenger peers;
     limit_sharing limits;
     http_server callers;
-    const std::string detourKey; // of this process
     detour_server detours;
-    processor_load processor;
     node_endpoints pages;
     flow_table flows;
     quarantine_sync quarantine;
@@ -241,6 +241,8 @@
     , roles({ client, ports.targets, ports.store, decisions, counters, log, notices, [this] { peers.sendHeartbeat(); },
                 [this] { view.checkStoreReach(); } },
           settings.vm, leaseSettings(settings))
+    , detourKey(randomKey())
+    , processor(settings.processorShare)
     , peers({ decisions, nodes, view, caches, roles, log, [this] { return self(); },
           [this](const auto& records) { quarantine.apply(records); },
           [this](const usage_report& report) { usage.apply(report); },
@@ -260,9 +262,7 @@
               return ports.callers.refusal(kind, detail, answerFor(kind).retryAfter);
           },
           [this](const discarded_input& input) { logDiscarded(input); })
-    , detourKey(randomKey())
     , detours({ client, ports.targets, decisions, notices, counters, log }, maxPassedCalls(settings), detourKey)
-    , processor(settings.processorShare)
     , pages({ ports.callers, nodes, counters, [this] { return self(); }, [this] { return encodedState(); },
           [this] { return encodeState(view.exportConfiguration()); },
           [this] { return encodeCaches(caches.snapshot(boot_clock::now())); },
--- a/libs/gateway/src/role_coordinator.cpp
+++ b/libs/gateway/src/role_coordinator.cpp
@@ -40,6 +40,7 @@
         options.silenceTimeout = callTimeout / 2;
         options.freshConnection = true;
         options.keepConnection = false;
+        options.limits.collectedBytes = maxShortBodyBytes;
         return options;
     }
 
