--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -149,6 +149,11 @@
     std::size_t waiting() const { return m_waiting.size(); }
 
 private:
+    /// Minimum remaining time for which an attempt is started. Below it no target can answer.
+    static constexpr duration minUsefulTime = std::chrono::milliseconds(20);
+
+    /// The gap after which callers abandon a stream of the route.
+    static duration abandonedGap(const route_rule& route);
     placement_query needOf(std::size_t row, instant now) const;
     /// Ends the prefill accounting of the current attempt. `wasRead` says whether the prompt was prefilled.
     void finishPrefill(std::size_t row, instant now, bool wasRead);
