Admission under overload: order by time left, refusal on arrival, return times by schedule

Cause: at 1.5 to 3 times the capacity each request waited for half of its aim and was then refused with a random delay that had nothing to do with the load. Urgent requests with a short aim gave up before the rare starts of a slow node, which then went to less urgent ones with a longer aim. Change: services whose targets report their load order waiting requests by priority, work under way, account debt, time left to the last useful start, and size. admission learns the rate of starts by service and priority, predicts starts, and schedules the returns of refused requests. The last request in the order is refused from a full queue. Mutations that take away a refusal change the function that refuses, since two functions call it now.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -4,6 +4,7 @@
 
 #include "quarantine/abandoned_attempts.h"
 #include "quarantine/request_quarantine.h"
+#include "serving/admission.h"
 #include "serving/peer_load.h"
 #include "serving/permit_holder.h"
 #include "serving/permit_issuer.h"
@@ -147,6 +148,11 @@
     double prefillWaitSeconds() const { return m_prefillWaitSeconds; }
     std::size_t held() const { return m_book.held(); }
     std::size_t waiting() const { return m_waiting.size(); }
+    /// The predicted wait of the least urgent requests of the service that arrive now.
+    duration predictedWait(const std::string& service, instant now) const
+    {
+        return m_admission.predictedWait(service, now);
+    }
 
 private:
     /// Minimum remaining time for which an attempt is started. Below it no target can answer.
@@ -178,7 +184,25 @@
     void endQuarantined(instant now, command_list& out);
     bool startDecode(std::size_t row, instant now, command_list& out);
     void start(std::size_t row, const target_choice& choice, instant now, command_list& out);
+    /// Starts or refuses a request that does not wait yet, or lets it wait behind the more urgent ones.
     void startOrWait(std::size_t row, instant now, command_list& out);
+    /// Lets the request wait, unless it has waited for too long.
+    void wait(std::size_t row, instant now, command_list& out);
+    /// Whether the present order, prediction and return times apply: a target of the service reports its load.
+    bool isAdmissionActive(const std::string& service) const;
+    /// Whether the request goes on with work that was done for it: a prefilled prompt or a begun answer.
+    bool isUnderWay(std::size_t row) const;
+    /// The request's place among those that wait.
+    queue_position positionOf(std::size_t row, instant now) const;
+    /// Refuses the request if it would be started too late, and says when to return. Returns whether it did.
+    bool refuseOnArrival(std::size_t row, instant now, command_list& out);
+    /// Makes room for the request in a full queue by refusing the least urgent request that waits, or the request
+    /// itself if it is less urgent. Returns whether the request may wait.
+    bool makeRoomInQueue(std::size_t row, instant now, command_list& out);
+    /// Refuses the request for lack of capacity, with its own return time.
+    void refuseOverloaded(std::size_t row, bool isOnArrival, instant now, command_list& out);
+    /// The time from which the request is of no use in the queue.
+    instant waitEnd(std::size_t row, instant now) const;
     /// Refuses the request if all targets that could answer it rest for longer than it may wait. Returns whether it
     /// did.
     bool refuseIfAllRest(std::size_t row, instant now, command_list& out);
@@ -211,7 +235,7 @@
     void countArrival(std::size_t row, instant now);
     void dispatch(instant now, command_list& out);
     /// What decides the request's place among those that wait; nothing if it does not wait.
-    std::optional<waiting_key> waitingKeyOf(request_id id) const;
+    std::optional<waiting_key> waitingKeyOf(request_id id, instant now) const;
     void handleAttemptResult(
         std::size_t row, attempt_result result, const std::string& cacheName, instant now, command_list& out);
     void succeeded(std::size_t row, instant now);
@@ -259,6 +283,7 @@
     instant m_startedAt;
     std::map<std::string, retry_limiter> m_retryLimiters; // by service
     waiting_queue m_waiting;
+    admission m_admission;
     double m_prefillWaitSeconds = 0;
     std::uint64_t m_nextAttempt = 1;
     int m_knownNodes = 0;
--- a/libs/serving/include/serving/serving_request.h
+++ b/libs/serving/include/serving/serving_request.h
@@ -103,6 +103,8 @@
     error_kind kind = error_kind::overloaded;
     duration retryAfter = duration::zero();
     bool isForLimits = false; ///< all targets that could answer it name limits, and this node had no permit
+    bool isOnArrival = false; ///< it was refused on arrival, because it would have been started too late
+    std::optional<duration> predictedWait; ///< until it would have been started; nothing if no rate is known
 };
 
 /// Answer the request with the failure answer of its last attempt's target; this ends it.
--- a/libs/serving/include/serving/waiting_queue.h
+++ b/libs/serving/include/serving/waiting_queue.h
@@ -1,8 +1,10 @@
 // Holds the requests that wait for a target, and says which of them is next.
 #pragma once
 
+#include "base/clock.h"
 #include "base/ids.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -11,9 +13,14 @@
 namespace tamarack::serving {
 
 /// What decides the place of a waiting request. The members are compared in their order; of two equal requests the one
-/// that was added first is first.
+/// that was added first is first. Keys change with time, so they are computed whenever the order is needed.
 struct waiting_key {
     int priority = 0; ///< 0 is the highest
+    bool isNew = true; ///< false: its prompt has been prefilled, or a part of its answer has gone to the caller
+    double accountDebt = 0; ///< service that its account had beyond its share; 0 without accounts; never NaN
+    bool isLate = false; ///< it cannot meet its aim any more
+    duration timeLeft = duration::zero(); ///< to the last start that meets its aim; negative afterwards
+    std::int64_t tokens = 0; ///< size; 0 if it carries no prompt
 
     auto operator<=>(const waiting_key&) const = default;
 };
--- a/libs/serving/src/dispatch_admission.cpp
+++ b/libs/serving/src/dispatch_admission.cpp
@@ -19,6 +19,9 @@
     constexpr int abandonedGapInGapAims = 8;
     constexpr duration minRetryDelay = 200ms;
     constexpr duration retryDelaySpread = 300ms;
+    /// The number of requests of a service that wait at a node. The users' nodes have 3,075 descriptors and more, and
+    /// each waiting request takes one.
+    constexpr std::size_t maxWaiting = 512;
     /// The number of targets whose permits a request asks for while it waits, and for those that follow it.
     constexpr std::size_t maxAwaitedTargets = 2;
     constexpr std::size_t maxExpectedTargets = 32;
@@ -33,13 +36,113 @@
 void dispatcher::startOrWait(std::size_t row, instant now, command_list& out)
 {
     wantPermits(row, permit_use::expected, now);
-    if (endIfBuildIsGone(row, out) || tryStart(row, now, out) || refuseIfAllRest(row, now, out)
-        || refuseIfCutOff(row, now, out) || refuseIfAllLimited(row, now, out))
+    // A newcomer does not take the capacity that has appeared since the last dispatch from those that come before it.
+    const bool mustQueue = isAdmissionActive(m_book.request[row].service) && !isUnderWay(row)
+        && m_book.progress[row].trialFrom == instant() && now < waitEnd(row, now) && positionOf(row, now).ahead > 0;
+    if (endIfBuildIsGone(row, out) || (mustQueue ? refuseIfQuarantined(row, now, out) : tryStart(row, now, out))
+        || refuseIfAllRest(row, now, out) || refuseIfCutOff(row, now, out) || refuseIfAllLimited(row, now, out)
+        || refuseOnArrival(row, now, out) || !makeRoomInQueue(row, now, out))
         return;
-    if (isHoldTimeOver(row, now))
-        return refuse(row, error_kind::overloaded, std::max(retryDelay(row, now), permitDelay(row, now)), out);
+    wait(row, now, out);
+}
+
+void dispatcher::wait(std::size_t row, instant now, command_list& out)
+{
+    if (now >= waitEnd(row, now))
+        return refuseOverloaded(row, false, now, out);
     wantPermits(row, permit_use::waiting, now);
     m_waiting.add(m_book.idOf(row));
+    const auto& request = m_book.request[row];
+    // Requests that wait for something other than capacity show nothing of the rate at which capacity becomes free.
+    if (isAdmissionActive(request.service) && !isUnderWay(row) && m_book.progress[row].trialFrom == instant())
+        m_admission.waits(request.service, request.priority, now);
+}
+
+bool dispatcher::isAdmissionActive(const std::string& service) const
+{
+    const auto& rows = m_fleet.rowsOf(service);
+    return std::any_of(rows.begin(), rows.end(),
+        [this](std::uint32_t target) { return m_fleet.reportedLoad[target].at != instant(); });
+}
+
+bool dispatcher::isUnderWay(std::size_t row) const
+{
+    const auto& progress = m_book.progress[row];
+    return progress.hasStarted || !progress.cache.name.empty() || m_book.request[row].takesUpStream;
+}
+
+queue_position dispatcher::positionOf(std::size_t row, instant now) const
+{
+    queue_position out;
+    const auto own = m_book.idOf(row);
+    const auto key = waitingKeyOf(own, now);
+    const auto& service = m_book.request[row].service;
+    for (const auto id : m_waiting.ids()) {
+        const auto other = waitingKeyOf(id, now);
+        if (!other || id == own || *key < *other)
+            continue;
+        if (m_book.request[static_cast<std::size_t>(m_book.row(id))].service != service)
+            continue;
+        ++out.ahead;
+        out.aheadOfPriority += other->priority == key->priority;
+    }
+    return out;
+}
+
+// The next request in the order is never refused on arrival: nothing takes the capacity that it waits for.
+bool dispatcher::refuseOnArrival(std::size_t row, instant now, command_list& out)
+{
+    const auto& request = m_book.request[row];
+    if (!isAdmissionActive(request.service) || isUnderWay(row) || hasRunOrMayRun(row))
+        return false;
+    const auto position = positionOf(row, now);
+    const auto wait = m_admission.predictedWait(request.service, request.priority, position, now);
+    if (!wait || position.ahead == 0 || now + *wait < holdEnd(row))
+        return false;
+    refuseOverloaded(row, true, now, out);
+    return true;
+}
+
+bool dispatcher::makeRoomInQueue(std::size_t row, instant now, command_list& out)
+{
+    const auto& service = m_book.request[row].service;
+    if (m_waiting.size() < maxWaiting || !isAdmissionActive(service) || isUnderWay(row))
+        return true;
+    std::size_t waiting = 0;
+    auto last = row;
+    auto lastKey = waitingKeyOf(m_book.idOf(row), now);
+    for (const auto id : m_waiting.ids()) {
+        const auto key = waitingKeyOf(id, now);
+        const auto other = static_cast<std::size_t>(m_book.row(id));
+        if (!key || m_book.request[other].service != service)
+            continue;
+        ++waiting;
+        if (isUnderWay(other) || hasRunOrMayRun(other) || !(*lastKey < *key))
+            continue;
+        last = other;
+        lastKey = key;
+    }
+    if (waiting < maxWaiting)
+        return true;
+    refuseOverloaded(last, last == row, now, out);
+    return last != row;
+}
+
+void dispatcher::refuseOverloaded(std::size_t row, bool isOnArrival, instant now, command_list& out)
+{
+    const auto& request = m_book.request[row];
+    std::optional<duration> wait;
+    duration delay = retryDelay(row, now);
+    if (isAdmissionActive(request.service)) {
+        const auto position = positionOf(row, now);
+        wait = m_admission.predictedWait(request.service, request.priority, position, now);
+        const auto remaining = m_book.times[row].answerDeadline - now;
+        delay = m_admission.returnDelay(request.service, request.priority, position, remaining, now).value_or(delay);
+    }
+    refuse(row, error_kind::overloaded, std::max(delay, permitDelay(row, now)), out);
+    auto& refusal = std::get<refuse_request>(out.back());
+    refusal.isOnArrival = isOnArrival;
+    refusal.predictedWait = wait;
 }
 
 bool dispatcher::endIfBuildIsGone(std::size_t row, command_list& out)
@@ -149,6 +252,18 @@
     return times.arrivedAt + fromSeconds(holdShareOfAim * seconds(aim));
 }
 
+// The next request in the order waits for as long as it can still meet its aim if its place would go to a less urgent
+// one. Requests behind it do not, or all would be started so late that they miss their aim.
+instant dispatcher::waitEnd(std::size_t row, instant now) const
+{
+    const auto& request = m_book.request[row];
+    const auto end = holdEnd(row);
+    if (now < end || isUnderWay(row) || !isAdmissionActive(request.service)
+        || !m_admission.lessUrgentWaits(request.service, request.priority) || positionOf(row, now).ahead > 0)
+        return end;
+    return std::max(end, m_book.times[row].aimAt - minUsefulTime);
+}
+
 // Random retry delay after which a slot is expected to be free. The random part prevents requests that were refused at
 // the same time from returning at the same time.
 duration dispatcher::retryDelay(std::size_t, instant)
@@ -156,22 +271,42 @@
     return minRetryDelay + fromSeconds(seconds(retryDelaySpread) * m_random.unit());
 }
 
+// Each request takes the capacity that those before it leave, so the order decides who is started.
 void dispatcher::dispatch(instant now, command_list& out)
 {
-    const auto waiting = m_waiting.takeAll([this](request_id id) { return waitingKeyOf(id); });
+    m_admission.beginRound(now);
+    const auto waiting = m_waiting.takeAll([&](request_id id) { return waitingKeyOf(id, now); });
     for (const auto id : waiting) {
-        const auto row = m_book.row(id);
-        if (row >= 0 && m_book.phase[static_cast<std::size_t>(row)] == request_phase::waiting)
-            startOrWait(static_cast<std::size_t>(row), now, out);
+        const auto held = m_book.row(id);
+        if (held < 0 || m_book.phase[static_cast<std::size_t>(held)] != request_phase::waiting)
+            continue;
+        const auto row = static_cast<std::size_t>(held);
+        wantPermits(row, permit_use::expected, now);
+        if (!endIfBuildIsGone(row, out) && !tryStart(row, now, out) && !refuseIfAllRest(row, now, out)
+            && !refuseIfCutOff(row, now, out) && !refuseIfAllLimited(row, now, out))
+            wait(row, now, out);
     }
+    m_admission.endRound();
 }
 
-std::optional<waiting_key> dispatcher::waitingKeyOf(request_id id) const
+std::optional<waiting_key> dispatcher::waitingKeyOf(request_id id, instant now) const
 {
-    const auto row = m_book.row(id);
-    if (row < 0 || m_book.phase[static_cast<std::size_t>(row)] != request_phase::waiting)
+    const auto held = m_book.row(id);
+    if (held < 0 || m_book.phase[static_cast<std::size_t>(held)] != request_phase::waiting)
         return std::nullopt;
-    return waiting_key { m_book.request[static_cast<std::size_t>(row)].priority };
+    const auto row = static_cast<std::size_t>(held);
+    const auto& request = m_book.request[row];
+    waiting_key out;
+    out.priority = request.priority;
+    if (!isAdmissionActive(request.service))
+        return out;
+    out.isNew = !isUnderWay(row);
+    // Compared with the aim itself, a request with a short aim would precede one with an aim twice as long for ever.
+    out.timeLeft = holdEnd(row) - now;
+    out.isLate = m_book.times[row].aimAt - now < minUsefulTime;
+    if (request.text)
+        out.tokens = request.text->inputTokens + request.text->outputTokens;
+    return out;
 }
 
 }
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -116,7 +116,7 @@
         out.push_back(stop_attempt { id, attempt, stop_reason::refused });
     const bool isForLimits = m_book.progress[row].isLimited;
     remove(row, out);
-    out.push_back(refuse_request { id, kind, retryAfter, isForLimits });
+    out.push_back(refuse_request { id, kind, retryAfter, isForLimits, false, std::nullopt });
 }
 
 void dispatcher::endWithFailure(std::size_t row, error_kind kind, instant now, command_list& out)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -93,6 +93,7 @@
 SERVING = "libs/serving/"
 PARTS = "test_harmful_part*,test_harmless_parts*,test_part_*,test_trial_of*,test_request_with_a_quarantined*"
 BUILDS = "*build*,*stream*,*origin*,*notes*,*node_that*,*peers_know*"
+ADMISSION = "test_admission*"
 ENTRIES = "*entr*,test_large_nodes*,test_callers_*,test_busy_zone*,test_wrong_report*"
 LIMITS = "*limit*,*permit*,test_old_answer*,test_rate_grows*"
 # Mutations of the decisions for the users' platform, each with the test cases to run.
@@ -122,13 +123,13 @@
     ("late-failure-loses-a-path", SERVING + "src/target_paths.cpp",
      "    if (startedAt < path.reachedAt)\n        return false;\n", "", "*path*,test_call_that*"),
     ("held-although-nobody-reaches-the-service", SERVING + "src/dispatch_admission.cpp",
-     "refuseIfCutOff(row, now, out) || ", "", "*path*,*nobody*"),
+     "    if (m_book.progress[row].hasStarted || !m_paths", "    if (now >= instant() || !m_paths", "*path*,*nobody*"),
     ("cut-stream-goes-on-at-any-build", SERVING + "src/placement.cpp",
      "(!query.build.isValid() || fleet.buildId[row] == query.build)", "true", BUILDS),
     ("first-attempt-binds-the-build", SERVING + "src/dispatcher.cpp",
      "    current.stage = choice.stage;\n", "    current.stage = choice.stage;\n    progress.build = current.build;\n", BUILDS),
     ("held-although-the-build-is-gone", SERVING + "src/dispatch_admission.cpp",
-     "    if (endIfBuildIsGone(row, out) || ", "    if (", BUILDS),
+     "    if (!build.isValid() || m_fleet", "    if (row + 1 > 0 || m_fleet", BUILDS),
     ("taken-up-like-a-new-request", SERVING + "src/dispatcher.cpp",
      "    if (m_book.request[row].takesUpStream) {\n", "    if (false) {\n", BUILDS),
     ("origin-not-told", SERVING + "src/stream_origins.cpp",
@@ -203,9 +204,21 @@
     ("callers-know-only-their-zone", SERVING + "src/entry_choice.cpp",
      "std::max(byZone.size(), static_cast<std::size_t>(wanted))", "static_cast<std::size_t>(wanted)", ENTRIES),
     ("held-beyond-the-rate-of-all", SERVING + "src/dispatch_admission.cpp",
-     " || refuseIfAllLimited(row, now, out))", ")", LIMITS),
+     "    if (delay == duration::zero())\n", "    if (delay >= duration::zero())\n", LIMITS),
     ("prefilled-without-a-permit-to-answer", SERVING + "src/placement.cpp",
      " || (isAnyLimited && !isAnyOpen))", ")", LIMITS),
+    ("suspension-counts-as-waiting", SERVING + "src/admission.cpp",
+     "std::clamp<duration>(now - m_lastAt, duration::zero(), maxStep)", "(now - m_lastAt)", ADMISSION),
+    ("returns-not-expected", SERVING + "src/admission.cpp",
+     "const auto expected = item.returns.size();", "const std::size_t expected = 0;", ADMISSION),
+    ("urgent-requests-give-up-before-rare-starts", SERVING + "src/dispatch_admission.cpp",
+     "    return std::max(end, m_book.times[row].aimAt - minUsefulTime);", "    return end;", ADMISSION),
+    ("newcomer-refused-from-a-full-queue", SERVING + "src/dispatch_admission.cpp",
+     "        last = other;\n", "", ADMISSION),
+    ("short-aims-first-for-ever", SERVING + "src/dispatch_admission.cpp",
+     "out.timeLeft = holdEnd(row) - now;", "out.timeLeft = m_book.times[row].aimAt - now;", ADMISSION),
+    ("never-refused-on-arrival", SERVING + "src/dispatch_admission.cpp",
+     "        || refuseOnArrival(row, now, out) ||", "        ||", ADMISSION),
 ]
 
 
