--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -490,8 +490,9 @@
     m_attempt = nullptr;
 }
 
-void caller_flow::refuse(error_kind kind, duration retryAfter, bool isForLimits)
+void caller_flow::refuse(const serving::refuse_request& command)
 {
+    const auto kind = command.kind;
     const auto self = shared_from_this();
     if (m_isFinished)
         return;
@@ -502,12 +503,16 @@
     }
     m_services.log.write(log_event::request_refused,
         { { "request", m_decoded.id }, { "route", m_routeName }, { "kind", answerFor(kind).type },
-            { "retry_after_ms", milliseconds(retryAfter) }, { "held_ms", millisecondsSince(m_startedAt) },
-            { "waiting", m_services.decisions.waiting() }, { "for_limits", isForLimits } });
+            { "retry_after_ms", milliseconds(command.retryAfter) }, { "held_ms", millisecondsSince(m_startedAt) },
+            { "waiting", m_services.decisions.waiting() }, { "for_limits", command.isForLimits },
+            { "on_arrival", command.isOnArrival },
+            { "predicted_wait_ms", command.predictedWait ? milliseconds(*command.predictedWait) : -1 } });
     m_services.counters.count("tamarack_refused_total", { { "kind", std::string(answerFor(kind).type) } });
-    if (isForLimits)
+    if (command.isOnArrival)
+        m_services.counters.count("tamarack_refused_on_arrival_total");
+    if (command.isForLimits)
         m_services.counters.count("tamarack_refused_for_limits_total");
-    m_caller->sendWhole(m_services.callers.refusal(kind, answerFor(kind).title, retryAfter));
+    m_caller->sendWhole(m_services.callers.refusal(kind, answerFor(kind).title, command.retryAfter));
     finish(flow_end::refused);
 }
 
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -56,7 +56,7 @@
     void bind(request_id id, callbacks handlers);
     void start(const serving::start_attempt& command);
     void stop(attempt_id attempt, serving::stop_reason reason);
-    void refuse(error_kind kind, duration retryAfter, bool isForLimits);
+    void refuse(const serving::refuse_request& command);
     void forwardFailure();
     void logOrigin(const serving::origin_finding& finding);
     /// Ends the flow after the caller has disconnected and its attempt was cancelled.
--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -133,7 +133,7 @@
             flow->stop(stop->attempt, stop->reason);
     } else if (const auto* refusal = std::get_if<serving::refuse_request>(&command)) {
         if (const auto flow = find(refusal->request))
-            flow->refuse(refusal->kind, refusal->retryAfter, refusal->isForLimits);
+            flow->refuse(*refusal);
     } else if (const auto* passed = std::get_if<serving::forward_failure>(&command)) {
         if (const auto flow = find(passed->request))
             flow->forwardFailure();
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -552,6 +552,8 @@
         counters.set("tamarack_targets_unreached", static_cast<double>(decisions.paths().countLost(service)),
             { { "service", service } });
         counters.set("tamarack_targets_limited", limited[service], { { "service", service } });
+        counters.set("tamarack_predicted_wait_seconds", seconds(decisions.predictedWait(service, now)),
+            { { "service", service } });
     }
     counters.set("tamarack_nodes_known", nodes.knownCount());
     counters.set("tamarack_nodes_alive", static_cast<double>(nodes.alive(now).size()) + 1);
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -74,7 +74,7 @@
         { log_event::order_answered, "order_answered", info, belief, "target order status" },
         { log_event::order_unanswered, "order_unanswered", warning, belief, "target order may_have_reached reason" },
         { log_event::request_refused, "request_refused", info, failed,
-            "request route kind retry_after_ms held_ms waiting for_limits version" },
+            "request route kind retry_after_ms held_ms waiting for_limits on_arrival predicted_wait_ms version" },
         { log_event::request_failed, "request_failed", warning, failed,
             "request route outcome detail first_ms took_ms events attempts longest_pause_ms" },
         { log_event::request_without_route, "request_without_route", info, failed, "request host path version age_ms" },
