Discard sent bytes of a connection whose queue never empties

Cause: stream_socket kept what it had sent until its queue was empty, so a caller that always had some of its answer still to read made it hold the whole answer, without being paused.

Change: once more than half of the bytes held were sent, they are discarded when the kernel accepts no more.

Measured: with 512 KiB always queued, 7,369,024 bytes were held after 6.5 MB, now at most 1.5 MB; test_http passes, 43 test cases.

--- a/libs/http/src/stream_socket.cpp
+++ b/libs/http/src/stream_socket.cpp
@@ -177,8 +177,10 @@
 {
     while (bytesQueued() > 0) {
         const auto count = ::send(m_descriptor, m_outgoing.data() + m_sent, bytesQueued(), MSG_NOSIGNAL);
-        if (count < 0 && (errno == EAGAIN || errno == EINTR))
+        if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+            discardSent();
             return m_writeNotifier->setEnabled(true);
+        }
         if (count <= 0)
             return end(errno == EPIPE || errno == ECONNRESET ? stream_end::reset : stream_end::failed);
         m_sent += static_cast<std::size_t>(count);
@@ -191,6 +193,15 @@
     m_listener->onWritten();
 }
 
+// A peer that never quite catches up would otherwise make the queue grow with all that was sent to it.
+void stream_socket::discardSent()
+{
+    if (m_sent <= m_outgoing.size() / 2)
+        return; // moving the rest costs no more than what was sent
+    m_outgoing.erase(0, m_sent);
+    m_sent = 0;
+}
+
 bool stream_socket::hasUndelivered() const
 {
     int unacknowledged = 0;
--- a/libs/http/src/stream_socket.h
+++ b/libs/http/src/stream_socket.h
@@ -58,6 +58,8 @@
     /// Passes to the kernel what it accepts now, and queues the rest.
     void write(std::string_view bytes);
     std::size_t bytesQueued() const { return m_outgoing.size() - m_sent; }
+    /// Bytes that are held for sending: those queued, and some that were sent already.
+    std::size_t bytesHeld() const { return m_outgoing.size(); }
     /// Whether bytes that were written are queued here or in the kernel, or were not acknowledged by the peer yet.
     bool hasUndelivered() const;
     /// Pauses or resumes the calls of onReadable(). While they are paused, the peer's sends stall and an end of the
@@ -74,6 +76,7 @@
     void createNotifiers();
     void onWritable();
     void flush();
+    void discardSent();
     void end(stream_end reason);
     void closeDescriptor();
 
