Mutation of requests held beyond the rate of all runs the test that guards against it

Cause: the pattern of its test cases does not match test_request_beyond_the_rate_of_all_targets_is_refused_at_once_with_a_true_time, and no other serving test notices it. Change: the pattern names that test.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -204,7 +204,7 @@
     ("callers-know-only-their-zone", SERVING + "src/entry_choice.cpp",
      "std::max(byZone.size(), static_cast<std::size_t>(wanted))", "static_cast<std::size_t>(wanted)", ENTRIES),
     ("held-beyond-the-rate-of-all", SERVING + "src/dispatch_admission.cpp",
-     "    if (delay == duration::zero())\n", "    if (delay >= duration::zero())\n", LIMITS),
+     "    if (delay == duration::zero())\n", "    if (delay >= duration::zero())\n", LIMITS + ",test_request_beyond*"),
     ("prefilled-without-a-permit-to-answer", SERVING + "src/placement.cpp",
      " || (isAnyLimited && !isAnyOpen))", ")", LIMITS),
     ("suspension-counts-as-waiting", SERVING + "src/admission.cpp",
