--- a/libs/gateway/src/processor_load.cpp
+++ b/libs/gateway/src/processor_load.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    /// The clock of the processor time ticks in quotas of some ten milliseconds.
+    /// Over a shorter time the sample depends on whether a single request fell into it.
     constexpr duration sampleInterval = std::chrono::milliseconds(500);
     /// About the last four samples count.
     constexpr double smoothing = 0.4;
--- a/libs/serving/src/entry_choice.cpp
+++ b/libs/serving/src/entry_choice.cpp
@@ -11,9 +11,8 @@
 
 namespace {
 
-    /// What one request takes of a VM. A request takes about 2 ms of processor time, control included; 2,500 bytes of
-    /// request and answer in the mean pass the link twice, with headers and the messages between nodes; and a
-    /// connection stays open for some seconds.
+    /// Assumed average use of a VM by one request, with the messages between nodes. The values are the same for all
+    /// nodes, so they decide only which resource of a VM runs out first.
     constexpr double processorSecondsPerRequest = 0.002;
     constexpr double megabitsPerRequest = 0.08;
     constexpr double descriptorSecondsPerRequest = 10;
--- a/libs/serving/tests/test_admission.cpp
+++ b/libs/serving/tests/test_admission.cpp
@@ -505,6 +505,39 @@
     }
 }
 
+TEST_CASE("test_many_refused_together_return_over_the_useful_time")
+{
+    // Guards against many requests that are refused together and return in a small part of the time left to them.
+    constexpr duration remaining = 4s;
+    constexpr duration useful = remaining / 3;
+    for (const int refusedTogether : { 40, 200 }) {
+        INFO(refusedTogether);
+        admission predictions;
+        learn(predictions, 0, 50ms, at(0s), 3s);
+        std::vector<duration> delays;
+        for (int i = 0; i < refusedTogether; ++i)
+            delays.push_back(predictions.returnDelay("s", 0, { 2, 2 }, remaining, at(3s)).value());
+        for (const auto from : delays) {
+            const auto close = std::count_if(delays.begin(), delays.end(),
+                [&](duration delay) { return delay >= from && delay < from + useful / 10; });
+            CHECK(close <= refusedTogether / 2);
+        }
+    }
+}
+
+TEST_CASE("test_largest_tenth_of_a_less_urgent_kind_is_served_like_its_kind")
+{
+    // Guards against large requests of a less urgent kind that are served less often than the kind as a whole.
+    for (const double overload : { 1.5, 2.0, 3.0 }) {
+        INFO(overload);
+        overload_profile profile;
+        profile.overload = overload;
+        const auto now = play("prompts", profile);
+        const auto& kind = now.at(longPrompt);
+        CHECK(kind.servedLarge >= 0.8 * kind.servedShare() * kind.askedLarge);
+    }
+}
+
 TEST_CASE("test_admission_serves_more_prompts_in_time_under_overload")
 {
     // Guards against requests that are held for half of their aim and then refused with a delay that has nothing to do
