Return times of refused requests keep their spread for any number; admission tests compare sums

Cause: predicted waits were compressed by x / (1 + x) into a third of the caller's remaining time, so up to 105 of 200 requests that were refused together returned within a tenth of it. A logarithm adds about the same part for twice the wait. The test of the largest tenth compared 2 with 4.8 requests of one play. The test now sums 40 plays with the same bound of 0.8. Likewise the comparison of requests in time, which differed by 2% between plays of the same decisions, sums ten.

--- a/libs/serving/src/admission.cpp
+++ b/libs/serving/src/admission.cpp
@@ -2,6 +2,7 @@
 #include "serving/admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace tamarack::serving {
 
@@ -18,9 +19,15 @@
     constexpr int minStarts = 3;
     /// Callers heed a delay of up to this share of their remaining time.
     constexpr int usefulDelayDivisor = 3;
-    /// Delays up to this share of the longest useful one are told as predicted. Longer ones are compressed into the
-    /// rest, which keeps their order and their spread.
-    constexpr double uncompressedShare = 0.25;
+    /// Waits of up to this share of the longest useful delay are told as predicted. Longer ones are compressed into the
+    /// rest.
+    constexpr double plainShare = 0.25;
+    /// Waits of up to this multiple of the longest useful delay keep their order and their spread: 27 s for callers
+    /// with 4 s left, after which 530 requests are started at a slow node's 20 a second.
+    constexpr double longestWaitInLimits = 20;
+    /// Solves b * ln(1 + 19.75 / b) = 0.75, so that the compressed part begins with the slope of the plain one and ends
+    /// at the longest useful delay.
+    constexpr double bendShare = 0.1543;
     /// An earlier return finds the same targets full.
     constexpr duration minReturnDelay = 50ms;
     /// Between two requests of a priority that return in order.
@@ -28,15 +35,16 @@
     /// At 300 refusals a second and the longest useful delay of the users' callers (2.7 s), 800 requests are to return.
     constexpr std::size_t maxReturns = 4096;
 
-    /// Maps [0, infinity) to [0, limit), increasing strictly.
-    double compressed(double delay, double limit)
+    /// Maps a predicted wait to a delay of at most `limit`, strictly increasing up to the longest wait. A logarithm
+    /// keeps the spread whatever the number of requests: twice the wait adds about a tenth of the limit, so fewer than
+    /// half of those that are refused together return within any tenth of it.
+    double compressed(double wait, double limit)
     {
-        const double plain = uncompressedShare * limit;
-        const double rest = limit - plain;
-        if (delay <= plain || rest <= 0)
-            return std::min(delay, plain);
-        const double excess = (delay - plain) / rest;
-        return plain + rest * excess / (1 + excess);
+        const double plain = plainShare * limit;
+        if (wait <= plain || limit <= 0)
+            return std::clamp(wait, 0.0, std::max(0.0, plain));
+        const double bend = bendShare * limit;
+        return plain + bend * std::log1p((std::min(wait, longestWaitInLimits * limit) - plain) / bend);
     }
 
 }
--- a/libs/serving/tests/test_admission.cpp
+++ b/libs/serving/tests/test_admission.cpp
@@ -42,6 +42,7 @@
     duration targetsEndFor = 0s;
     instant suspendedAt = instant::max(); ///< the first node, with all that has arrived for it meanwhile
     duration suspendedFor = 0s;
+    std::uint64_t seed = 5; ///< of the demand
 };
 
 struct kind_result {
@@ -67,7 +68,7 @@
 public:
     explicit overload_world(overload_profile profile)
         : m_profile(std::move(profile))
-        , m_random(5)
+        , m_random(m_profile.seed)
     {
         m_targets.resize(isPlain() ? 2 : 3);
         for (std::size_t node = 0; node < nodeCount; ++node) {
@@ -385,6 +386,29 @@
     return out;
 }
 
+/// The sums over plays with different demands. Single plays of the same decisions differ by 2% of those in time.
+std::map<std::size_t, kind_result> playSeeds(const char* name, overload_profile profile)
+{
+    std::map<std::size_t, kind_result> out;
+    for (profile.seed = 5; profile.seed < 15; ++profile.seed) {
+        for (const auto& [route, kind] : play(name, profile)) {
+            auto& sum = out[route];
+            sum.asked += kind.asked;
+            sum.inTime += kind.inTime;
+            sum.late += kind.late;
+            sum.refusals += kind.refusals;
+            sum.refusedOnArrival += kind.refusedOnArrival;
+            sum.heldSeconds += kind.heldSeconds;
+            sum.askedLarge += kind.askedLarge;
+            sum.servedLarge += kind.servedLarge;
+        }
+    }
+    for (const auto& [route, kind] : out)
+        std::printf("%s %.1f %s route %zu, all plays: asked %d, in time %d, served %.4f\n", name, profile.overload,
+            profile.reportsLoad ? "now" : "before", route, kind.asked, kind.inTime, kind.servedShare());
+    return out;
+}
+
 waiting_key keyOf(int priority, duration timeLeft, std::int64_t tokens)
 {
     waiting_key out;
@@ -527,14 +551,24 @@
 
 TEST_CASE("test_largest_tenth_of_a_less_urgent_kind_is_served_like_its_kind")
 {
-    // Guards against large requests of a less urgent kind that are served less often than the kind as a whole.
+    // Guards against large requests of a less urgent kind that are served less often than the kind as a whole. One play
+    // serves 2 to 10 of them, which tells nothing; 40 plays serve enough to tell 0.8 from 1 by three standard errors.
     for (const double overload : { 1.5, 2.0, 3.0 }) {
         INFO(overload);
         overload_profile profile;
         profile.overload = overload;
-        const auto now = play("prompts", profile);
-        const auto& kind = now.at(longPrompt);
-        CHECK(kind.servedLarge >= 0.8 * kind.servedShare() * kind.askedLarge);
+        int large = 0;
+        double wanted = 0;
+        for (std::uint64_t seed = 5; seed < 45; ++seed) {
+            profile.seed = seed;
+            const auto now = play("prompts", profile);
+            const auto& kind = now.at(longPrompt);
+            large += kind.servedLarge;
+            wanted += kind.servedShare() * kind.askedLarge;
+        }
+        std::printf("largest tenth of the less urgent kind at %.1f: %d served, %.1f as often as the kind\n", overload,
+            large, wanted);
+        CHECK(large >= 0.8 * wanted);
     }
 }
 
@@ -546,9 +580,9 @@
         INFO(overload);
         overload_profile profile;
         profile.overload = overload;
-        auto now = play("prompts", profile);
+        auto now = playSeeds("prompts", profile);
         profile.reportsLoad = false;
-        auto before = play("prompts", profile);
+        auto before = playSeeds("prompts", profile);
         const auto inTime = [](auto& results) { return results[longPrompt].inTime + results[shortPrompt].inTime; };
         const auto served = [](auto& results) { return results[longPrompt].served() + results[shortPrompt].served(); };
         const int asked = now[longPrompt].asked + now[shortPrompt].asked;
