--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -19,8 +19,6 @@
 
     using namespace std::chrono_literals;
 
-    constexpr std::size_t pauseAboveBytes = 256 * 1024;
-    constexpr std::size_t resumeBelowBytes = 64 * 1024;
     constexpr int firstFailureStatus = 500;
     /// A peer that has not answered a call gets no others for this time, and one that takes no more calls for a moment.
     constexpr duration lostPeerPause = 1s;
@@ -354,8 +352,8 @@
 {
     if (!m_attempt || !m_attempt->exchange || m_isFinished)
         return;
-    const auto queued = m_caller->bytesQueued();
-    const bool pause = m_isPaused ? queued > resumeBelowBytes : queued > pauseAboveBytes;
+    const auto limit = m_caller->queueLimit();
+    const bool pause = m_caller->bytesQueued() > (m_isPaused ? limit / 4 : limit);
     if (pause == m_isPaused)
         return;
     m_isPaused = pause;
--- a/libs/gateway/src/detour_server.cpp
+++ b/libs/gateway/src/detour_server.cpp
@@ -12,8 +12,6 @@
     constexpr duration connectTimeout = 150ms;
     /// The peer gives a silent target up earlier, by closing its connection.
     constexpr duration silenceTimeout = 10min;
-    constexpr std::size_t pauseAboveBytes = 256 * 1024;
-    constexpr std::size_t resumeBelowBytes = 64 * 1024;
 
     std::int64_t millisecondsSince(instant begin)
     {
@@ -168,7 +166,7 @@
     };
     call->writer->onDrained = [weak = std::weak_ptr(call)] {
         const auto drained = weak.lock();
-        if (!drained || !drained->isPaused || drained->writer->bytesQueued() > resumeBelowBytes)
+        if (!drained || !drained->isPaused || drained->writer->bytesQueued() > drained->writer->queueLimit() / 4)
             return;
         drained->isPaused = false;
         drained->exchange->setReading(true);
@@ -203,7 +201,7 @@
     if (call->isFinished)
         return;
     call->writer->write(bytes);
-    if (call->isPaused || call->writer->bytesQueued() <= pauseAboveBytes)
+    if (call->isPaused || call->writer->bytesQueued() <= call->writer->queueLimit())
         return;
     call->isPaused = true;
     call->exchange->setReading(false);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -8,6 +8,7 @@
 #include "flow_table.h"
 #include "limit_sharing.h"
 #include "node_endpoints.h"
+#include "node_gauges.h"
 #include "peer_messenger.h"
 #include "processor_load.h"
 #include "quarantine_sync.h"
@@ -26,7 +27,6 @@
 #include <QRandomGenerator>
 #include <QTimer>
 #include <cstdio>
-#include <map>
 
 namespace tamarack {
 
@@ -48,9 +48,13 @@
     constexpr double callerDescriptorShare = 0.6;
     /// Share of the process's memory for request bodies.
     constexpr double bodyMemoryShare = 0.25;
+    /// Share of the process's memory for responses that callers have not read. With the shares for bodies and for calls
+    /// that are passed on, two fifths are left for everything else.
+    constexpr double unsentMemoryShare = 0.2;
     /// Shares of the descriptors and of the memory for calls that are passed on for peers. Each takes two descriptors.
     constexpr double passedCallShare = 0.05;
     constexpr double passedBodyMemoryShare = 0.1;
+    constexpr double passedUnsentMemoryShare = 0.05;
     /// Idle connections of peers count as well. Calls above their limit are refused long before this one is reached,
     /// since a connection that is closed at once leaves the peer in doubt whether its call was taken.
     constexpr double passedConnectionShare = 0.2;
@@ -60,7 +64,7 @@
     constexpr std::uint32_t addedHeaderBytes = 4096;
     /// A target in another availability zone accepts a connection within some milliseconds.
     constexpr duration pathCheckTimeout = 150ms;
-    constexpr std::uint64_t bytesPerMegabyte = 1'000'000;
+    constexpr double bytesPerMegabyte = 1'000'000;
     /// After its start a node waits for its peers' heartbeats before it assigns duties, so that it does not take itself
     /// for the only node. Heartbeats are sent ten times a second, and twice a second with 80 nodes.
     constexpr duration peerDiscoveryDelay = 1s;
@@ -70,8 +74,6 @@
     constexpr int registrationSpreadMilliseconds = 5000;
     constexpr std::uint64_t registrationSlots = 1024;
     constexpr duration encodedStateLifetime = 100ms;
-    /// Interval at which gauges are updated.
-    constexpr duration metricsInterval = 500ms;
 
     QHostAddress addressOf(const endpoint& place) { return QHostAddress(QString::fromStdString(place.address)); }
 
@@ -90,6 +92,8 @@
     void startFromPeer();
     void drain();
     void configure(const std::shared_ptr<const serving::serving_configuration>& configuration);
+    /// Bytes that are this share of the process's memory.
+    std::uint64_t memoryFor(double share) const;
     http_server_limits callerLimits() const;
     http_server_limits detourLimits() const;
     serving::node_state self() const;
@@ -105,9 +109,6 @@
     bool release(const request_trait& trait);
     void tick();
     void checkDrain(instant now);
-    void publishMetrics(instant now);
-    /// Publishes how many targets of each service and build are listed.
-    void publishBuilds();
     void assignDuties(instant now);
     void assignStoreReading(serving::node_state me, const std::vector<serving::node_state>& alive, instant now);
     void logReadiness();
@@ -118,6 +119,7 @@
     void updateDetours(const std::vector<serving::node_state>& alive);
     void checkPaths(instant now);
     void logDiscarded(const discarded_input& input);
+    void logSlowCaller(std::size_t held);
 
     gateway_settings settings;
     gateway_ports ports;
@@ -145,10 +147,9 @@
     quarantine_sync quarantine;
     usage_collection usage;
     duty_coordinator duties;
+    node_gauges gauges;
     QTimer decisionTimer;
     instant drainingSince; // set by drain()
-    instant nextMetricsAt;
-    std::map<std::pair<std::string, std::string>, int> targetsByBuild; // by service and build, also of former ones
     std::uint64_t detourNodesHash = 0; // of the nodes that updateDetours() has passed on
     std::uint64_t announcedPaths = 0; // generation of the paths that peers were told
     instant nextDutiesAt;
@@ -261,7 +262,8 @@
           [this](error_kind kind, std::string_view detail) {
               return ports.callers.refusal(kind, detail, answerFor(kind).retryAfter);
           },
-          [this](const discarded_input& input) { logDiscarded(input); })
+          [this](const discarded_input& input) { logDiscarded(input); },
+          [this](std::size_t held) { logSlowCaller(held); })
     , detours({ client, ports.targets, decisions, notices, counters, log }, maxPassedCalls(settings), detourKey)
     , pages({ ports.callers, nodes, counters, [this] { return self(); }, [this] { return encodedState(); },
           [this] { return encodeState(view.exportConfiguration()); },
@@ -283,6 +285,7 @@
           settings.usageLateness, [this](const auto& nodes, const auto& reports) { peers.sendUsage(nodes, reports); })
     , duties({ client, ports.duties, ports.store, decisions, usage, counters, log, [this] { view.checkStoreReach(); } },
           settings, processId())
+    , gauges({ decisions, nodes, view, callers, client, peers, processor, log, counters })
 {
     QObject::connect(&decisionTimer, &QTimer::timeout, [this] { tick(); });
 }
@@ -324,12 +327,17 @@
         [this] { nodeRegistration.start(); });
 }
 
+std::uint64_t gateway::state::memoryFor(double share) const
+{
+    return static_cast<std::uint64_t>(share * static_cast<double>(settings.memoryMegabytes) * bytesPerMegabyte);
+}
+
 http_server_limits gateway::state::callerLimits() const
 {
     http_server_limits out;
     out.connections = static_cast<int>(settings.descriptors * callerDescriptorShare);
-    out.totalBodyBytes = static_cast<std::uint64_t>(
-        bodyMemoryShare * static_cast<double>(settings.memoryMegabytes) * static_cast<double>(bytesPerMegabyte));
+    out.totalBodyBytes = memoryFor(bodyMemoryShare);
+    out.totalUnsentBytes = memoryFor(unsentMemoryShare);
     if (!view.hasConfiguration())
         return out;
     const auto& configured = view.configuration()->limits();
@@ -346,8 +354,8 @@
     const auto own = callerLimits();
     out.headerBytes = own.headerBytes + addedHeaderBytes;
     out.bodyBytes = own.bodyBytes;
-    out.totalBodyBytes = static_cast<std::uint64_t>(
-        passedBodyMemoryShare * static_cast<double>(settings.memoryMegabytes) * static_cast<double>(bytesPerMegabyte));
+    out.totalBodyBytes = memoryFor(passedBodyMemoryShare);
+    out.totalUnsentBytes = memoryFor(passedUnsentMemoryShare);
     out.connections = static_cast<int>(settings.descriptors * passedConnectionShare);
     out.idleTimeout = passedIdleTimeout;
     return out;
@@ -487,7 +495,7 @@
     checkPaths(now);
     logReadiness();
     processor.update(now);
-    publishMetrics(now);
+    gauges.update(now);
     if (isDraining)
         checkDrain(now);
     log.flush();
@@ -527,75 +535,6 @@
         view.refreshIfStale(serving::refreshRank(me, alive), now);
 }
 
-void gateway::state::publishMetrics(instant now)
-{
-    if (now < nextMetricsAt)
-        return;
-    nextMetricsAt = now + metricsInterval;
-    const auto& fleet = decisions.fleet();
-    int known = 0;
-    int draining = 0;
-    int resting = 0;
-    std::map<std::string, int> limited; // by service
-    for (std::uint32_t row = 0; row < fleet.size(); ++row) {
-        known += fleet.isListed[row];
-        draining += fleet.isListed[row] && fleet.isLeaving({ row });
-        resting += fleet.isListed[row] && fleet.isResting({ row }, now);
-        if (fleet.isListed[row] && fleet.isLimited[row])
-            ++limited[fleet.service[row]];
-    }
-    counters.set("tamarack_targets_known", known);
-    counters.set("tamarack_targets_draining", draining);
-    counters.set("tamarack_targets_resting", resting);
-    publishBuilds();
-    for (const auto& service : fleet.services()) {
-        counters.set("tamarack_targets_unreached", static_cast<double>(decisions.paths().countLost(service)),
-            { { "service", service } });
-        counters.set("tamarack_targets_limited", limited[service], { { "service", service } });
-        counters.set("tamarack_predicted_wait_seconds", seconds(decisions.predictedWait(service, now)),
-            { { "service", service } });
-    }
-    counters.set("tamarack_nodes_known", nodes.knownCount());
-    counters.set("tamarack_nodes_alive", static_cast<double>(nodes.alive(now).size()) + 1);
-    counters.set("tamarack_stream_origins_kept", static_cast<double>(decisions.origins().notesKept()));
-    counters.set("tamarack_requests_held", static_cast<double>(decisions.held()));
-    counters.set("tamarack_requests_waiting", static_cast<double>(decisions.waiting()));
-    counters.set("tamarack_caller_connections", callers.connectionCount());
-    counters.set("tamarack_target_connections_made", static_cast<double>(client.connectionsMade()));
-    const auto requests = decisions.quarantine().countOf(trait_kind::repeat);
-    counters.set("tamarack_quarantined_requests", static_cast<double>(requests.quarantined));
-    counters.set("tamarack_suspected_requests", static_cast<double>(requests.suspected));
-    const auto parts = decisions.quarantine().countOf(trait_kind::prompt_part);
-    counters.set("tamarack_quarantined_parts", static_cast<double>(parts.quarantined));
-    counters.set("tamarack_suspected_parts", static_cast<double>(parts.suspected));
-    counters.set("tamarack_store_reachable", view.storeReach() == serving::store_reach::reached ? 1 : 0);
-    counters.set("tamarack_store_topic_reachable", view.isConfigurationTopicReachable() ? 1 : 0,
-        { { "topic", "configuration" } });
-    counters.set("tamarack_store_topic_reachable", view.isTargetTopicReachable() ? 1 : 0, { { "topic", "targets" } });
-    counters.set("tamarack_reads_store_for_zone", view.isReader() ? 1 : 0);
-    counters.set("tamarack_configuration_age_seconds", seconds(view.configurationAge(now)));
-    counters.set("tamarack_target_list_age_seconds", seconds(view.targetsAge(now)));
-    counters.set("tamarack_processor_busy_percent", processor.busyPercent());
-    counters.set("tamarack_log_lines_left_out", static_cast<double>(log.linesLeftOut()));
-    counters.set("tamarack_peer_undecodable", static_cast<double>(peers.undecodable()));
-    counters.set("tamarack_peer_datagrams_sent", static_cast<double>(peers.counts().sent));
-    counters.set("tamarack_peer_bytes_sent", static_cast<double>(peers.counts().sentBytes));
-    counters.set("tamarack_peer_datagrams_heard", static_cast<double>(peers.counts().received));
-}
-
-void gateway::state::publishBuilds()
-{
-    const auto& fleet = decisions.fleet();
-    for (auto& [labels, listed] : targetsByBuild)
-        listed = 0;
-    for (std::uint32_t row = 0; row < fleet.size(); ++row) {
-        if (fleet.isListed[row])
-            ++targetsByBuild[{ fleet.service[row], fleet.build[row] }];
-    }
-    for (const auto& [labels, listed] : targetsByBuild)
-        counters.set("tamarack_targets_by_build", listed, { { "service", labels.first }, { "build", labels.second } });
-}
-
 void gateway::state::logLostPeers(const std::vector<serving::lost_node>& lost)
 {
     if (lost.size() == 1)
@@ -689,6 +628,14 @@
             { "delay_ms", milliseconds(input.delay) } });
 }
 
+void gateway::state::logSlowCaller(std::size_t held)
+{
+    counters.count("tamarack_slow_callers_cut_total");
+    log.write(log_event::slow_caller_cut,
+        { { "bytes", static_cast<std::int64_t>(held) },
+            { "all_bytes", static_cast<std::int64_t>(callers.unsentBytesHeld()) } });
+}
+
 void gateway::state::logReadiness()
 {
     if (wasReady == isReady())
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -70,6 +70,9 @@
     bool hasStarted() const { return m_started; }
     /// Returns the number of bytes accepted by write() but not yet passed to the kernel.
     std::size_t bytesQueued() const;
+    /// Returns how many bytes may be queued before the source of the response stops reading. It is to resume when a
+    /// quarter of that is queued. The value falls while callers of this server read slowly.
+    std::size_t queueLimit() const;
 
     /// Called once if the caller's connection ends before the response is complete.
     std::function<void()> onClosed;
@@ -87,6 +90,9 @@
     std::uint64_t bodyBytes = 8 * 1024 * 1024;
     /// Maximum total size of all bodies being received at the same time; bounds the memory of the process.
     std::uint64_t totalBodyBytes = 64 * 1024 * 1024;
+    /// Maximum memory for bytes of responses that callers have not read; 0: none. Beyond it the connections that hold
+    /// most are reset.
+    std::uint64_t totalUnsentBytes = 0;
     int connections = 20'000;
     /// Maximum time to receive the rest of a head after its first byte.
     duration headerTimeout = std::chrono::seconds(30);
@@ -104,9 +110,12 @@
     using refusal_handler = std::function<http_response(error_kind, std::string_view detail)>;
     /// Called at the end of a connection on which input was discarded.
     using discard_handler = std::function<void(const discarded_input&)>;
+    /// Called for each connection that is reset because its caller reads too slowly. `held`: memory for its unsent
+    /// bytes.
+    using slow_caller_handler = std::function<void(std::size_t held)>;
 
     http_server(http_server_limits limits, request_handler onRequest, refusal_handler onRefusal,
-        discard_handler onDiscarded = {});
+        discard_handler onDiscarded = {}, slow_caller_handler onSlowCaller = {});
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
@@ -125,6 +134,8 @@
     int connectionCount() const;
     /// Returns the bytes of responses that the kernel has not accepted yet. They are lost if the process exits.
     std::size_t bytesQueued() const;
+    /// Returns the memory that is allocated for them.
+    std::uint64_t unsentBytesHeld() const;
 
 private:
     struct state;
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -4,8 +4,10 @@
 #include "server_connection.h"
 
 #include <QTcpServer>
+#include <QTimer>
 #include <array>
 #include <unistd.h>
+#include <utility>
 
 namespace tamarack {
 
@@ -67,6 +69,11 @@
 
 std::size_t response_writer::bytesQueued() const { return m_connection ? m_connection->bytesQueued() : 0; }
 
+std::size_t response_writer::queueLimit() const
+{
+    return m_connection ? m_connection->queueLimit() : unsent_bytes::maxQueue;
+}
+
 namespace {
 
     constexpr int listenBacklog = 1024;
@@ -86,6 +93,34 @@
     std::shared_ptr<detail::server_shared> shared = std::make_shared<detail::server_shared>();
     QObject connections; // parent of all connections, which are destroyed with the server
     descriptor_server server;
+    slow_caller_handler onSlowCaller;
+    bool isCutDue = false; // cutSlowCallers() is scheduled
+
+    // Deferred, because the end of a response leads to decisions, and bytes are written in the middle of some.
+    void scheduleCut()
+    {
+        if (!std::exchange(isCutDue, true))
+            QTimer::singleShot(0, &connections, [this] { cutSlowCallers(); });
+    }
+
+    void cutSlowCallers()
+    {
+        isCutDue = false;
+        while (shared->unsent.isExceeded()) {
+            const auto held = shared->unsent.heldByLargest();
+            const auto* largest = shared->unsent.largest();
+            for (QObject* child : connections.children()) {
+                auto* connection = static_cast<detail::server_connection*>(child);
+                if (connection != largest)
+                    continue;
+                connection->cut();
+                break;
+            }
+            shared->unsent.update(largest, 0);
+            if (onSlowCaller)
+                onSlowCaller(held);
+        }
+    }
 
     void accepted(int descriptor)
     {
@@ -105,11 +140,14 @@
     return names[static_cast<std::size_t>(reason)];
 }
 
-http_server::http_server(
-    http_server_limits limits, request_handler onRequest, refusal_handler onRefusal, discard_handler onDiscarded)
+http_server::http_server(http_server_limits limits, request_handler onRequest, refusal_handler onRefusal,
+    discard_handler onDiscarded, slow_caller_handler onSlowCaller)
     : m_state(std::make_unique<state>())
 {
     m_state->shared->limits = limits;
+    m_state->shared->unsent.setTotal(limits.totalUnsentBytes);
+    m_state->shared->onUnsentExceeded = [this] { m_state->scheduleCut(); };
+    m_state->onSlowCaller = std::move(onSlowCaller);
     m_state->shared->onRequest = std::move(onRequest);
     m_state->shared->onRefusal = std::move(onRefusal);
     m_state->shared->onDiscarded = std::move(onDiscarded);
@@ -137,6 +175,7 @@
 void http_server::setLimits(const http_server_limits& limits)
 {
     m_state->shared->limits = limits;
+    m_state->shared->unsent.setTotal(limits.totalUnsentBytes);
     for (QObject* child : m_state->connections.children())
         static_cast<detail::server_connection*>(child)->limitsChanged();
 }
@@ -159,4 +198,6 @@
     return sum;
 }
 
+std::uint64_t http_server::unsentBytesHeld() const { return m_state->shared->unsent.held(); }
+
 }
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -67,6 +67,7 @@
 {
     --m_shared->connections;
     updateBodyBytes(0);
+    m_shared->unsent.update(this, 0);
     if (const auto writer = detachWriter(); writer && writer->onClosed)
         writer->onClosed();
 }
@@ -105,7 +106,7 @@
         return dispatch();
     if (m_reader.awaitsContinue() && !m_sentContinue) {
         m_sentContinue = true;
-        m_socket.write("HTTP/1.1 100 Continue\r\n\r\n");
+        send("HTTP/1.1 100 Continue\r\n\r\n");
     }
     restartReadTimer(before);
 }
@@ -185,12 +186,22 @@
 void server_connection::sendBytes(std::string_view bytes)
 {
     if (m_unsentHead.empty())
-        return m_socket.write(bytes);
+        return send(bytes);
     m_unsentHead += bytes;
-    m_socket.write(m_unsentHead);
+    send(m_unsentHead);
     m_unsentHead.clear();
 }
 
+void server_connection::send(std::string_view bytes)
+{
+    m_socket.write(bytes);
+    updateUnsent();
+    if (m_shared->unsent.isExceeded() && m_shared->onUnsentExceeded)
+        m_shared->onUnsentExceeded();
+}
+
+void server_connection::updateUnsent() { m_shared->unsent.update(this, m_socket.bytesAllocated()); }
+
 void server_connection::flushHead()
 {
     if (!m_unsentHead.empty())
@@ -270,6 +281,7 @@
     if (whenWritten && m_framing != response_framing::until_close)
         return closeGracefully(close_reason::truncated);
     m_socket.reset();
+    m_shared->unsent.update(this, 0);
     deleteLater();
 }
 
@@ -314,6 +326,7 @@
         m_shared->onDiscarded(m_discarded);
     m_discarded.bytes = 0;
     m_socket.reset();
+    m_shared->unsent.update(this, 0);
     if (const auto writer = detachWriter(); writer && writer->onClosed)
         writer->onClosed();
     deleteLater();
@@ -321,6 +334,7 @@
 
 void server_connection::onWritten()
 {
+    updateUnsent();
     const auto writer = m_writer;
     if (writer && writer->onDrained)
         writer->onDrained();
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http/http_server.h"
+#include "http/unsent_bytes.h"
 #include "request_reader.h"
 #include "stream_socket.h"
 
@@ -16,6 +17,8 @@
     http_server::request_handler onRequest;
     http_server::refusal_handler onRefusal;
     http_server::discard_handler onDiscarded;
+    std::function<void()> onUnsentExceeded; ///< what is held exceeds the total; set by the server
+    unsent_bytes unsent;
     int connections = 0;
     std::uint64_t totalBodyBytes = 0; ///< size of all bodies being received
     bool isDraining = false;
@@ -31,6 +34,10 @@
     void sendBody(std::string_view bytes);
     void finishAnswer();
     std::size_t bytesQueued() const { return m_socket.bytesQueued(); }
+    std::size_t queueLimit() const { return m_shared->unsent.queueLimit(); }
+    /// Resets the connection because its caller reads too slowly. A response in progress ends as if the caller had
+    /// left.
+    void cut() { handleClosed(); }
     /// Ends the response early, such that the caller cannot mistake the truncated response for a complete one. If
     /// `whenWritten` is set, the bytes written so far are sent first where that is possible.
     void abortAnswer(bool whenWritten);
@@ -46,6 +53,7 @@
 private:
     void onReadable() override;
     void onWritten() override;
+    void onPartWritten() override { updateUnsent(); }
     void onEnded(stream_end) override { handleClosed(); }
 
     void sendBytes(std::string_view bytes);
@@ -60,6 +68,9 @@
     void beginIdle();
     void extendIdle();
     void updateBodyBytes(std::size_t buffered);
+    /// Passes bytes to the socket and counts what it holds of them.
+    void send(std::string_view bytes);
+    void updateUnsent();
     void handleClosed();
     void discardInput();
     std::shared_ptr<response_writer> detachWriter();
--- a/libs/http/src/stream_socket.cpp
+++ b/libs/http/src/stream_socket.cpp
@@ -179,7 +179,8 @@
         const auto count = ::send(m_descriptor, m_outgoing.data() + m_sent, bytesQueued(), MSG_NOSIGNAL);
         if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
             discardSent();
-            return m_writeNotifier->setEnabled(true);
+            m_writeNotifier->setEnabled(true);
+            return m_listener->onPartWritten();
         }
         if (count <= 0)
             return end(errno == EPIPE || errno == ECONNRESET ? stream_end::reset : stream_end::failed);
--- a/libs/http/src/stream_socket.h
+++ b/libs/http/src/stream_socket.h
@@ -28,6 +28,8 @@
     virtual void onReadable() = 0;
     /// Called when all queued bytes have been passed to the kernel.
     virtual void onWritten() { }
+    /// Called when a part of the queued bytes has been passed to the kernel.
+    virtual void onPartWritten() { }
     /// Called when connecting or sending has failed. An end that read() detects is reported by read() only. Called at
     /// most once, as the last call, and never from inside a call on the socket.
     virtual void onEnded(stream_end end) = 0;
@@ -60,6 +62,8 @@
     std::size_t bytesQueued() const { return m_outgoing.size() - m_sent; }
     /// Bytes that are held for sending: those queued, and some that were sent already.
     std::size_t bytesHeld() const { return m_outgoing.size(); }
+    /// Memory that is allocated for sending; zero if nothing is held.
+    std::size_t bytesAllocated() const { return m_outgoing.empty() ? 0 : m_outgoing.capacity(); }
     /// Whether bytes that were written are queued here or in the kernel, or were not acknowledged by the peer yet.
     bool hasUndelivered() const;
     /// Pauses or resumes the calls of onReadable(). While they are paused, the peer's sends stall and an end of the
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -78,6 +78,7 @@
     attempt_failed,
     attempt_stopped,
     input_discarded,
+    slow_caller_cut,
     foreign_answer_dropped,
     request_taken,
     stream_taken_up,
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -84,6 +84,7 @@
         { log_event::attempt_stopped, "attempt_stopped", info, failed,
             "request digest target stage reason silent_ms events took_ms" },
         { log_event::input_discarded, "input_discarded", warning, failed, "reason bytes delay_ms" },
+        { log_event::slow_caller_cut, "slow_caller_cut", warning, failed, "bytes all_bytes" },
         { log_event::foreign_answer_dropped, "foreign_answer_dropped", warning, failed, "request target" },
         { log_event::request_taken, "request_taken", info, served,
             "request digest account route service version left_ms tokens parts last_event first_call aim_ms "
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Runs mutation tests: applies one mutation at a time to a scratch copy of the sources and reports the tests that fail.
 
-Usage: tools/mutations.py SCRATCH_DIR [NAME | test_decide | test_process | test_serving]...
+Usage: tools/mutations.py SCRATCH_DIR [NAME | test_decide | test_process | test_serving | test_http]...
 Prints one line per mutation with the failed tests. The exit code is 1 if a mutation makes no test fail.
 """
 import os
@@ -221,6 +221,19 @@
      "        || refuseOnArrival(row, now, out) ||", "        ||", ADMISSION),
 ]
 
+SLOW = "test_slow_callers*,test_queue_limit*,test_held_bytes*,test_callers_that*,test_nothing_is_held*"
+# Mutations of what connections hold, each with the test cases to run.
+HTTP_MUTATIONS = [
+    ("slow-callers-without-a-total", "libs/http/include/http/unsent_bytes.h",
+     "return m_total > 0 && m_held > m_total;", "return m_total > 0 && m_held > 100 * m_total;", SLOW),
+    ("queues-that-never-shrink", "libs/http/src/unsent_bytes.cpp",
+     "    const std::uint64_t spare = half > m_held ? half - m_held : 0;", "    const std::uint64_t spare = half;", SLOW),
+    ("left-callers-still-counted", "libs/http/src/server_connection.cpp",
+     "    m_socket.reset();\n    m_shared->unsent.update(this, 0);\n    if (const auto writer", "    m_socket.reset();\n    if (const auto writer", SLOW),
+    ("read-bytes-still-counted", "libs/http/src/server_connection.cpp",
+     "    updateUnsent();\n    const auto writer = m_writer;", "    const auto writer = m_writer;", SLOW),
+]
+
 
 def run(command, directory):
     return subprocess.run(command, cwd=directory, capture_output=True, text=True, check=False)
@@ -249,6 +262,7 @@
     jobs = [(*item, "test_decide", []) for item in MUTATIONS]
     jobs += [(*item[:4], "test_process", [item[4]]) for item in PROCESS_MUTATIONS]
     jobs += [(*item[:4], "test_serving", [item[4]]) for item in SERVING_MUTATIONS]
+    jobs += [(*item[:4], "test_http", [item[4]]) for item in HTTP_MUTATIONS]
     for name, file, text, replacement, program, cases in jobs:
         if wanted and name not in wanted and program not in wanted:
             continue
@@ -260,7 +274,7 @@
             continue
         with open(path, "w") as changed:
             changed.write(original.replace(text, replacement))
-        targets = [program] if program in ("test_decide", "test_serving") else [program, "tamarackrelay", "tamarackctl", "tamarack_standin"]
+        targets = [program] if program in ("test_decide", "test_serving", "test_http") else [program, "tamarackrelay", "tamarackctl", "tamarack_standin"]
         built = run(["ninja", "-C", build, "-j", "3"] + targets, scratch)
         failed = failing_tests(build, program, cases) if built.returncode == 0 else []
         print(f"{name}: " + (", ".join(failed) if failed else "NOT NOTICED" if built.returncode == 0 else "does not build"),
