--- a/libs/gateway/tests/flow_world.h
+++ b/libs/gateway/tests/flow_world.h
@@ -91,10 +91,12 @@
     flow_services services { client, decisions, callers, protocol, counters, log, notices, [](const std::string&) {} };
     flow_table flows { services, [] {} };
     int accepted = 0;
+    std::optional<serving::prompt> prompt; ///< of all requests; not set: they carry none
     http_server server { {},
         [this](http_request request, std::shared_ptr<response_writer> caller) {
             caller_request decoded;
             decoded.id = std::to_string(++accepted);
+            decoded.text = prompt;
             flows.submit({ std::move(request), decoded, configuration, &configuration->routes().front(), nullptr,
                 std::move(caller) });
         },
--- a/libs/gateway/tests/test_endless_answers.cpp
+++ b/libs/gateway/tests/test_endless_answers.cpp
@@ -71,6 +71,60 @@
     }
 }
 
+TEST_CASE("test_endless_answer_of_a_prefill_ends_it_and_the_request_is_served_without")
+{
+    // Guards against a node that collects what an engine sends as the answer of a prefill.
+    for (const auto& [beginning, unit] :
+        std::vector<std::pair<QByteArray, QByteArray>> { { plainHead, "x" }, { chunkedHead, "5\r\nhello\r\n" },
+            { "HTTP/1.1 200 OK\r\nA: ", "x" }, { "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "x" } }) {
+        INFO(beginning.toStdString() << unit.toStdString());
+        endless_peer prefill(beginning, unit);
+        flow_world world(true);
+        auto route = world.configuration->routes().front();
+        route.carriesPrompt = true;
+        serving::service_profile engines;
+        engines.name = "plain";
+        serving::engine_profile profile;
+        profile.cacheTokens = 400'000;
+        profile.bytesPerToken = 35'000;
+        profile.linkMegabits = 300'000;
+        profile.handleTimeToLive = 5s;
+        engines.engine = profile;
+        world.configuration
+            = std::make_shared<const serving::serving_configuration>(2, std::vector<serving::route_rule> { route },
+                std::vector<serving::service_profile> { engines }, serving::caller_limits {});
+        world.prompt = serving::prompt { { { 1, 400 }, { 2, 5600 } }, 6000, 20 };
+        world.decisions.targetGone("leaving", boot_clock::now());
+        world.decisions.targetGone("staying", boot_clock::now());
+        world.staying.isStream = true;
+        const auto list = [&](const char* name, const std::string& address, serving::target_role role) {
+            serving::target_record record;
+            record.name = name;
+            record.service = "plain";
+            record.address = address;
+            record.role = role;
+            record.slots = 8;
+            world.decisions.targetListed(record);
+        };
+        list("prefill", toString(prefill.address()), serving::target_role::prefill);
+        list("decode", world.staying.address(), serving::target_role::decode);
+        int status = -1;
+        world.send([&](const http_response* response) { status = response ? response->status : 0; });
+        REQUIRE(spinUntil([&] {
+            serving::command_list commands;
+            world.decisions.tick(boot_clock::now(), commands);
+            world.flows.execute(std::move(commands));
+            if (world.staying.openStream)
+                world.staying.openStream->finish();
+            return status >= 0;
+        }));
+        CHECK(status == 200);
+        CHECK(prefill.connections > 0);
+        checkEnded(prefill);
+        CHECK(overLimit(world) == prefill.connections);
+    }
+}
+
 TEST_CASE("test_endless_answer_whose_caller_has_left_ends_the_attempt")
 {
     // Guards against a non-idempotent request, which goes on without its caller, whose answer is read for ever.
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -116,7 +116,7 @@
                 connection->cut();
                 break;
             }
-            shared->unsent.update(largest, 0);
+            shared->unsent.update(largest, 0); // it is deleted only later
             if (onSlowCaller)
                 onSlowCaller(held);
         }
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -281,7 +281,6 @@
     if (whenWritten && m_framing != response_framing::until_close)
         return closeGracefully(close_reason::truncated);
     m_socket.reset();
-    m_shared->unsent.update(this, 0);
     deleteLater();
 }
 
@@ -326,7 +325,6 @@
         m_shared->onDiscarded(m_discarded);
     m_discarded.bytes = 0;
     m_socket.reset();
-    m_shared->unsent.update(this, 0);
     if (const auto writer = detachWriter(); writer && writer->onClosed)
         writer->onClosed();
     deleteLater();
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Runs mutation tests: applies one mutation at a time to a scratch copy of the sources and reports the tests that fail.
 
-Usage: tools/mutations.py SCRATCH_DIR [NAME | test_decide | test_process | test_serving | test_http]...
+Usage: tools/mutations.py SCRATCH_DIR [NAME | test_decide | test_process | test_serving | test_http | test_gateway]...
 Prints one line per mutation with the failed tests. The exit code is 1 if a mutation makes no test fail.
 """
 import os
@@ -222,6 +222,7 @@
 ]
 
 SLOW = "test_slow_callers*,test_queue_limit*,test_held_bytes*,test_callers_that*,test_nothing_is_held*"
+ENDLESS = "test_endless*,test_announced*,test_stream_event_that*"
 # Mutations of what connections hold, each with the test cases to run.
 HTTP_MUTATIONS = [
     ("slow-callers-without-a-total", "libs/http/include/http/unsent_bytes.h",
@@ -229,9 +230,27 @@
     ("queues-that-never-shrink", "libs/http/src/unsent_bytes.cpp",
      "    const std::uint64_t spare = half > m_held ? half - m_held : 0;", "    const std::uint64_t spare = half;", SLOW),
     ("left-callers-still-counted", "libs/http/src/server_connection.cpp",
-     "    m_socket.reset();\n    m_shared->unsent.update(this, 0);\n    if (const auto writer", "    m_socket.reset();\n    if (const auto writer", SLOW),
+     "    m_shared->unsent.update(this, 0);\n", "", SLOW),
     ("read-bytes-still-counted", "libs/http/src/server_connection.cpp",
      "    updateUnsent();\n    const auto writer = m_writer;", "    const auto writer = m_writer;", SLOW),
+    ("announced-lengths-refused", "libs/http/src/http_client.cpp",
+     "m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());", "m_parser->body_limit(boost::none);", "test_body_that_arrives*"),
+    ("heads-without-a-bound", "libs/http/src/answer_meter.cpp",
+     "    if (unparsed > m_limits.headBytes)", "    if (unparsed > 10'000 * m_limits.headBytes)", ENDLESS),
+    ("informational-responses-without-a-bound", "libs/http/src/answer_meter.cpp",
+     "    if (m_skipped > m_limits.skippedBytes)", "    if (m_skipped > 1'000 * m_limits.skippedBytes)", ENDLESS),
+    ("collected-bodies-without-a-bound", "libs/http/src/answer_meter.cpp",
+     "    if (m_body > m_limits.collectedBytes)", "    if (m_body > 100 * m_limits.collectedBytes)", ENDLESS),
+]
+
+# Mutations of what a node holds of responses, each with the test cases to run.
+GATEWAY_MUTATIONS = [
+    ("prefill-answers-without-a-bound", "libs/gateway/src/caller_flow.cpp",
+     "    onTooLarge(attempt, \"response that is not passed on\", maxBufferedBytes);", "", ENDLESS),
+    ("events-without-a-bound", "libs/http/include/http/event_stream.h",
+     "maxEventBytes = 256 * 1024;", "maxEventBytes = 256 * 1024 * 1024;", ENDLESS),
+    ("answers-without-a-caller-without-a-bound", "libs/gateway/src/caller_flow.cpp",
+     "        if (attempt->unreadBytes > maxUnreadBytes)", "        if (attempt->unreadBytes > 1000 * maxUnreadBytes)", ENDLESS),
 ]
 
 
@@ -263,6 +282,7 @@
     jobs += [(*item[:4], "test_process", [item[4]]) for item in PROCESS_MUTATIONS]
     jobs += [(*item[:4], "test_serving", [item[4]]) for item in SERVING_MUTATIONS]
     jobs += [(*item[:4], "test_http", [item[4]]) for item in HTTP_MUTATIONS]
+    jobs += [(*item[:4], "test_gateway", [item[4]]) for item in GATEWAY_MUTATIONS]
     for name, file, text, replacement, program, cases in jobs:
         if wanted and name not in wanted and program not in wanted:
             continue
@@ -274,7 +294,7 @@
             continue
         with open(path, "w") as changed:
             changed.write(original.replace(text, replacement))
-        targets = [program] if program in ("test_decide", "test_serving", "test_http") else [program, "tamarackrelay", "tamarackctl", "tamarack_standin"]
+        targets = [program] if program in ("test_decide", "test_serving", "test_http", "test_gateway") else [program, "tamarackrelay", "tamarackctl", "tamarack_standin"]
         built = run(["ninja", "-C", build, "-j", "3"] + targets, scratch)
         failed = failing_tests(build, program, cases) if built.returncode == 0 else []
         print(f"{name}: " + (", ".join(failed) if failed else "NOT NOTICED" if built.returncode == 0 else "does not build"),
