--- a/libs/http/include/http/unsent_bytes.h
+++ b/libs/http/include/http/unsent_bytes.h
@@ -12,9 +12,9 @@
 /// Counts the memory for unsent bytes by connection. It only decides: the server closes connections, and the sources of
 /// responses stop reading.
 ///
-/// Made for a node with 120 MB of memory, whose share for this is 24 MB: 40 slow callers may queue as much as on an idle
-/// node, and those beyond them less the more is held. Some 100 to 200 more fit at the smallest queue, as each may add
-/// what one read from its target brings. From then on those that hold most are cut.
+/// Made for a node with 120 MB of memory, whose share for this is 24 MB: 40 slow callers may queue as much as on an
+/// idle node, and those beyond them less the more is held. Some 100 to 200 more fit at the smallest queue, as each may
+/// add what one read from its target brings. From then on those that hold most are cut.
 class unsent_bytes {
 public:
     /// Identifies a connection; never dereferenced here.
