Log each request that the exit of a stopping node ends

drain_finished gave their number only, so it could not be told whether requests are cut because they were taken too late, because they waited, or because their targets were slower than usual. request_held_at_exit has the age of the request and of its attempt. Seen in a run of a single node under the calls of test_stopping_nodes: all 28 were taken 4.96 s to 7.27 s after the signal and sent on at once (repeatable ones again after 0.1 s), to targets at their usual pace.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -520,6 +520,14 @@
     finish(flow_end::target_failure);
 }
 
+void caller_flow::logHeldAtExit() const
+{
+    m_services.log.write(log_event::request_held_at_exit,
+        { { "request", m_decoded.id }, { "route", m_routeName }, { "took_ms", millisecondsSince(m_startedAt) },
+            { "running_ms", m_attempt ? millisecondsSince(m_attempt->startedAt) : -1 },
+            { "began", m_caller->hasStarted() }, { "events", m_events }, { "attempts", m_attempts } });
+}
+
 void caller_flow::logOrigin(const serving::origin_finding& finding)
 {
     const auto source = std::string(toString(finding.source));
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -58,6 +58,8 @@
     void stop(attempt_id attempt, serving::stop_reason reason);
     void refuse(const serving::refuse_request& command);
     void forwardFailure();
+    /// Logs that the process exits before the request has ended.
+    void logHeldAtExit() const;
     void logOrigin(const serving::origin_finding& finding);
     /// Ends the flow after the caller has disconnected and its attempt was cancelled.
     void abandon();
--- a/libs/gateway/src/flow_table.cpp
+++ b/libs/gateway/src/flow_table.cpp
@@ -109,6 +109,12 @@
     m_onExecuted();
 }
 
+void flow_table::logHeldAtExit() const
+{
+    for (const auto& [id, flow] : m_flows)
+        flow->logHeldAtExit();
+}
+
 std::shared_ptr<caller_flow> flow_table::find(request_id id) const
 {
     const auto found = m_flows.find(id);
--- a/libs/gateway/src/flow_table.h
+++ b/libs/gateway/src/flow_table.h
@@ -30,6 +30,8 @@
     void submit(routed_request routed);
     /// Executes commands in order. Execution may add further commands, also reentrantly.
     void execute(serving::command_list commands);
+    /// Logs the requests that the exit of the process ends.
+    void logHeldAtExit() const;
 
 private:
     serving::serving_request servingRequest(const routed_request& routed) const;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -684,6 +684,7 @@
     if (now < last + finalFlushDelay && now < std::max(closedAt, lastBusyAt) + finalFlushDelay)
         return;
     isStopped = true;
+    flows.logHeldAtExit();
     log.write(
         log_event::drain_finished, { { "held", decisions.held() }, { "connections", callers.connectionCount() } });
     onStopped();
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -73,6 +73,7 @@
     order_unanswered,
     request_refused,
     request_failed,
+    request_held_at_exit,
     request_without_route,
     request_denied,
     attempt_failed,
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -77,6 +77,8 @@
             "request route kind retry_after_ms held_ms waiting for_limits on_arrival predicted_wait_ms version" },
         { log_event::request_failed, "request_failed", warning, failed,
             "request route outcome detail first_ms took_ms events attempts longest_pause_ms" },
+        { log_event::request_held_at_exit, "request_held_at_exit", warning, failed,
+            "request route took_ms running_ms began events attempts" },
         { log_event::request_without_route, "request_without_route", info, failed, "request host path version age_ms" },
         { log_event::request_denied, "request_denied", info, failed, "request host path reason version age_ms" },
         { log_event::attempt_failed, "attempt_failed", info, failed,
