A stopping node takes only what it can answer before its exit

Requests that they sent later than about 5 s after the signal were read, passed on and run, and their connections ended without a word at the exit, 7.45 s after it.

Cause: the gateway goes on listening for as long as it holds anything, and admission went by the deadline of the caller and the timeout of the route alone; no decision knew when the process ends. Ruled out by request_held_at_exit: waiting (attempts began at once) and slow targets (usual pace). That callers come no later than three lifetimes of an entry answer holds only while another node answers for the entries.

Change: the dispatcher is told the end. From then on an attempt (first, repeated, decode after a prefill) is started only if its whole answer is expected before the end: the longest answer of its route in the last one to two minutes, plus by how much that one exceeds the usual one, the predicted wait at the chosen target, its present slowness, and more for more output tokens. A route with fewer than ten answers in that time may need all that its deadline allows. What doesn't fit is refused at once (stopping, 503, not run), with the time at which a node takes calls: at once if a ready peer is known, else after the exit and a restart. Silent targets are not left for one that would answer too late. What still runs at the last moment ends with an error, since a connection that ends without one may be taken for a request that was not read.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -109,6 +109,8 @@
     bool release(const request_trait& trait);
     void tick();
     void checkDrain(instant now);
+    /// When this process ends. Only while draining.
+    serving::stop_times stopTimes() const;
     void assignDuties(instant now);
     void assignStoreReading(serving::node_state me, const std::vector<serving::node_state>& alive, instant now);
     void logReadiness();
@@ -512,6 +514,8 @@
     peers.planRelays(me, alive);
     assignStoreReading(me, alive, now);
     updateDetours(alive);
+    decisions.setOthersTakeCalls(
+        std::any_of(alive.begin(), alive.end(), [](const auto& node) { return node.isReady && !node.isStopping; }));
     limits.setNodes(me, alive, view.knowsNodes() ? nodes.knownCount() : 0, nodes.peerTimeout());
     // What a peer reads of the target list reaches the others at once, so as long as all are heard, none knows more.
     if (view.hasTargets() && static_cast<int>(alive.size()) + 1 == nodes.knownCount())
@@ -654,25 +658,40 @@
     isDraining = true;
     drainingSince = boot_clock::now();
     log.write(log_event::drain_started, { { "held", decisions.held() }, { "connections", callers.connectionCount() } });
+    decisions.stop(stopTimes());
     callers.beginDrain();
     detours.beginDrain();
     peers.sendHeartbeat(); // peers remove this node from the entry addresses at once
 }
 
-// Callers that resolved the entry addresses just before the drain keep arriving until their cached answers expire.
-// After that the node closes its connections, and exits once it has held no request and has sent all answers for a
-// moment: a request may have arrived on a connection just before its close. It exits in any case before the platform
-// would kill it.
+serving::stop_times gateway::state::stopTimes() const
+{
+    return { drainingSince + settings.stopBound - stopMargin,
+        drainingSince + maxCachedLifetimes * node_endpoints::entryLifetime() };
+}
+
+// Callers that resolved the entry addresses just before the drain keep arriving until their cached answers expire, and
+// longer if no other node is there. After that the node closes its connections, and exits once it has held no request
+// and has sent all answers for a moment: a request may have arrived on a connection just before its close. It exits in
+// any case before the platform would kill it.
 void gateway::state::checkDrain(instant now)
 {
     if (isStopped)
         return;
-    const auto noneComesAfter = drainingSince + maxCachedLifetimes * node_endpoints::entryLifetime();
-    const auto last = drainingSince + settings.stopBound - stopMargin;
+    const auto times = stopTimes();
+    decisions.stop(times); // the bound may have changed
+    const auto last = times.lastAnswerAt;
+    // Most callers are better off with an error than with a connection that ends without a word, which they may take
+    // for a request that was not read.
+    if (now >= last && decisions.held() > 0) {
+        serving::command_list commands;
+        decisions.endAll(now, commands);
+        flows.execute(std::move(commands));
+    }
     const bool holdsCalls = decisions.held() > 0 || detours.callsInProgress() > 0;
     if (holdsCalls || callers.bytesQueued() > 0)
         lastBusyAt = now;
-    const bool isDone = now >= noneComesAfter && !holdsCalls;
+    const bool isDone = now >= times.earliestExitAt && !holdsCalls;
     if (!isClosed && !isDone && now < last)
         return;
     if (!isClosed) {
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -5,6 +5,7 @@
 #include "quarantine/abandoned_attempts.h"
 #include "quarantine/request_quarantine.h"
 #include "serving/admission.h"
+#include "serving/answer_times.h"
 #include "serving/peer_load.h"
 #include "serving/permit_holder.h"
 #include "serving/permit_issuer.h"
@@ -35,6 +36,12 @@
         = std::chrono::seconds(1); ///< load reported by a peer expires after this time without an update
 };
 
+/// When the process ends after a planned stop.
+struct stop_times {
+    instant lastAnswerAt; ///< what has not been answered by then may be cut
+    instant earliestExitAt; ///< the process does not exit before, even if it holds no request
+};
+
 /// Schedules requests onto targets. Commands take effect immediately: a request is started, waits, or is refused at
 /// once with a retry delay.
 class dispatcher {
@@ -115,6 +122,13 @@
         instant now, command_list& out);
     /// The caller has disconnected. No further commands are issued for the request.
     void callerDisconnected(request_id request, instant now, command_list& out);
+    /// The process is stopping. From now on an attempt is started only if the whole answer is expected in time; other
+    /// requests are refused at once.
+    void stop(const stop_times& times) { m_stop = times; }
+    /// Sets whether callers of this node find another one that takes calls.
+    void setOthersTakeCalls(bool othersTakeCalls) { m_othersTakeCalls = othersTakeCalls; }
+    /// Ends all requests with errors, since the process is about to exit.
+    void endAll(instant now, command_list& out);
     /// Dispatches waiting requests and ends those whose deadline has passed.
     void tick(instant now, command_list& out);
 
@@ -217,6 +231,20 @@
     /// Refuses the request if this node reaches no target of its service, neither directly nor by a peer. Returns
     /// whether it did.
     bool refuseIfCutOff(std::size_t row, instant now, command_list& out);
+    /// Records how long the answer that has just ended took, if that says something about others.
+    void recordAnswerTime(std::size_t row, instant now);
+    /// The time to allow for a whole answer if the attempt is started now; `choice` may have no target.
+    duration timeToAnswer(std::size_t row, const target_choice& choice, instant now) const;
+    /// Ends the request if the process is stopping and the answer would come after that. Returns whether it did.
+    bool refuseIfStopping(std::size_t row, duration needed, instant now, command_list& out);
+    /// The same whatever target is chosen.
+    bool refuseIfStoppingBeforeStart(std::size_t row, instant now, command_list& out);
+    /// The same for a request that has to wait for those before it.
+    bool refuseIfStoppingAfterWait(std::size_t row, instant now, command_list& out);
+    /// The stage of the request's next attempt, without a target.
+    target_choice nextChoice(std::size_t row) const;
+    /// The time after which the callers of a stopping node find one that takes calls.
+    duration returnDelayAtStop(instant now);
     origin_scope originScopeOf(std::size_t row) const;
     /// Continues requests that take up a stream whose origin was found, and refuses those whose origin is unknown.
     void applyOrigins(instant now, command_list& out);
@@ -284,6 +312,9 @@
     std::map<std::string, retry_limiter> m_retryLimiters; // by service
     waiting_queue m_waiting;
     admission m_admission;
+    answer_times m_answerTimes;
+    std::optional<stop_times> m_stop; // set while the process is stopping
+    bool m_othersTakeCalls = false;
     double m_prefillWaitSeconds = 0;
     std::uint64_t m_nextAttempt = 1;
     int m_knownNodes = 0;
--- a/libs/serving/include/serving/in_flight_requests.h
+++ b/libs/serving/include/serving/in_flight_requests.h
@@ -26,6 +26,7 @@
     build_id build; ///< that began the stream, so that only its targets may go on with it; invalid: not begun
     bool hasFailed = false; ///< an attempt has failed, so the next one uses a new connection
     bool hasFailureAnswer = false; ///< the last attempt's target gave a failure answer that can be forwarded
+    instant workBeganAt; ///< the first attempt was sent
     bool isLimited = false; ///< when last looked at, all targets that could answer it had limits, and none a permit
     target_id avoid; ///< the target that failed last
     /// The request is the trial of what is quarantined in it, and may be sent from then on; not set: it is none.
@@ -50,10 +51,12 @@
     instant sentAt;
     instant silenceDeadline; ///< the attempt is abandoned if the target sends nothing until then
     bool hasStartedAnswering = false; ///< the answer's first bytes have arrived
+    instant answeringSince; ///< set with hasStartedAnswering
     instant firstEventAt; ///< of the stream
     instant lastEventAt; ///< of the stream
     bool isProven = false; ///< the target has outlasted the begin of the answer
     bool isPaused = false; ///< nothing is read from the target, so its silence means nothing
+    bool wasPaused = false; ///< at any time, so its length says nothing about the target
     int tokensPerEvent = 0; ///< of the stream; 0: the target is not an engine
 };
 
--- a/libs/serving/src/dispatch_admission.cpp
+++ b/libs/serving/src/dispatch_admission.cpp
@@ -39,9 +39,10 @@
     // A newcomer does not take the capacity that has appeared since the last dispatch from those that come before it.
     const bool mustQueue = isAdmissionActive(m_book.request[row].service) && !isUnderWay(row)
         && m_book.progress[row].trialFrom == instant() && now < waitEnd(row, now) && positionOf(row, now).ahead > 0;
-    if (endIfBuildIsGone(row, out) || (mustQueue ? refuseIfQuarantined(row, now, out) : tryStart(row, now, out))
-        || refuseIfAllRest(row, now, out) || refuseIfCutOff(row, now, out) || refuseIfAllLimited(row, now, out)
-        || refuseOnArrival(row, now, out) || !makeRoomInQueue(row, now, out))
+    if (endIfBuildIsGone(row, out) || refuseIfStoppingBeforeStart(row, now, out)
+        || (mustQueue ? refuseIfQuarantined(row, now, out) : tryStart(row, now, out)) || refuseIfAllRest(row, now, out)
+        || refuseIfCutOff(row, now, out) || refuseIfAllLimited(row, now, out) || refuseOnArrival(row, now, out)
+        || refuseIfStoppingAfterWait(row, now, out) || !makeRoomInQueue(row, now, out))
         return;
     wait(row, now, out);
 }
@@ -283,8 +284,8 @@
             continue;
         const auto row = static_cast<std::size_t>(held);
         wantPermits(row, permit_use::expected, now);
-        if (!endIfBuildIsGone(row, out) && !tryStart(row, now, out) && !refuseIfAllRest(row, now, out)
-            && !refuseIfCutOff(row, now, out) && !refuseIfAllLimited(row, now, out))
+        if (!endIfBuildIsGone(row, out) && !refuseIfStoppingBeforeStart(row, now, out) && !tryStart(row, now, out)
+            && !refuseIfAllRest(row, now, out) && !refuseIfCutOff(row, now, out) && !refuseIfAllLimited(row, now, out))
             wait(row, now, out);
     }
     m_admission.endRound();
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -328,6 +328,7 @@
 {
     m_health.recordSuccess(m_book.current[row].target, now);
     m_rests.answered(m_book.current[row].target, m_book.current[row].sentAt);
+    recordAnswerTime(row, now);
     releaseAttempt(row);
     m_book.progress[row].cache = {}; // imported
     m_book.remove(m_book.idOf(row));
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -343,6 +343,8 @@
     auto choice = m_placement.chooseFirst(needOf(row, now), now);
     if (!choice.target.isValid())
         return false;
+    if (refuseIfStopping(row, timeToAnswer(row, choice, now), now, out))
+        return true;
     const auto timeLeft = m_book.times[row].answerDeadline - now;
     if (fromSeconds(choice.seconds) + minUsefulTime > timeLeft) {
         refuse(row, hasRunOrMayRun(row) ? error_kind::attempt_timeout : error_kind::deadline_unreachable,
@@ -358,7 +360,8 @@
     const auto choice = m_placement.chooseDecode(needOf(row, now), m_book.progress[row].cache.source, now);
     if (!choice.target.isValid())
         return false;
-    start(row, choice, now, out);
+    if (!refuseIfStopping(row, timeToAnswer(row, choice, now), now, out))
+        start(row, choice, now, out);
     return true;
 }
 
@@ -387,6 +390,8 @@
         countSend(row, now);
     if (choice.stage == attempt_stage::prefill)
         progress.hasTriedPrefill = true;
+    if (progress.workBeganAt == instant())
+        progress.workBeganAt = now;
     m_book.phase[row] = request_phase::running;
     current = {};
     current.id = { m_nextAttempt++ };
@@ -460,6 +465,7 @@
     if (current.hasStartedAnswering || current.stage == attempt_stage::prefill)
         return;
     current.hasStartedAnswering = true;
+    current.answeringSince = now;
     m_rests.answered(current.target, current.sentAt);
     if (current.stage == attempt_stage::decode)
         m_pace.recordImport(current.target, current.waitAndTransferSeconds, now - current.sentAt);
@@ -506,6 +512,7 @@
     const auto row = static_cast<std::size_t>(m_book.row(request));
     auto& current = m_book.current[row];
     current.isPaused = isPaused;
+    current.wasPaused |= isPaused;
     current.silenceDeadline = now + longestPause(*m_book.request[row].route);
 }
 
@@ -553,6 +560,8 @@
     const auto choice = m_placement.chooseFirst(query, now);
     if (!choice.target.isValid() || choice.target == query.avoid)
         return false;
+    if (m_stop && now + timeToAnswer(row, choice, now) > m_stop->lastAnswerAt)
+        return false;
     // A sound engine may be silent for a while, and the next one may reject the stream, so it stays as long as it can.
     const auto moveTime = std::max<duration>(minMoveTime, fromSeconds(moveTimeFactor * choice.seconds));
     const auto& progress = m_book.progress[row];
