A restart of all nodes is no first start, whatever the settings say

Callers saw: two builds in one answer. All nodes are killed at once and come back, the targets of the old build have just been replaced, and the settings still say that the whole system starts for the first time. Calls that take up streams of the old build are answered 200 by targets of the new one.

Cause: the settings' word alone made a node hold that it had noticed every build ever (an endless history), so the one build that was listed counted as the only one that there had been. Not so if the settings say no first start: the history then begins with the process.

Change: a node's history begins with its process. It counts as endless only once the incarnations of all known nodes, which the store numbers from 1 in the order of registration, leave no room for an earlier process.

Open: nodes that end before they have registered leave no trace in the store.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -159,6 +159,7 @@
     std::string encodedStateText; // last encoded state, served to peers
     instant encodedStateAt;
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true); // checks of paths may end after this object
+    bool isFirstStartProven = false; // no node that is known has had an earlier process
     bool isDraining = false;
     instant closedAt; // since when no connections are accepted; set at the end of the drain
     instant lastBusyAt; // last time at which requests were held or answers were queued, during the drain
@@ -177,6 +178,7 @@
         out.seed = stableHash(settings.vm);
         out.retries = { settings.retryRatio, settings.retrySlack, settings.retryWindow };
         out.startedAt = settings.isFirstStart ? instant() : boot_clock::now();
+        out.buildsKnownSince = boot_clock::now();
         return out;
     }
 
@@ -488,6 +490,11 @@
     decisions.setKnownNodes(view.knowsNodes() ? nodes.knownCount() : 0);
     if (view.hasTargets())
         decisions.origins().listConfirmed(now - view.targetsAge(now));
+    // The settings alone don't prove it: they may say so at a restart as well.
+    if (settings.isFirstStart && !isFirstStartProven && nodes.haveAllStartedOnce(nodeRegistration.incarnation())) {
+        isFirstStartProven = true;
+        decisions.origins().builds().adoptHistory(now - instant(), now);
+    }
     if (now >= nextDutiesAt)
         assignDuties(now);
     limits.tick(now);
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -32,6 +32,8 @@
     /// Start of the process. The node uses its share of the retry slack only one retry window later. If unset, there
     /// was no previous process.
     instant startedAt;
+    /// From when on this node has noticed every build of targets. If unset, always.
+    instant buildsKnownSince;
     duration peerLoadExpiry
         = std::chrono::seconds(1); ///< load reported by a peer expires after this time without an update
 };
--- a/libs/serving/include/serving/node_directory.h
+++ b/libs/serving/include/serving/node_directory.h
@@ -118,6 +118,9 @@
     std::vector<node_state> takeNodesToProbe(instant now);
     /// Number of known nodes, including this one.
     int knownCount() const { return static_cast<int>(m_nodes.size()) + 1; }
+    /// Whether no known node, nor this one with the incarnation `own`, has had an earlier process that registered. The
+    /// store numbers all registrations from 1 on.
+    bool haveAllStartedOnce(std::uint64_t own) const;
     /// Sets the time without a heartbeat after which a node counts as unreachable. It follows from the heartbeat
     /// interval.
     void setPeerTimeout(duration timeout) { m_settings.peerTimeout = timeout; }
--- a/libs/serving/src/node_directory.cpp
+++ b/libs/serving/src/node_directory.cpp
@@ -172,6 +172,15 @@
     return newest;
 }
 
+bool node_directory::haveAllStartedOnce(std::uint64_t own) const
+{
+    const auto registrations = static_cast<std::uint64_t>(knownCount());
+    const auto isFirst = [registrations](std::uint64_t number) { return number > 0 && number <= registrations; };
+    return isFirst(own) && std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto& item) {
+        return isFirst(item.second.state.incarnation);
+    });
+}
+
 int node_directory::maxKnownNodes(instant now) const
 {
     int most = 0;
--- a/libs/serving/tests/test_node_directory.cpp
+++ b/libs/serving/tests/test_node_directory.cpp
@@ -120,3 +120,18 @@
     CHECK(nodes.applyStatus(nodeStatusOf(former), at(100ms)).state == nullptr);
     CHECK_FALSE(nodes.alive(at(100ms)).front().isStopping);
 }
+
+TEST_CASE("test_nodes_that_have_registered_again_have_not_all_started_once")
+{
+    // Guards against a restart of all nodes that counts as their first start.
+    node_directory nodes("n0", {});
+    CHECK_FALSE(nodes.haveAllStartedOnce(0));
+    CHECK(nodes.haveAllStartedOnce(1));
+    nodes.applyRegistration(node("n1", 0), at(0s));
+    CHECK_FALSE(nodes.haveAllStartedOnce(1));
+    nodes.applyHeartbeat(node("n1", 2), at(1s));
+    CHECK(nodes.haveAllStartedOnce(1));
+    CHECK_FALSE(nodes.haveAllStartedOnce(3));
+    nodes.applyHeartbeat(node("n2", 4), at(1s));
+    CHECK_FALSE(nodes.haveAllStartedOnce(1));
+}
