The history of builds ends where a node was out of touch

Cause: a node counted the time since its start as the time for which it has noticed every build, also the time in which it was frozen or cut off, and a starting node adopted that history from any peer. A build that came and went meanwhile, or that a peer out of touch has missed, could have begun a stream that then goes on at the only build listed.

Change: the history begins anew when the list was not confirmed for longer than a target stays listed, two seconds. A node whose list is not current hands no history to peers, and tells its notes as if several builds served. A node that adopts a history counts its list as confirmed by then.

Evidence: test_node_that_was_out_of_touch_does_not_take_the_only_listed_build_for_the_only_one and test_node_out_of_touch_hands_no_history_to_a_node_that_starts, in virtual time, failed before (the latter with historyLength() in place of the new function). Two tests confirm the lists of their nodes each second now, and two others once before they begin, as nodes in touch do: the time between two confirmations counts. Also: the new field of dispatcher_settings goes to the end.

--- a/libs/gateway/src/cluster_view.cpp
+++ b/libs/gateway/src/cluster_view.cpp
@@ -457,10 +457,10 @@
         m_parts.nodes.applyReport(node, boot_clock::now());
     for (const auto& limit : state.limits)
         m_parts.decisions.limits().apply(limit, boot_clock::now());
-    auto& builds = m_parts.decisions.origins().builds();
-    builds.add(state.builds, boot_clock::now());
+    auto& origins = m_parts.decisions.origins();
+    origins.builds().add(state.builds, boot_clock::now());
     if (state.targets.upTo >= 0)
-        builds.adoptHistory(state.buildHistory, boot_clock::now());
+        origins.adoptHistory(state.buildHistory, boot_clock::now());
     m_knowsNodes |= state.knowsNodes;
     if (!state.quarantine.empty())
         m_on.onQuarantine(state.quarantine);
@@ -482,9 +482,9 @@
     out.nodes = m_parts.nodes.reports(boot_clock::now());
     out.quarantine = m_parts.decisions.quarantine().records(boot_clock::now());
     out.limits = m_parts.decisions.limits().reports(boot_clock::now());
-    const auto& builds = m_parts.decisions.origins().builds();
-    out.builds = builds.recent(boot_clock::now());
-    out.buildHistory = builds.historyLength(boot_clock::now());
+    const auto& origins = m_parts.decisions.origins();
+    out.builds = origins.builds().recent(boot_clock::now());
+    out.buildHistory = origins.historyToShare(boot_clock::now());
     out.nodes.push_back({ self, duration::zero() });
     // Anyone may ask for the state; heartbeats bring the keys to peers.
     for (auto& node : out.nodes)
--- a/libs/gateway/tests/test_cluster_view.cpp
+++ b/libs/gateway/tests/test_cluster_view.cpp
@@ -27,6 +27,7 @@
     {
         serving::dispatcher_settings out;
         out.startedAt = processStart;
+        out.buildsKnownSince = processStart;
         return out;
     }
 
@@ -524,6 +525,7 @@
     };
     view_fixture source;
     source.listTargets({ { 1, "t1", "s/1" } }, 2);
+    source.decisions.origins().listConfirmed(boot_clock::now());
     {
         view_fixture world(true, boot_clock::now());
         CHECK(findAt(world, source.view.exportState({})) == serving::origin_source::only_build);
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -32,10 +32,10 @@
     /// Start of the process. The node uses its share of the retry slack only one retry window later. If unset, there
     /// was no previous process.
     instant startedAt;
-    /// From when on this node has noticed every build of targets. If unset, always.
-    instant buildsKnownSince;
     duration peerLoadExpiry
         = std::chrono::seconds(1); ///< load reported by a peer expires after this time without an update
+    /// From when on this node has noticed every build of targets. If unset, always.
+    instant buildsKnownSince;
 };
 
 /// When the process ends after a planned stop.
--- a/libs/serving/include/serving/service_builds.h
+++ b/libs/serving/include/serving/service_builds.h
@@ -33,6 +33,8 @@
     void add(const std::vector<build_sighting>& sightings, instant now);
     /// A peer that has noticed every build for so long has sent its list, which is part of the fleet.
     void adoptHistory(duration length, instant now) { m_knownSince = std::min(m_knownSince, now - length); }
+    /// A build may have come and gone unnoticed before that instant.
+    void historyBroken(instant at) { m_knownSince = std::max(m_knownSince, at); }
     /// For how long this node has noticed every build.
     duration historyLength(instant now) const { return now - m_knownSince; }
     /// The builds, of the services with these shortHash(), that were listed within `span`; ascending.
--- a/libs/serving/include/serving/stream_origins.h
+++ b/libs/serving/include/serving/stream_origins.h
@@ -77,8 +77,13 @@
 
     /// Notes that found no peer are told to the first ones that come.
     void setPeers(std::vector<origin_peer> peers);
-    /// This node's target list was complete at that instant.
-    void listConfirmed(instant at) { m_listConfirmedAt = std::max(m_listConfirmedAt, at); }
+    /// This node's target list was complete at that instant. A build may have come and gone since the last time if that
+    /// was long ago.
+    void listConfirmed(instant at);
+    /// For how long this node has noticed every build, to be sent to a peer; zero while its list may lack some.
+    duration historyToShare(instant now) const;
+    /// A peer with such a history has sent its list, which is part of the fleet.
+    void adoptHistory(duration length, instant now);
     service_builds& builds() { return m_builds; }
     const service_builds& builds() const { return m_builds; }
 
--- a/libs/serving/src/stream_origins.cpp
+++ b/libs/serving/src/stream_origins.cpp
@@ -18,6 +18,9 @@
     constexpr duration answerTimeout = 60ms;
     /// In touch with a reader of the store, a node has its list confirmed several times within this time.
     constexpr duration listConfirmation = 1s;
+    /// A target is listed for at least this time: it drains before it leaves, and the entry of one that has crashed
+    /// expires after some heartbeats.
+    constexpr duration shortestListing = 2s;
 
     constexpr std::array<std::string_view, static_cast<std::size_t>(origin_source::count)> sourceNames { "own", "told",
         "only_build", "unknown", "unanswered" };
@@ -36,9 +39,32 @@
 stream_origins::stream_origins(const fleet_table& fleet, instant knownSince)
     : m_builds(fleet, knownSince)
     , m_notes(maxNotes)
+    , m_listConfirmedAt(knownSince)
 {
 }
 
+void stream_origins::listConfirmed(instant at)
+{
+    if (at <= m_listConfirmedAt)
+        return;
+    if (m_listConfirmedAt != instant() && at > m_listConfirmedAt + shortestListing)
+        m_builds.historyBroken(at);
+    m_listConfirmedAt = at;
+}
+
+duration stream_origins::historyToShare(instant now) const
+{
+    return isListCurrent(now) ? m_builds.historyLength(now) : duration::zero();
+}
+
+void stream_origins::adoptHistory(duration length, instant now)
+{
+    if (length <= duration::zero())
+        return;
+    m_builds.adoptHistory(length, now);
+    m_listConfirmedAt = std::max(m_listConfirmedAt, now - listConfirmation);
+}
+
 void stream_origins::readFleet(instant now)
 {
     if (m_builds.update(now))
@@ -59,7 +85,7 @@
 
 bool stream_origins::isEvident(const origin_scope& scope, instant now) const
 {
-    return m_builds.historyLength(now) >= scope.lifetime && buildsOf(scope, now).size() <= 1;
+    return isComplete(scope, now) && buildsOf(scope, now).size() <= 1;
 }
 
 void stream_origins::began(stream_key stream, build_id build, const origin_scope& scope, instant now)
--- a/libs/serving/tests/test_stream_origins.cpp
+++ b/libs/serving/tests/test_stream_origins.cpp
@@ -36,6 +36,8 @@
     random_source random { 11 };
     double loss = 0;
     std::uint64_t nextRequest = 1;
+    /// While a question waits, the list of this node is confirmed all the time; -1: of none.
+    int inTouch = -1;
 
     origin_world(int count, int zones, std::vector<std::string> given = { "v1", "v2" })
         : builds(std::move(given))
@@ -133,11 +135,13 @@
         auto& origins = *nodes[static_cast<std::size_t>(at)]->origins;
         if (const auto known = origins.find({ nextRequest++ }, stream, scope(), now))
             return *known;
-        for (int i = 0; i < 20; ++i) {
+        for (int i = 0; i < 130; ++i) {
             deliver(now);
             if (const auto found = origins.takeFindings(now); !found.empty())
                 return found.front();
             now += 10ms;
+            if (inTouch >= 0)
+                confirm(inTouch, now);
             origins.tick(now);
         }
         FAIL("a question has no end");
@@ -181,6 +185,7 @@
     // Guards against refusals while there is no doubt, and against notes that nobody needs.
     origin_world world(9, 3, { "v1" });
     const auto stream = streamKey("", "call-1");
+    world.confirm(0, at(0s));
     world.begin(0, stream, "v1", at(0s));
     CHECK(world.nodes[0]->sent == 0);
     world.nodes[0]->isAlive = false;
@@ -190,6 +195,7 @@
     // Neither this node's list nor that of a peer is current any more.
     CHECK_FALSE(world.find(5, stream, at(5s)).build.isValid());
     world.confirm(6, at(5s));
+    world.inTouch = 6;
     CHECK(world.find(5, stream, at(5s)).source == origin_source::only_build);
 }
 
@@ -210,9 +216,14 @@
     // Guards against a guess by a node that does not know which builds have left a moment ago.
     origin_world world(1, 1, { "v2" });
     world.restart(0, at(0s));
-    world.confirm(0, at(lifetime - 1s));
+    const auto confirmUntil = [&](instant from, instant until) {
+        for (auto now = from; now < until; now += 1s)
+            world.confirm(0, now);
+        world.confirm(0, until);
+    };
+    confirmUntil(at(0s), at(lifetime - 1s));
     CHECK(world.find(0, {}, at(lifetime - 1s)).source == origin_source::unknown);
-    world.confirm(0, at(lifetime));
+    confirmUntil(at(lifetime - 1s), at(lifetime));
     CHECK(world.find(0, {}, at(lifetime)).source == origin_source::only_build);
     // What a peer has noticed counts as if this node had.
     world.restart(0, at(20s));
@@ -221,7 +232,7 @@
     builds.adoptHistory(1min, at(20s));
     world.confirm(0, at(21s));
     CHECK(world.find(0, {}, at(21s)).source == origin_source::unknown);
-    world.confirm(0, at(32s));
+    confirmUntil(at(21s), at(32s));
     CHECK(world.find(0, {}, at(32s)).source == origin_source::only_build);
 }
 
@@ -456,3 +467,28 @@
         CHECK(world.decisions.held() == 0);
     }
 }
+
+TEST_CASE("test_node_that_was_out_of_touch_does_not_take_the_only_listed_build_for_the_only_one")
+{
+    // Guards against a guess by a node that was frozen or cut off while another build came and went.
+    origin_world world(1, 1, { "v1" });
+    world.restart(0, at(0s));
+    for (auto now = at(0s); now <= at(20s); now += 1s)
+        world.confirm(0, now);
+    CHECK(world.find(0, {}, at(20s)).source == origin_source::only_build);
+    world.confirm(0, at(30s));
+    CHECK(world.find(0, {}, at(30s)).source == origin_source::unknown);
+    for (auto now = at(30s); now <= at(30s) + lifetime; now += 1s)
+        world.confirm(0, now);
+    CHECK(world.find(0, {}, at(30s) + lifetime).source == origin_source::only_build);
+}
+
+TEST_CASE("test_node_out_of_touch_hands_no_history_to_a_node_that_starts")
+{
+    // Guards against a node that adopts a long history from a peer which has missed the latest builds.
+    origin_world world(2, 1, { "v1" });
+    for (auto now = at(0s); now <= at(20s); now += 1s)
+        world.confirm(0, now);
+    CHECK(world.nodes[0]->origins->historyToShare(at(20s)) >= 20s);
+    CHECK(world.nodes[0]->origins->historyToShare(at(25s)) == duration::zero());
+}
