The only build counts once a list that is younger than the call shows no other

Cause: a list that was confirmed within the last second counted as current. A build that came within that second may have begun the stream at a node that died before the others heard of it; the call then went on at the only build in an older list. Besides, a peer that had just died still counted as heard, so the list was taken for confirmed now.

Change: the call waits for the next confirmation of this node's list (a reader of the store has one in less than a second), or asks the peers again after a second, and is refused with a time after 1.2 s otherwise. What can't be the only build is refused as fast as before. While all nodes are heard, the list counts as confirmed shortly before the oldest of their last heartbeats, each of which names the last change that its sender knows, and only while no change is missing.

Evidence: test_stream_of_a_build_that_a_node_has_not_heard_of_yet_does_not_go_on_there, in virtual time, failed before (origin only_build by a list 0.5 s older than the call); test_only_build_counts_once_a_list_younger_than_the_call_shows_no_other holds what may be taken up and how fast (under 0.1 s in touch, under 1.2 s by a peer). Cost: with one build in service, a stream of a node that has died goes on up to a second later.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -68,6 +68,8 @@
     /// After its start a node waits for its peers' heartbeats before it assigns duties, so that it does not take itself
     /// for the only node. Heartbeats are sent ten times a second, and twice a second with 80 nodes.
     constexpr duration peerDiscoveryDelay = 1s;
+    /// From the sending of a heartbeat to its arrival, with relays.
+    constexpr duration heartbeatTransit = 200ms;
     /// Interval at which the duties that one node performs for others are assigned.
     constexpr duration dutyInterval = 100ms;
     /// Nodes that start together spread their registrations over this time, in milliseconds.
@@ -524,9 +526,11 @@
     decisions.setOthersTakeCalls(
         std::any_of(alive.begin(), alive.end(), [](const auto& node) { return node.isReady && !node.isStopping; }));
     limits.setNodes(me, alive, view.knowsNodes() ? nodes.knownCount() : 0, nodes.peerTimeout());
-    // What a peer reads of the target list reaches the others at once, so as long as all are heard, none knows more.
-    if (view.hasTargets() && static_cast<int>(alive.size()) + 1 == nodes.knownCount())
-        decisions.origins().listConfirmed(now);
+    // A heartbeat names the last change of the target list that its sender has read. So as long as all are heard, none
+    // knew more when the oldest of the heartbeats was sent.
+    const auto silence = nodes.longestSilence(now);
+    if (view.hasTargets() && !view.isBehindTargets() && silence)
+        decisions.origins().listConfirmed(now - *silence - heartbeatTransit);
     logPaths(now);
     caches.tick(me, alive, now);
     roles.tick(me, alive, now);
--- a/libs/serving/include/serving/node_directory.h
+++ b/libs/serving/include/serving/node_directory.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -118,6 +119,8 @@
     std::vector<node_state> takeNodesToProbe(instant now);
     /// Number of known nodes, including this one.
     int knownCount() const { return static_cast<int>(m_nodes.size()) + 1; }
+    /// The time since the oldest of the last heartbeats of all other known nodes; nothing if one of them is not alive.
+    std::optional<duration> longestSilence(instant now) const;
     /// Whether no known node, nor this one with the incarnation `own`, has had an earlier process that registered. The
     /// store numbers all registrations from 1 on.
     bool haveAllStartedOnce(std::uint64_t own) const;
--- a/libs/serving/include/serving/stream_origins.h
+++ b/libs/serving/include/serving/stream_origins.h
@@ -69,7 +69,8 @@
 
 /// A node notes the streams that it begins. While their services have several builds, it tells the notes to some peers
 /// before the first event leaves. A call that takes up a stream goes by this node's notes, then by those of the peers.
-/// If nobody has one, the stream is at the only build that there has been, or unknown.
+/// If nobody has one, the stream is at the only build that there has been, or unknown. Only a list that is younger than
+/// the call shows that there has been no other: a build that has just come may have begun the stream.
 class stream_origins {
 public:
     /// `knownSince`: see service_builds. The fleet must outlive this object.
@@ -111,11 +112,13 @@
         origin_question question;
         instant askedAt;
         bool isRepeated = false;
+        bool isAskedLate = false; // again, once the list of a peer that counts as current is younger than the call
         std::vector<node_endpoint> silent; // peers that have not answered
         std::size_t replies = 0;
         build_id told;
         std::vector<build_id> builds; // of the replies
         bool isComplete = false; // of one reply
+        bool isConfirmed = false; // of a reply by a list that is younger than the call
     };
 
     /// Tells the notes that peers have come to need once a service has several builds.
@@ -127,6 +130,13 @@
     /// Whether a stream of this scope can be taken up elsewhere without a note.
     bool isEvident(const origin_scope& scope, instant now) const;
     void tell(std::vector<origin_note> notes);
+    std::vector<node_endpoint> askedOf(const origin_question& question) const;
+    /// The only build that may have begun the stream, by lists that may be older than the call; invalid: there are
+    /// several, or this is not certain.
+    build_id onlyBuild(const open_question& asked, instant now) const;
+    /// Whether a current list of this node or of a peer is younger than the call.
+    bool isConfirmed(const open_question& asked) const;
+    bool isDecided(const open_question& asked, instant now) const;
     origin_finding conclude(request_id request, const open_question& asked, instant now) const;
 
     service_builds m_builds;
--- a/libs/serving/src/node_directory.cpp
+++ b/libs/serving/src/node_directory.cpp
@@ -172,6 +172,17 @@
     return newest;
 }
 
+std::optional<duration> node_directory::longestSilence(instant now) const
+{
+    duration out = duration::zero();
+    for (const auto& [vm, node] : m_nodes) {
+        if (!isAlive(node, now))
+            return std::nullopt;
+        out = std::max(out, now - node.lastHeartbeatAt);
+    }
+    return out;
+}
+
 bool node_directory::haveAllStartedOnce(std::uint64_t own) const
 {
     const auto registrations = static_cast<std::uint64_t>(knownCount());
--- a/libs/serving/src/stream_origins.cpp
+++ b/libs/serving/src/stream_origins.cpp
@@ -18,6 +18,9 @@
     constexpr duration answerTimeout = 60ms;
     /// In touch with a reader of the store, a node has its list confirmed several times within this time.
     constexpr duration listConfirmation = 1s;
+    /// A question that only a younger list can answer ends after this time: the next confirmation of this node, or of
+    /// a peer that is asked again, has come by then. Callers bear a pause of two seconds.
+    constexpr duration confirmationTimeout = 1200ms;
     /// A target is listed for at least this time: it drains before it leaves, and the entry of one that has crashed
     /// expires after some heartbeats.
     constexpr duration shortestListing = 2s;
@@ -126,6 +129,12 @@
         m_notes.add(note, false, now);
 }
 
+// Peers can tell which builds there have been even if the caller has not named the stream.
+std::vector<node_endpoint> stream_origins::askedOf(const origin_question& question) const
+{
+    return m_holders.askedOf(question.stream.isValid() ? question.stream : stream_key { question.number });
+}
+
 std::optional<origin_finding> stream_origins::find(
     request_id request, stream_key stream, const origin_scope& scope, instant now)
 {
@@ -137,12 +146,11 @@
     open_question asked;
     asked.question = { request.value, stream, scope };
     asked.askedAt = now;
-    // Peers can tell which builds there have been even if the caller has not named the stream.
-    const auto rank = stream.isValid() ? stream : stream_key { request.value };
-    asked.silent = m_holders.askedOf(rank);
-    if (asked.silent.empty())
+    asked.silent = askedOf(asked.question);
+    if (isDecided(asked, now))
         return conclude(request, asked, now);
-    m_outbox.push_back({ asked.silent, asked.question });
+    if (!asked.silent.empty())
+        m_outbox.push_back({ asked.silent, asked.question });
     m_questions[request] = std::move(asked);
     return std::nullopt;
 }
@@ -165,21 +173,42 @@
     ++asked.replies;
     merge(asked.builds, reply.builds);
     asked.isComplete |= reply.isComplete;
+    asked.isConfirmed |= reply.isComplete && asked.isAskedLate;
     if (reply.build.isValid() && !asked.told.isValid())
         asked.told = reply.build;
 }
 
+build_id stream_origins::onlyBuild(const open_question& asked, instant now) const
+{
+    auto builds = buildsOf(asked.question.scope, now);
+    merge(builds, asked.builds);
+    const bool isCertain = asked.isComplete || isComplete(asked.question.scope, now);
+    return builds.size() == 1 && isCertain ? builds.front() : build_id();
+}
+
+bool stream_origins::isConfirmed(const open_question& asked) const
+{
+    return asked.isConfirmed || m_listConfirmedAt >= asked.askedAt;
+}
+
+bool stream_origins::isDecided(const open_question& asked, instant now) const
+{
+    if (asked.told.isValid())
+        return true;
+    const bool awaitsReplies = !asked.silent.empty() && now < asked.askedAt + answerTimeout;
+    const bool awaitsConfirmation = onlyBuild(asked, now).isValid() && !isConfirmed(asked);
+    return !awaitsReplies && (!awaitsConfirmation || now >= asked.askedAt + confirmationTimeout);
+}
+
 origin_finding stream_origins::conclude(request_id request, const open_question& asked, instant now) const
 {
     const auto waited = now - asked.askedAt;
     if (asked.told.isValid())
         return { request, origin_source::told, asked.told, waited };
-    auto builds = buildsOf(asked.question.scope, now);
-    merge(builds, asked.builds);
-    const bool isCertain = asked.isComplete || isComplete(asked.question.scope, now);
-    if (builds.size() == 1 && isCertain)
-        return { request, origin_source::only_build, builds.front(), waited };
-    const bool isUnanswered = asked.replies == 0 && !asked.silent.empty();
+    const auto only = onlyBuild(asked, now);
+    if (only.isValid() && isConfirmed(asked))
+        return { request, origin_source::only_build, only, waited };
+    const bool isUnanswered = only.isValid() || (asked.replies == 0 && !asked.silent.empty());
     return { request, isUnanswered ? origin_source::unanswered : origin_source::unknown, {}, waited };
 }
 
@@ -187,9 +216,12 @@
 {
     readFleet(now);
     for (auto& [request, asked] : m_questions) {
-        if (now < asked.askedAt + repeatAfter || std::exchange(asked.isRepeated, true))
+        if (now >= asked.askedAt + listConfirmation && !std::exchange(asked.isAskedLate, true))
+            asked.silent = askedOf(asked.question);
+        else if (now < asked.askedAt + repeatAfter || std::exchange(asked.isRepeated, true))
             continue;
-        m_outbox.push_back({ asked.silent, asked.question });
+        if (!asked.silent.empty())
+            m_outbox.push_back({ asked.silent, asked.question });
     }
 }
 
@@ -198,7 +230,7 @@
     std::vector<origin_finding> out;
     for (auto at = m_questions.begin(); at != m_questions.end();) {
         const auto& asked = at->second;
-        const bool isOver = asked.told.isValid() || asked.silent.empty() || now >= asked.askedAt + answerTimeout;
+        const bool isOver = isDecided(asked, now);
         if (isOver)
             out.push_back(conclude(at->first, asked, now));
         at = isOver ? m_questions.erase(at) : std::next(at);
--- a/libs/serving/tests/test_node_directory.cpp
+++ b/libs/serving/tests/test_node_directory.cpp
@@ -135,3 +135,17 @@
     nodes.applyHeartbeat(node("n2", 4), at(1s));
     CHECK_FALSE(nodes.haveAllStartedOnce(1));
 }
+
+TEST_CASE("test_longest_silence_is_known_while_all_nodes_are_alive")
+{
+    node_directory nodes("n0", {});
+    CHECK(nodes.longestSilence(at(0s)) == duration::zero());
+    nodes.applyHeartbeat(node("n1"), at(1s));
+    nodes.applyHeartbeat(node("n2"), at(1200ms));
+    CHECK(nodes.longestSilence(at(1300ms)) == 300ms);
+    CHECK_FALSE(nodes.longestSilence(at(1800ms)));
+    nodes.applyHeartbeat(node("n1"), at(1800ms));
+    CHECK(nodes.longestSilence(at(1800ms)) == 600ms);
+    nodes.applyRegistration(node("n3"), at(1800ms));
+    CHECK_FALSE(nodes.longestSilence(at(1800ms)));
+}
--- a/libs/serving/tests/test_stream_origins.cpp
+++ b/libs/serving/tests/test_stream_origins.cpp
@@ -492,3 +492,54 @@
     CHECK(world.nodes[0]->origins->historyToShare(at(20s)) >= 20s);
     CHECK(world.nodes[0]->origins->historyToShare(at(25s)) == duration::zero());
 }
+
+TEST_CASE("test_stream_of_a_build_that_a_node_has_not_heard_of_yet_does_not_go_on_there")
+{
+    // Guards against a guess by a list that is older than the call: a new build began the stream, and its node died.
+    origin_world world(3, 1, { "v1" });
+    for (int node = 0; node < 3; ++node)
+        world.confirm(node, at(10s));
+    world.list(0, "t9", "v2");
+    world.loss = 1;
+    const auto stream = streamKey("", "call-1");
+    world.begin(0, stream, "v2", at(10300ms));
+    world.nodes[0]->isAlive = false;
+    world.loss = 0;
+    auto& origins = *world.nodes[1]->origins;
+    const auto askedAt = at(10500ms);
+    CHECK_FALSE(origins.find({ 77 }, stream, scope(), askedAt));
+    std::vector<origin_finding> found;
+    for (auto now = askedAt; now < at(10900ms); now += 10ms) {
+        world.deliver(now);
+        origins.tick(now);
+        for (const auto& item : origins.takeFindings(now))
+            found.push_back(item);
+    }
+    CHECK(found.empty());
+    world.list(1, "t9", "v2");
+    world.confirm(1, at(10900ms));
+    origins.tick(at(10900ms));
+    found = origins.takeFindings(at(10900ms));
+    REQUIRE(found.size() == 1);
+    CHECK_FALSE(found.front().build.isValid());
+}
+
+TEST_CASE("test_only_build_counts_once_a_list_younger_than_the_call_shows_no_other")
+{
+    // Guards against refusals of the streams of a node that has died while one build serves.
+    origin_world world(3, 1, { "v1" });
+    for (int node = 0; node < 3; ++node)
+        world.confirm(node, at(10s));
+    world.nodes[0]->isAlive = false;
+    world.inTouch = 1;
+    const auto own = world.find(1, streamKey("", "call-1"), at(10500ms));
+    CHECK(own.source == origin_source::only_build);
+    CHECK(own.waited < 100ms);
+    // A node that is out of touch learns it from a peer, in time for the callers.
+    world.inTouch = 2;
+    for (auto now = at(10s); now < at(14s); now += 1s)
+        world.confirm(2, now);
+    const auto peers = world.find(1, streamKey("", "call-1"), at(14s));
+    CHECK(peers.source == origin_source::only_build);
+    CHECK(peers.waited < 1200ms);
+}
