A question goes on while its node's list gets old

Seen in the third of three runs of the process tests of streams on: test_users_path_stream_goes_on_without_its_first_call_while_there_is_one_build got 503 (origin unknown after 125 ms). The list, confirmed 0.88 s before the call, stopped counting as current while the call waited for the next confirmation, so the one build was no longer certain and the call was refused.

Change: it matters whether the list was current when the question began; the confirmation that follows shows the rest. test_question_outlasts_the_time_for_which_a_list_counts_as_current failed before.

--- a/libs/serving/include/serving/stream_origins.h
+++ b/libs/serving/include/serving/stream_origins.h
@@ -111,6 +111,7 @@
     struct open_question {
         origin_question question;
         instant askedAt;
+        bool wasListCurrent = false; // of this node, at askedAt
         bool isRepeated = false;
         bool isAskedLate = false; // again, once the list of a peer that counts as current is younger than the call
         std::vector<node_endpoint> silent; // peers that have not answered
--- a/libs/serving/src/stream_origins.cpp
+++ b/libs/serving/src/stream_origins.cpp
@@ -146,6 +146,7 @@
     open_question asked;
     asked.question = { request.value, stream, scope };
     asked.askedAt = now;
+    asked.wasListCurrent = isListCurrent(now);
     asked.silent = askedOf(asked.question);
     if (isDecided(asked, now))
         return conclude(request, asked, now);
@@ -182,7 +183,9 @@
 {
     auto builds = buildsOf(asked.question.scope, now);
     merge(builds, asked.builds);
-    const bool isCertain = asked.isComplete || isComplete(asked.question.scope, now);
+    const bool isListKnown = asked.wasListCurrent || isListCurrent(now);
+    const bool isOwnHistoryLong = m_builds.historyLength(now) >= asked.question.scope.lifetime;
+    const bool isCertain = asked.isComplete || (isListKnown && isOwnHistoryLong);
     return builds.size() == 1 && isCertain ? builds.front() : build_id();
 }
 
--- a/libs/serving/tests/test_stream_origins.cpp
+++ b/libs/serving/tests/test_stream_origins.cpp
@@ -543,3 +543,20 @@
     CHECK(peers.source == origin_source::only_build);
     CHECK(peers.waited < 1200ms);
 }
+
+TEST_CASE("test_question_outlasts_the_time_for_which_a_list_counts_as_current")
+{
+    // Guards against a refusal because the list gets old while the call waits for a younger one.
+    origin_world world(1, 1, { "v1" });
+    world.confirm(0, at(10s));
+    auto& origins = *world.nodes[0]->origins;
+    CHECK_FALSE(origins.find({ 77 }, streamKey("", "call-1"), scope(), at(10900ms)));
+    for (auto now = at(10900ms); now < at(11500ms); now += 20ms) {
+        origins.tick(now);
+        REQUIRE(origins.takeFindings(now).empty());
+    }
+    world.confirm(0, at(11500ms));
+    const auto found = origins.takeFindings(at(11500ms));
+    REQUIRE(found.size() == 1);
+    CHECK(found.front().source == origin_source::only_build);
+}
