--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -692,8 +692,8 @@
     const auto times = stopTimes();
     decisions.stop(times); // the bound may have changed
     const auto last = times.lastAnswerAt;
-    // Most callers are better off with an error than with a connection that ends without a word, which they may take
-    // for a request that was not read.
+    // An error says that the request was read. A connection that ends without one may be taken for one on which it was
+    // not, and callers repeat such requests.
     if (now >= last && decisions.held() > 0) {
         serving::command_list commands;
         decisions.endAll(now, commands);
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -343,7 +343,7 @@
     auto choice = m_placement.chooseFirst(needOf(row, now), now);
     if (!choice.target.isValid())
         return false;
-    if (refuseIfStopping(row, timeToAnswer(row, choice, now), now, out))
+    if (m_stop && refuseIfStopping(row, timeToAnswer(row, choice, now), now, out))
         return true;
     const auto timeLeft = m_book.times[row].answerDeadline - now;
     if (fromSeconds(choice.seconds) + minUsefulTime > timeLeft) {
@@ -360,7 +360,7 @@
     const auto choice = m_placement.chooseDecode(needOf(row, now), m_book.progress[row].cache.source, now);
     if (!choice.target.isValid())
         return false;
-    if (!refuseIfStopping(row, timeToAnswer(row, choice, now), now, out))
+    if (!m_stop || !refuseIfStopping(row, timeToAnswer(row, choice, now), now, out))
         start(row, choice, now, out);
     return true;
 }
