--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -32,6 +32,9 @@
     constexpr std::array<std::string_view, static_cast<std::size_t>(flow_end::count)> endNames { "answered",
         "target_failure", "refused", "cut", "caller_gone" };
 
+    constexpr std::array<std::string_view, static_cast<std::size_t>(cut_cause::count)> causeNames { "target", "peer",
+        "left_silent", "deadline", "exit" };
+
     std::int64_t milliseconds(duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
 
     std::int64_t millisecondsSince(instant begin) { return milliseconds(boot_clock::now() - begin); }
@@ -43,6 +46,8 @@
 
 }
 
+std::string_view toString(cut_cause cause) { return causeNames[static_cast<std::size_t>(cause)]; }
+
 std::string_view toString(flow_end end) { return endNames[static_cast<std::size_t>(end)]; }
 
 caller_flow::caller_flow(flow_services& services, http_request request, caller_request decoded,
@@ -75,11 +80,18 @@
         { { "request", m_decoded.id }, { "digest", m_digest }, { "account", m_account }, { "route", m_routeName },
             { "service", request.service }, { "version", request.configuration->version() },
             { "left_ms", m_decoded.timeLeft ? milliseconds(*m_decoded.timeLeft) : -1 },
+            { "until_exit_ms", untilExitMilliseconds() },
             { "tokens", m_decoded.text ? m_decoded.text->inputTokens : 0 }, { "parts", m_parts },
             { "last_event", m_decoded.lastEventId }, { "first_call", m_decoded.firstCallId },
             { "aim_ms", milliseconds(request.route->aim) }, { "gap_aim_ms", milliseconds(request.route->gapAim) } });
 }
 
+std::int64_t caller_flow::untilExitMilliseconds() const
+{
+    const auto left = m_services.decisions.untilExit(boot_clock::now());
+    return left ? milliseconds(*left) : -1;
+}
+
 void caller_flow::bind(request_id id, callbacks handlers)
 {
     m_id = id;
@@ -434,6 +446,7 @@
         attempt->exchange->cancel();
     if (result == attempt_result::failure_answer)
         m_failure = attempt;
+    recordLoss(nameOf(resultNames, result), attempt->command.detour ? cut_cause::peer : cut_cause::target);
     const auto& fleet = m_services.decisions.fleet();
     m_services.counters.count("tamarack_target_attempts_total",
         { { "service", fleet.service[attempt->command.target.value] },
@@ -462,6 +475,22 @@
         m_on.onAttemptEnded(attempt->command.attempt, result, cacheName);
 }
 
+void caller_flow::recordLoss(std::string_view how, cut_cause cause)
+{
+    if (!m_attemptEnds.empty())
+        m_attemptEnds += ' ';
+    m_attemptEnds += how;
+    // What follows the first loss is an attempt to make up for it.
+    if (!m_cutCause)
+        m_cutCause = cause;
+}
+
+cut_cause caller_flow::endCause() const
+{
+    const auto untilExit = m_services.decisions.untilExit(boot_clock::now());
+    return untilExit && *untilExit == duration::zero() ? cut_cause::exit : cut_cause::deadline;
+}
+
 void caller_flow::stop(attempt_id attempt, serving::stop_reason reason)
 {
     if (!m_attempt || m_attempt->command.attempt != attempt)
@@ -469,6 +498,7 @@
     m_attempt->exchange->cancel();
     const auto& fleet = m_services.decisions.fleet();
     m_services.counters.count("tamarack_attempts_stopped_total", { { "reason", nameOf(stopNames, reason) } });
+    recordLoss(nameOf(stopNames, reason), reason == serving::stop_reason::silent ? cut_cause::left_silent : endCause());
     m_services.log.write(log_event::attempt_stopped,
         { { "request", m_decoded.id }, { "digest", m_digest },
             { "target", fleet.instance[m_attempt->command.target.value] },
@@ -560,7 +590,10 @@
             { { "request", m_decoded.id }, { "route", m_routeName }, { "outcome", name },
                 { "detail", std::string(detail) }, { "first_ms", m_firstMs },
                 { "took_ms", millisecondsSince(m_startedAt) }, { "events", m_events }, { "attempts", m_attempts },
-                { "longest_pause_ms", milliseconds(m_longestGap) } });
+                { "attempt_ends", m_attemptEnds }, { "cause", end == flow_end::cut ? toString(cutCause()) : "" },
+                { "until_exit_ms", untilExitMilliseconds() }, { "longest_pause_ms", milliseconds(m_longestGap) } });
+        if (end == flow_end::cut)
+            m_services.counters.count("tamarack_answers_cut_total", { { "cause", std::string(toString(cutCause())) } });
     }
     if (m_on.onFinished)
         m_on.onFinished();
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -38,6 +38,18 @@
 
 std::string_view toString(flow_end end);
 
+/// What ended the first attempt of an answer that was cut.
+enum class cut_cause : unsigned char {
+    target, ///< the target broke off or failed
+    peer, ///< the same through a peer, which may have failed itself
+    left_silent, ///< the node left a silent target
+    deadline, ///< the time that the caller or the route allows was over
+    exit, ///< the process was about to exit
+    count
+};
+
+std::string_view toString(cut_cause cause);
+
 class caller_flow : public std::enable_shared_from_this<caller_flow> {
 public:
     struct callbacks {
@@ -111,6 +123,13 @@
     /// caller.
     void recordEvent();
     void applyBackPressure();
+    /// Records, for the log, how an attempt ended.
+    void recordLoss(std::string_view how, cut_cause cause);
+    /// Why an attempt is being ended together with its request.
+    cut_cause endCause() const;
+    cut_cause cutCause() const { return m_cutCause.value_or(endCause()); }
+    /// Time in which the stopping process still answers; -1: it is not stopping.
+    std::int64_t untilExitMilliseconds() const;
     bool isFailure(const target_answer& answer) const;
     bool isEventStream(const attempt_ptr& attempt) const;
 
@@ -131,6 +150,8 @@
     std::string m_lastEvent; // id of the last event sent to the caller
     instant m_startedAt;
     int m_attempts = 0;
+    std::string m_attemptEnds; // in order, for the log
+    std::optional<cut_cause> m_cutCause; // if the answer should end here
     int m_events = 0; // number of stream events sent to the caller
     std::int64_t m_firstMs = -1; // time from the request to the first event; -1: none yet
     instant m_lastEventAt;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -715,8 +715,10 @@
         return;
     isStopped = true;
     flows.logHeldAtExit();
-    log.write(
-        log_event::drain_finished, { { "held", decisions.held() }, { "connections", callers.connectionCount() } });
+    log.write(log_event::drain_finished,
+        { { "held", decisions.held() }, { "connections", callers.connectionCount() },
+            { "unsent_bytes", static_cast<std::int64_t>(callers.bytesQueued()) },
+            { "after_ms", milliseconds(now - drainingSince) } });
     onStopped();
 }
 
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -18,6 +18,8 @@
 #include "serving/waiting_queue.h"
 
 #include "serving/in_flight_requests.h"
+
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -127,6 +129,11 @@
     /// The process is stopping. From now on an attempt is started only if the whole answer is expected in time; other
     /// requests are refused at once.
     void stop(const stop_times& times) { m_stop = times; }
+    /// Time in which a stopping process still answers; nothing if it is not stopping.
+    std::optional<duration> untilExit(instant now) const
+    {
+        return m_stop ? std::optional(std::max(duration::zero(), m_stop->lastAnswerAt - now)) : std::nullopt;
+    }
     /// Sets whether callers of this node find another one that takes calls.
     void setOthersTakeCalls(bool othersTakeCalls) { m_othersTakeCalls = othersTakeCalls; }
     /// Ends all requests with errors, since the process is about to exit.
