A silent target keeps its request until another one has begun to answer

Callers saw streams of a resumable route that began with 200 and whose connection closed before their end, also around the SIGTERM of their node.

Cause: the node stopped a silent attempt as soon as another target seemed to have room. If that one rejected the request, or was silent as well, no attempt was left, and the answer ended although its first target would have gone on. While predictions are long, a second of silence is enough.

Change: the silent attempt goes on beside the new one. The first of the two that brings a byte of the answer goes on, and the other is cancelled at once; if one ends without an answer, the other goes on alone.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -28,7 +28,7 @@
         "prefilled", "unreached", "not_passed_on", "rejected", "misdirected", "failure_answer", "broken", "cut" };
     constexpr std::array<std::string_view, 3> stageNames { "whole", "prefill", "decode" };
     constexpr std::array<std::string_view, static_cast<std::size_t>(serving::stop_reason::count)> stopNames { "silent",
-        "refused", "caller_gone" };
+        "overtaken", "refused", "caller_gone" };
     constexpr std::array<std::string_view, static_cast<std::size_t>(flow_end::count)> endNames { "answered",
         "target_failure", "refused", "cut", "caller_gone" };
 
@@ -67,8 +67,10 @@
 
 caller_flow::~caller_flow()
 {
-    if (m_attempt && m_attempt->exchange)
-        m_attempt->exchange->cancel();
+    for (const auto& attempt : { m_attempt, m_silent }) {
+        if (attempt && attempt->exchange)
+            attempt->exchange->cancel();
+    }
 }
 
 void caller_flow::logAccepted(const serving::serving_request& request)
@@ -132,7 +134,8 @@
 {
     auto attempt = std::make_shared<attempt_state>();
     attempt->command = command;
-    m_attempt = attempt;
+    TAMARACK_ASSERT(!m_silent, "a request has two attempts at most");
+    m_silent = std::exchange(m_attempt, attempt);
     ++m_attempts;
     m_isPaused = false;
     exchange_handlers handlers;
@@ -165,8 +168,9 @@
     m_services.log.write(log_event::attempt_started,
         { { "request", m_decoded.id }, { "target", fleet.instance[command.target.value] },
             { "build", fleet.build[command.target.value] }, { "stage", nameOf(stageNames, command.stage) },
-            { "via", viaOf(*attempt) }, { "after_event", m_lastEvent },
-            { "work", static_cast<std::int64_t>(command.work) },
+            { "via", viaOf(*attempt) },
+            { "beside", m_silent ? fleet.instance[m_silent->command.target.value] : std::string() },
+            { "after_event", m_lastEvent }, { "work", static_cast<std::int64_t>(command.work) },
             { "wait_ms", static_cast<std::int64_t>(command.waitSeconds * 1000) },
             { "running", fleet.running(command.target) },
             { "fetch_from", command.fetchFrom.isValid() ? fleet.instance[command.fetchFrom.value] : std::string() },
@@ -200,7 +204,7 @@
 
 void caller_flow::onHead(const attempt_ptr& attempt, const http_response_head& head)
 {
-    if (attempt != m_attempt)
+    if (!isLive(attempt))
         return;
     attempt->lastBytesAt = boot_clock::now();
     if (!attempt->command.detour)
@@ -262,13 +266,15 @@
         requestBegan();
     if (!attempt->answer.isGenuine && attempt->command.stage != attempt_stage::prefill)
         return conclude(attempt, attempt_result::broken);
-    if (attempt->command.stage != attempt_stage::prefill && !isFailure(attempt->answer) && !m_isStream)
+    if (attempt->command.stage != attempt_stage::prefill && !isFailure(attempt->answer) && !m_isStream) {
+        goOnWith(attempt);
         m_services.decisions.firstByteReceived(m_id, attempt->command.attempt, boot_clock::now());
+    }
 }
 
 void caller_flow::onBody(const attempt_ptr& attempt, std::string_view bytes)
 {
-    if (attempt != m_attempt)
+    if (!isLive(attempt))
         return;
     attempt->lastBytesAt = boot_clock::now();
     if (isEventStream(attempt)) {
@@ -294,7 +300,7 @@
 
 void caller_flow::onTooLarge(const attempt_ptr& attempt, const char* what, std::size_t maxBytes)
 {
-    if (attempt != m_attempt)
+    if (!isLive(attempt))
         return;
     attempt->failureReason = tooLargeReason(what, maxBytes);
     m_services.counters.count("tamarack_answers_over_limit_total");
@@ -332,9 +338,10 @@
 
 void caller_flow::onEvent(const attempt_ptr& attempt, const stream_event& event)
 {
-    if (attempt != m_attempt)
+    if (!isLive(attempt))
         return;
     requestBegan();
+    goOnWith(attempt);
     if (!attempt->isRelayed) {
         attempt->firstMs = millisecondsSince(attempt->startedAt);
         m_services.decisions.firstByteReceived(m_id, attempt->command.attempt, boot_clock::now());
@@ -374,7 +381,7 @@
 
 void caller_flow::onEnd(const attempt_ptr& attempt)
 {
-    if (attempt != m_attempt)
+    if (!isLive(attempt))
         return;
     const auto self = shared_from_this();
     if (attempt->command.stage == attempt_stage::prefill) {
@@ -392,6 +399,7 @@
             m_services.decisions.targetClosedConnection(m_id, attempt->command.attempt, boot_clock::now());
         return conclude(attempt, m_caller->hasStarted() ? attempt_result::cut : attempt_result::broken);
     }
+    goOnWith(attempt);
     if (!attempt->isRelayed) {
         beginAnswer(attempt);
         m_caller->write(attempt->body);
@@ -405,7 +413,7 @@
 
 void caller_flow::onFailure(const attempt_ptr& attempt, const exchange_failure& failure)
 {
-    if (attempt != m_attempt)
+    if (!isLive(attempt))
         return;
     attempt->failureReason = failure.reason;
     attempt->mayHaveReached = failure.mayHaveReachedPeer;
@@ -437,16 +445,18 @@
 
 void caller_flow::conclude(const attempt_ptr& attempt, attempt_result result, const std::string& cacheName)
 {
-    TAMARACK_ASSERT(attempt == m_attempt, "an attempt must be concluded only once");
+    TAMARACK_ASSERT(isLive(attempt), "an attempt must be concluded only once");
     const auto self = shared_from_this();
-    m_attempt = nullptr;
+    if (attempt == m_attempt)
+        m_attempt = m_silent;
+    m_silent = nullptr;
     // The connection of an aborted attempt is never reused, since late bytes on it belong to this attempt.
     if (result != attempt_result::answered && result != attempt_result::prefilled
         && result != attempt_result::failure_answer)
         attempt->exchange->cancel();
     if (result == attempt_result::failure_answer)
         m_failure = attempt;
-    recordLoss(nameOf(resultNames, result), attempt->command.detour ? cut_cause::peer : cut_cause::target);
+    recordEnd(*attempt, nameOf(resultNames, result), attempt->command.detour ? cut_cause::peer : cut_cause::target);
     const auto& fleet = m_services.decisions.fleet();
     m_services.counters.count("tamarack_target_attempts_total",
         { { "service", fleet.service[attempt->command.target.value] },
@@ -475,13 +485,13 @@
         m_on.onAttemptEnded(attempt->command.attempt, result, cacheName);
 }
 
-void caller_flow::recordLoss(std::string_view how, cut_cause cause)
+void caller_flow::recordEnd(const attempt_state& attempt, std::string_view how, cut_cause cause)
 {
     if (!m_attemptEnds.empty())
         m_attemptEnds += ' ';
     m_attemptEnds += how;
-    // What follows the first loss is an attempt to make up for it.
-    if (!m_cutCause)
+    // Later attempts go on with what the first one has begun.
+    if (!m_cutCause && attempt.isRelayed)
         m_cutCause = cause;
 }
 
@@ -493,22 +503,39 @@
 
 void caller_flow::stop(attempt_id attempt, serving::stop_reason reason)
 {
-    if (!m_attempt || m_attempt->command.attempt != attempt)
+    if (m_silent && m_silent->command.attempt == attempt)
+        cancel(std::exchange(m_silent, nullptr), reason);
+    else if (m_attempt && m_attempt->command.attempt == attempt)
+        cancel(std::exchange(m_attempt, std::exchange(m_silent, nullptr)), reason);
+}
+
+void caller_flow::goOnWith(const attempt_ptr& attempt)
+{
+    if (!m_silent)
         return;
-    m_attempt->exchange->cancel();
+    const bool isOvertaken = attempt == m_silent;
+    const auto other = isOvertaken ? m_attempt : m_silent;
+    m_attempt = attempt;
+    m_silent = nullptr;
+    cancel(other, isOvertaken ? serving::stop_reason::overtaken : serving::stop_reason::silent);
+}
+
+void caller_flow::cancel(const attempt_ptr& attempt, serving::stop_reason reason)
+{
+    attempt->exchange->cancel();
     const auto& fleet = m_services.decisions.fleet();
     m_services.counters.count("tamarack_attempts_stopped_total", { { "reason", nameOf(stopNames, reason) } });
-    recordLoss(nameOf(stopNames, reason), reason == serving::stop_reason::silent ? cut_cause::left_silent : endCause());
+    recordEnd(*attempt, nameOf(stopNames, reason),
+        reason == serving::stop_reason::silent ? cut_cause::left_silent : endCause());
     m_services.log.write(log_event::attempt_stopped,
         { { "request", m_decoded.id }, { "digest", m_digest },
-            { "target", fleet.instance[m_attempt->command.target.value] },
-            { "stage", nameOf(stageNames, m_attempt->command.stage) }, { "reason", nameOf(stopNames, reason) },
-            { "silent_ms", millisecondsSince(m_attempt->lastBytesAt) }, { "events", m_events },
-            { "took_ms", millisecondsSince(m_attempt->startedAt) } });
+            { "target", fleet.instance[attempt->command.target.value] },
+            { "stage", nameOf(stageNames, attempt->command.stage) }, { "reason", nameOf(stopNames, reason) },
+            { "silent_ms", millisecondsSince(attempt->lastBytesAt) }, { "events", m_events },
+            { "took_ms", millisecondsSince(attempt->startedAt) } });
     // The connection may be dead rather than the target, in which case the other pooled connections are dead as well.
-    if (!m_attempt->command.detour)
-        m_services.client.closeIdleConnections(parseEndpoint(fleet.address[m_attempt->command.target.value]));
-    m_attempt = nullptr;
+    if (!attempt->command.detour)
+        m_services.client.closeIdleConnections(parseEndpoint(fleet.address[attempt->command.target.value]));
 }
 
 void caller_flow::refuse(const serving::refuse_request& command)
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -98,6 +98,11 @@
     };
     using attempt_ptr = std::shared_ptr<attempt_state>;
 
+    /// Whether the attempt is in progress.
+    bool isLive(const attempt_ptr& attempt) const { return attempt == m_attempt || attempt == m_silent; }
+    /// The attempt brings the answer: ends another one beside it.
+    void goOnWith(const attempt_ptr& attempt);
+    void cancel(const attempt_ptr& attempt, serving::stop_reason reason);
     static std::string_view viaOf(const attempt_state& attempt);
     attempt_spec specOf(const serving::start_attempt& command) const;
     void onHead(const attempt_ptr& attempt, const http_response_head& head);
@@ -123,8 +128,8 @@
     /// caller.
     void recordEvent();
     void applyBackPressure();
-    /// Records, for the log, how an attempt ended.
-    void recordLoss(std::string_view how, cut_cause cause);
+    /// Records, for the log, how an attempt ended, and `cause` in case the answer ends here.
+    void recordEnd(const attempt_state& attempt, std::string_view how, cut_cause cause);
     /// Why an attempt is being ended together with its request.
     cut_cause endCause() const;
     cut_cause cutCause() const { return m_cutCause.value_or(endCause()); }
@@ -146,12 +151,13 @@
     request_id m_id;
     callbacks m_on;
     attempt_ptr m_attempt; // current attempt
+    attempt_ptr m_silent; // goes on beside the current one until one of them brings a byte of the answer
     attempt_ptr m_failure; // last attempt that ended with a failure response of the target
     std::string m_lastEvent; // id of the last event sent to the caller
     instant m_startedAt;
     int m_attempts = 0;
     std::string m_attemptEnds; // in order, for the log
-    std::optional<cut_cause> m_cutCause; // if the answer should end here
+    std::optional<cut_cause> m_cutCause; // of the answer, if it ends early; not set while its attempt goes on
     int m_events = 0; // number of stream events sent to the caller
     std::int64_t m_firstMs = -1; // time from the request to the first event; -1: none yet
     instant m_lastEventAt;
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -95,7 +95,7 @@
         { log_event::stream_taken_up, "stream_taken_up", info, served, "request first_call origin build waited_ms" },
         { log_event::request_waits, "request_waits", info, served, "request waiting" },
         { log_event::attempt_started, "attempt_started", info, served,
-            "request target build stage via after_event late urgency work wait_ms running predicted_ms left_ms "
+            "request target build stage via beside after_event late urgency work wait_ms running predicted_ms left_ms "
             "fetch_from" },
         { log_event::attempt_ended, "attempt_ended", info, served, "request target stage via status first_ms took_ms" },
         { log_event::call_passed_on, "call_passed_on", info, served, "request target result reason status took_ms" },
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -141,6 +141,8 @@
     /// Dispatches waiting requests and ends those whose deadline has passed.
     void tick(instant now, command_list& out);
 
+    /// Whether the attempt is in progress. While a silent target may still answer, a request can have two. The first
+    /// one that brings a byte of the answer ends the other; the command to stop that one comes with the next tick.
     bool isCurrent(request_id request, attempt_id attempt) const;
     void updateTargetLoad(target_id target, const reported_load& load) { m_fleet.reportedLoad[target.value] = load; }
     void applyCacheEvents(target_id engine, const std::vector<cache_event>& events)
@@ -202,7 +204,8 @@
     /// The target has outlasted the begin of an answer to the request.
     void partsProvenHarmless(std::size_t row, instant now);
     /// Calls `function` with the traits of the request that the end of its target speaks against, and the evidence.
-    template <class Function> void forSuspects(std::size_t row, Function function) const;
+    template <class Function>
+    void forSuspects(std::size_t row, const current_attempt& attempt, Function function) const;
     /// Ends the held requests that have been quarantined since the last call.
     void endQuarantined(instant now, command_list& out);
     bool startDecode(std::size_t row, instant now, command_list& out);
@@ -264,8 +267,19 @@
     duration restDelay(std::size_t row, instant now);
     /// Whether another attempt that counts against the route's attempt limit may be sent.
     bool mayRetry(std::size_t row, instant now);
-    /// Whether the request could be sent to a target other than its current one now, and be answered there in time.
-    bool canMove(std::size_t row, instant now);
+    /// The attempt of the request with this id, which is in progress.
+    current_attempt& attemptOf(std::size_t row, attempt_id attempt);
+    /// A target to which the request of a silent one could be sent now, and which would answer in time; invalid if
+    /// there is none.
+    target_choice choiceBesideSilent(std::size_t row, instant now);
+    /// Starts an attempt beside the silent current one if another target can take the request.
+    void leaveSilent(std::size_t row, instant now, command_list& out);
+    /// The attempt brings the answer, so that another one beside it is of no use any more.
+    void goOnWith(std::size_t row, attempt_id attempt, instant now);
+    /// Goes on with the silent attempt alone, as the one beside it has ended. Returns whether there was one.
+    bool returnToSilent(std::size_t row, instant now);
+    /// A silent attempt has ended without an answer while another one is in progress.
+    void silentEnded(std::size_t row, attempt_result result, instant now);
     void countSend(std::size_t row, instant now);
     /// Counts an attempt that may have reached its target. Further ones count against the retry limit shared by all
     /// nodes.
@@ -281,9 +295,13 @@
     void endWithFailure(std::size_t row, error_kind kind, instant now, command_list& out);
     void refuse(std::size_t row, error_kind kind, duration retryAfter, command_list& out);
     void remove(std::size_t row, command_list& out);
-    void releaseAttempt(std::size_t row);
-    /// Remembers the current attempt, which is being cancelled although its target may run it.
-    void abandonAttempt(std::size_t row, instant now);
+    void releaseAttempt(current_attempt& attempt);
+    void releaseCurrent(std::size_t row);
+    /// Remembers an attempt which is being cancelled although its target may run it.
+    void abandonAttempt(std::size_t row, const current_attempt& attempt, instant now);
+    /// The same for all attempts of the request.
+    void abandonAttempts(std::size_t row, instant now);
+    void stopAttempts(std::size_t row, stop_reason reason, command_list& out);
     /// Attributes the end of a target to the attempts at it that were cancelled shortly before.
     void blameAbandoned(target_id target, instant now);
     void releaseCache(std::size_t row, command_list& out);
@@ -310,6 +328,7 @@
     stream_origins m_origins;
     request_quarantine m_quarantine;
     abandoned_attempts m_abandoned;
+    command_list m_delayed; // commands that result from received bytes, issued by the next tick
     std::uint64_t m_quarantinesSeen = 0;
     idle_connections m_connections;
     target_room m_room;
--- a/libs/serving/include/serving/in_flight_requests.h
+++ b/libs/serving/include/serving/in_flight_requests.h
@@ -77,6 +77,9 @@
     std::vector<request_times> times;
     std::vector<request_progress> progress;
     std::vector<current_attempt> current; // its id is invalid while the request waits
+    /// A silent attempt beside the current one, which goes on until one of the two brings a byte of the answer. Its id
+    /// is valid only while that of the current one is.
+    std::vector<current_attempt> silent;
 
 private:
     std::vector<std::uint32_t> m_generations;
--- a/libs/serving/include/serving/serving_request.h
+++ b/libs/serving/include/serving/serving_request.h
@@ -84,7 +84,8 @@
 };
 
 enum class stop_reason : unsigned char {
-    silent, ///< the target has sent nothing for too long, and the request goes elsewhere
+    silent, ///< the target has sent nothing for too long, and another one answers
+    overtaken, ///< a target that had been silent answers before this one
     refused, ///< the request ends with an error, such as at its deadline
     caller_gone,
     count
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -8,42 +8,51 @@
 
 namespace tamarack::serving {
 
-void dispatcher::releaseAttempt(std::size_t row)
+void dispatcher::releaseAttempt(current_attempt& attempt)
 {
-    auto& current = m_book.current[row];
-    if (!current.id.isValid())
+    if (!attempt.id.isValid())
         return;
-    if (current.isPrefilling)
-        m_queues.cancel(current.target, current.prefillKey);
-    m_fleet.removeRunning(current.target);
-    if (!current.detour.empty())
-        m_paths.detourEnded(current.detour);
-    current = {};
+    if (attempt.isPrefilling)
+        m_queues.cancel(attempt.target, attempt.prefillKey);
+    m_fleet.removeRunning(attempt.target);
+    if (!attempt.detour.empty())
+        m_paths.detourEnded(attempt.detour);
+    attempt = {};
+}
+
+void dispatcher::releaseCurrent(std::size_t row)
+{
+    releaseAttempt(m_book.current[row]);
     m_book.phase[row] = request_phase::waiting;
 }
 
-void dispatcher::abandonAttempt(std::size_t row, instant now)
+void dispatcher::abandonAttempt(std::size_t row, const current_attempt& attempt, instant now)
 {
-    const auto& current = m_book.current[row];
-    if (!current.id.isValid())
+    if (!attempt.id.isValid())
         return;
     countTrial(row);
-    const auto instance = m_fleet.instanceHash[current.target.value];
-    forSuspects(row, [&](const request_trait& trait, const attempt_evidence& evidence) {
+    const auto instance = m_fleet.instanceHash[attempt.target.value];
+    forSuspects(row, attempt, [&](const request_trait& trait, const attempt_evidence& evidence) {
         m_abandoned.add(trait, evidence, instance, now);
     });
 }
 
-template <class Function> void dispatcher::forSuspects(std::size_t row, Function function) const
+void dispatcher::abandonAttempts(std::size_t row, instant now)
+{
+    abandonAttempt(row, m_book.current[row], now);
+    abandonAttempt(row, m_book.silent[row], now);
+}
+
+template <class Function>
+void dispatcher::forSuspects(std::size_t row, const current_attempt& attempt, Function function) const
 {
     const auto& request = m_book.request[row];
-    const auto& current = m_book.current[row];
     // A prefill does not run the request.
-    if (current.stage == attempt_stage::prefill)
+    if (attempt.stage == attempt_stage::prefill)
         return;
     // What crashes a target in the middle of an answer is the request as a whole, if anything of it.
-    function(request.digest, attempt_evidence { request.digest.account, current.lastEventAt != instant() });
-    if (!request.text || current.isProven)
+    function(request.digest, attempt_evidence { request.digest.account, attempt.lastEventAt != instant() });
+    if (!request.text || attempt.isProven)
         return;
     for (const auto& part : sharedParts(*request.text))
         function(promptPartTrait(part.id), attempt_evidence { request.digest.account, false });
@@ -84,6 +93,8 @@
 void dispatcher::releaseCache(std::size_t row, command_list& out)
 {
     auto& cache = m_book.progress[row].cache;
+    if (m_book.silent[row].id.isValid())
+        return; // it may still import the cache
     if (!cache.name.empty())
         out.push_back(release_cache { cache });
     cache = {};
@@ -91,7 +102,8 @@
 
 void dispatcher::remove(std::size_t row, command_list& out)
 {
-    releaseAttempt(row);
+    releaseAttempt(m_book.current[row]);
+    releaseAttempt(m_book.silent[row]);
     releaseCache(row, out);
     m_origins.cancel(m_book.idOf(row));
     m_book.remove(m_book.idOf(row));
@@ -104,6 +116,14 @@
     return isAtTarget || m_book.progress[row].mayHaveRun;
 }
 
+void dispatcher::stopAttempts(std::size_t row, stop_reason reason, command_list& out)
+{
+    for (const auto& attempt : { m_book.current[row].id, m_book.silent[row].id }) {
+        if (attempt.isValid())
+            out.push_back(stop_attempt { m_book.idOf(row), attempt, reason });
+    }
+}
+
 void dispatcher::refuse(std::size_t row, error_kind kind, duration retryAfter, command_list& out)
 {
     // An error that promises "not run" must be true. Once a target may have worked on the request, nothing is promised.
@@ -111,9 +131,7 @@
         kind = kind == error_kind::harmful_request || kind == error_kind::suspect_request ? error_kind::outcome_unknown
                                                                                           : error_kind::attempt_timeout;
     const request_id id = m_book.idOf(row);
-    const auto attempt = m_book.current[row].id;
-    if (attempt.isValid())
-        out.push_back(stop_attempt { id, attempt, stop_reason::refused });
+    stopAttempts(row, stop_reason::refused, out);
     const bool isForLimits = m_book.progress[row].isLimited;
     remove(row, out);
     out.push_back(refuse_request { id, kind, retryAfter, isForLimits, false, std::nullopt });
@@ -121,6 +139,8 @@
 
 void dispatcher::endWithFailure(std::size_t row, error_kind kind, instant now, command_list& out)
 {
+    if (returnToSilent(row, now))
+        return;
     const auto& progress = m_book.progress[row];
     const auto& route = *m_book.request[row].route;
     if (progress.hasStarted)
@@ -149,6 +169,7 @@
     if (!isCurrent(request, attempt))
         return;
     const auto row = static_cast<std::size_t>(m_book.row(request));
+    goOnWith(row, attempt, now);
     m_quarantine.answered(m_book.request[row].digest, now);
     // A stream without an event may be an answer that the target gave before it ran the request.
     if (!m_book.request[row].route->isStream || m_book.current[row].firstEventAt != instant())
@@ -160,23 +181,23 @@
     if (!isCurrent(request, attempt))
         return;
     const auto row = static_cast<std::size_t>(m_book.row(request));
-    const auto& current = m_book.current[row];
-    const auto instance = m_fleet.instanceHash[current.target.value];
-    forSuspects(row, [&](const request_trait& trait, const attempt_evidence& evidence) {
+    const auto& held = attemptOf(row, attempt);
+    const auto instance = m_fleet.instanceHash[held.target.value];
+    forSuspects(row, held, [&](const request_trait& trait, const attempt_evidence& evidence) {
         m_quarantine.targetEnded(trait, instance, now, evidence);
     });
-    blameAbandoned(current.target, now);
+    blameAbandoned(held.target, now);
 }
 
 void dispatcher::targetUnreached(request_id request, attempt_id attempt, path_failure failure, instant now)
 {
     if (!isCurrent(request, attempt))
         return;
-    auto& current = m_book.current[static_cast<std::size_t>(m_book.row(request))];
-    if (current.detour.empty())
-        current.hasLostPath = m_paths.failed(current.target, failure, current.sentAt, now);
+    auto& held = attemptOf(static_cast<std::size_t>(m_book.row(request)), attempt);
+    if (held.detour.empty())
+        held.hasLostPath = m_paths.failed(held.target, failure, held.sentAt, now);
     else
-        m_paths.detourFailed(current.target, current.detour, now);
+        m_paths.detourFailed(held.target, held.detour, now);
 }
 
 std::vector<target_id> dispatcher::takeLostPaths()
@@ -191,17 +212,17 @@
 {
     if (!isCurrent(request, attempt))
         return;
-    const auto& current = m_book.current[static_cast<std::size_t>(m_book.row(request))];
+    const auto& held = attemptOf(static_cast<std::size_t>(m_book.row(request)), attempt);
     if (pause > duration::zero())
-        m_paths.peerFailed(current.detour, pause, now);
+        m_paths.peerFailed(held.detour, pause, now);
     else
-        m_paths.detourFailed(current.target, current.detour, now);
+        m_paths.detourFailed(held.target, held.detour, now);
 }
 
 void dispatcher::targetBrokeBehindPeer(request_id request, attempt_id attempt)
 {
     if (isCurrent(request, attempt))
-        m_book.current[static_cast<std::size_t>(m_book.row(request))].hasTargetFailed = true;
+        attemptOf(static_cast<std::size_t>(m_book.row(request)), attempt).hasTargetFailed = true;
 }
 
 void dispatcher::pathChecked(
@@ -240,7 +261,13 @@
     if (!isCurrent(request, attempt))
         return;
     m_peers.refresh(now);
-    handleAttemptResult(static_cast<std::size_t>(m_book.row(request)), result, cacheName, now, out);
+    const auto row = static_cast<std::size_t>(m_book.row(request));
+    if (result == attempt_result::answered)
+        goOnWith(row, attempt, now);
+    if (m_book.silent[row].id == attempt)
+        silentEnded(row, result, now);
+    else
+        handleAttemptResult(row, result, cacheName, now, out);
     dispatch(now, out); // a slot may have become free
 }
 
@@ -266,7 +293,7 @@
     progress.hasFailed = true;
     if (result != attempt_result::unreached && result != attempt_result::not_passed_on)
         countTrial(row);
-    releaseAttempt(row);
+    releaseCurrent(row);
     switch (result) {
     case attempt_result::unreached:
     case attempt_result::not_passed_on:
@@ -295,6 +322,8 @@
         m_health.recordFailureAnswer(attempt.target, now);
         m_rests.answered(attempt.target, attempt.sentAt);
         progress.mayHaveRun |= couldRun;
+        if (returnToSilent(row, now))
+            return;
         progress.hasFailureAnswer = true;
         if (isRepeatable && mayRetry(row, now) && tryStart(row, now, out))
             return;
@@ -329,7 +358,7 @@
     m_health.recordSuccess(m_book.current[row].target, now);
     m_rests.answered(m_book.current[row].target, m_book.current[row].sentAt);
     recordAnswerTime(row, now);
-    releaseAttempt(row);
+    releaseCurrent(row);
     m_book.progress[row].cache = {}; // imported
     m_book.remove(m_book.idOf(row));
 }
@@ -340,7 +369,7 @@
     m_health.recordSuccess(attempt.target, now);
     m_rests.answered(attempt.target, attempt.sentAt);
     finishPrefill(row, now, true);
-    releaseAttempt(row);
+    releaseCurrent(row);
     m_book.progress[row].cache = { attempt.target, cacheName };
     if (refuseIfQuarantined(row, now, out))
         return;
@@ -350,6 +379,8 @@
 
 void dispatcher::retryOrEnd(std::size_t row, bool countsAsSend, error_kind kind, instant now, command_list& out)
 {
+    if (returnToSilent(row, now))
+        return;
     if (countsAsSend && !mayRetry(row, now))
         return endWithFailure(row, kind, now, out);
     startOrWait(row, now, out);
--- a/libs/serving/src/dispatch_stop.cpp
+++ b/libs/serving/src/dispatch_stop.cpp
@@ -113,7 +113,7 @@
         if (m_book.phase[row] == request_phase::free)
             continue;
         const bool isRepeatable = m_book.request[row].route->isRepeatable;
-        abandonAttempt(row, now);
+        abandonAttempts(row, now);
         if (m_book.progress[row].hasStarted)
             refuse(row, error_kind::answer_cut, duration::zero(), out);
         else if (hasRunOrMayRun(row))
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -20,14 +20,8 @@
     /// of eight times `gapAim`.
     constexpr duration maxStreamPause = 1s;
     constexpr int streamPauseFactor = 4;
-    /// A begun stream is moved this long before its caller would abandon it, or earlier by a multiple of the predicted
-    /// time where that is longer.
-    constexpr duration minMoveTime = 400ms;
-    constexpr double moveTimeFactor = 3;
     /// A plain target answers within about 20 ms, and within 75 ms in one of a hundred cases.
     constexpr double plainStallShareOfAim = 0.8;
-    /// Interval at which another target is looked for while an attempt is silent and none has room.
-    constexpr duration silenceCheckInterval = 100ms;
     constexpr duration noTargetRetryDelay = 1s;
     /// A stream is remembered for two calls of the longest time, and for the pause between them.
     constexpr int callsOfStream = 2;
@@ -112,7 +106,7 @@
     const auto row = static_cast<std::size_t>(m_book.row(request));
     auto& progress = m_book.progress[row];
     const auto& current = m_book.current[row];
-    if (!m_fleet.isLeaving(current.target))
+    if (current.id != attempt || !m_fleet.isLeaving(current.target))
         return false;
     if (current.isFirstPrefill) {
         progress.hasTriedPrefill = false;
@@ -120,8 +114,9 @@
         --progress.sends;
         --progress.arrivals;
     }
-    releaseAttempt(row);
-    startOrWait(row, now, out);
+    releaseCurrent(row);
+    if (!returnToSilent(row, now))
+        startOrWait(row, now, out);
     return true;
 }
 
@@ -453,7 +448,10 @@
 bool dispatcher::isCurrent(request_id request, attempt_id attempt) const
 {
     const auto row = m_book.row(request);
-    return row >= 0 && attempt.isValid() && m_book.current[static_cast<std::size_t>(row)].id == attempt;
+    if (row < 0 || !attempt.isValid())
+        return false;
+    const auto at = static_cast<std::size_t>(row);
+    return m_book.current[at].id == attempt || m_book.silent[at].id == attempt;
 }
 
 void dispatcher::firstByteReceived(request_id request, attempt_id attempt, instant now)
@@ -461,6 +459,7 @@
     if (!isCurrent(request, attempt))
         return;
     const auto row = static_cast<std::size_t>(m_book.row(request));
+    goOnWith(row, attempt, now);
     auto& current = m_book.current[row];
     if (current.hasStartedAnswering || current.stage == attempt_stage::prefill)
         return;
@@ -490,6 +489,7 @@
     if (!isCurrent(request, attempt))
         return;
     const auto row = static_cast<std::size_t>(m_book.row(request));
+    goOnWith(row, attempt, now);
     auto& current = m_book.current[row];
     if (current.lastEventAt != instant() && current.tokensPerEvent > 0)
         m_pace.recordStreamEvent(current.target, current.tokensPerEvent, now - current.lastEventAt);
@@ -501,7 +501,8 @@
         partsProvenHarmless(row, now);
     current.lastEventAt = now;
     m_book.progress[row].lastEventAt = now;
-    // Callers abandon a stream that pauses for too long. A stream that can be resumed elsewhere is moved before that.
+    // Callers abandon a stream that pauses for too long. Before that, one that can be resumed is offered to another
+    // target.
     current.silenceDeadline = now + longestPause(*m_book.request[row].route);
 }
 
@@ -510,7 +511,7 @@
     if (!isCurrent(request, attempt))
         return;
     const auto row = static_cast<std::size_t>(m_book.row(request));
-    auto& current = m_book.current[row];
+    auto& current = attemptOf(row, attempt);
     current.isPaused = isPaused;
     current.wasPaused |= isPaused;
     current.silenceDeadline = now + longestPause(*m_book.request[row].route);
@@ -541,44 +542,17 @@
     const auto row = m_book.row(request);
     if (row < 0)
         return;
-    const auto attempt = m_book.current[static_cast<std::size_t>(row)].id;
-    if (attempt.isValid())
-        out.push_back(stop_attempt { request, attempt, stop_reason::caller_gone });
-    abandonAttempt(static_cast<std::size_t>(row), now);
+    stopAttempts(static_cast<std::size_t>(row), stop_reason::caller_gone, out);
+    abandonAttempts(static_cast<std::size_t>(row), now);
     remove(static_cast<std::size_t>(row), out);
     dispatch(now, out);
 }
 
-bool dispatcher::canMove(std::size_t row, instant now)
-{
-    const auto& request = m_book.request[row];
-    if (!quarantinedTraits(row).empty() || !mayRetry(row, now)
-        || !retryLimiterOf(request.service).maySend(m_knownNodes, now))
-        return false;
-    auto query = needOf(row, now);
-    query.avoid = m_book.current[row].target;
-    const auto choice = m_placement.chooseFirst(query, now);
-    if (!choice.target.isValid() || choice.target == query.avoid)
-        return false;
-    if (m_stop && now + timeToAnswer(row, choice, now) > m_stop->lastAnswerAt)
-        return false;
-    // A sound engine may be silent for a while, and the next one may reject the stream, so it stays as long as it can.
-    const auto moveTime = std::max<duration>(minMoveTime, fromSeconds(moveTimeFactor * choice.seconds));
-    const auto& progress = m_book.progress[row];
-    if (progress.hasStarted && now < progress.lastEventAt + abandonedGap(*request.route) - moveTime)
-        return false;
-    // An engine whose slots are taken may reject the attempt, and a stream that has begun would end with it.
-    const bool hasFreeSlot = m_fleet.running(choice.target) < m_fleet.slots[choice.target.value];
-    if (progress.hasStarted && !hasFreeSlot)
-        return false;
-    return fromSeconds(choice.seconds) + minUsefulTime <= m_book.times[row].answerDeadline - now;
-}
-
 void dispatcher::checkTimes(std::size_t row, instant now, command_list& out)
 {
     const auto& current = m_book.current[row];
     if (now >= m_book.times[row].answerDeadline) {
-        abandonAttempt(row, now);
+        abandonAttempts(row, now);
         return refuse(row, hasRunOrMayRun(row) ? error_kind::attempt_timeout : error_kind::deadline_unreachable,
             duration::zero(), out);
     }
@@ -588,23 +562,15 @@
     if (current.detour.empty())
         m_paths.suspect(current.target, now);
     const bool couldRun = current.stage != attempt_stage::prefill;
-    if (couldRun && !m_book.request[row].route->isRepeatable)
-        return;
-    // A silent target may still answer, so it keeps the request until another one can take it.
-    if (!canMove(row, now)) {
-        m_book.current[row].silenceDeadline = now + silenceCheckInterval;
-        return;
-    }
-    out.push_back(stop_attempt { m_book.idOf(row), current.id, stop_reason::silent });
-    abandonAttempt(row, now);
-    m_connections.forget(current.target); // the connection may be the cause of the silence
-    handleAttemptResult(
-        row, m_book.progress[row].hasStarted ? attempt_result::cut : attempt_result::broken, {}, now, out);
+    if (!couldRun || m_book.request[row].route->isRepeatable)
+        leaveSilent(row, now, out);
 }
 
 void dispatcher::tick(instant now, command_list& out)
 {
     m_peers.refresh(now);
+    for (auto& item : std::exchange(m_delayed, {}))
+        out.push_back(std::move(item));
     m_quarantine.tick(now);
     endQuarantined(now, out);
     m_origins.tick(now);
--- a/libs/serving/src/in_flight_requests.cpp
+++ b/libs/serving/src/in_flight_requests.cpp
@@ -14,6 +14,7 @@
         times.emplace_back();
         progress.emplace_back();
         current.emplace_back();
+        silent.emplace_back();
         m_generations.push_back(0);
     }
     const auto at = m_freeRows.back();
@@ -27,6 +28,7 @@
     phase[at] = request_phase::waiting;
     progress[at] = {};
     current[at] = {};
+    silent[at] = {};
     ++m_generations[at];
     ++m_held;
     return idOf(at);
