--- a/libs/http/tests/http_fixture.h
+++ b/libs/http/tests/http_fixture.h
@@ -60,11 +60,13 @@
     exchange_failure failure;
 };
 
-inline outcome fetch(http_client& client, const endpoint& peer, exchange_options options = {})
+inline outcome fetch(
+    http_client& client, const endpoint& peer, exchange_options options = {}, const std::string& method = "POST")
 {
     outcome result;
+    const std::string body = method == "POST" ? "body" : "";
     client.fetch(
-        peer, { "POST", "/x", {}, "body" }, options, [&](const http_response* response, const exchange_failure& f) {
+        peer, { method, "/x", {}, body }, options, [&](const http_response* response, const exchange_failure& f) {
             result.isComplete = response != nullptr;
             if (response)
                 result.response = *response;
--- a/libs/http/tests/test_http_client.cpp
+++ b/libs/http/tests/test_http_client.cpp
@@ -65,6 +65,24 @@
     CHECK(fetch(client, peer.address()).response.body == "yes");
 }
 
+TEST_CASE("test_answer_that_is_cut_within_its_head_is_a_failure")
+{
+    // Guards against answers with an empty or short body that are passed on as whole, as their target closed the
+    // connection in an orderly way at any byte of the head.
+    const QByteArray before = GENERATE("", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n");
+    const QByteArray length = GENERATE("Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", "");
+    const std::string method = GENERATE("POST", "GET", "HEAD");
+    const QByteArray head = before + "HTTP/1.1 200 OK\r\nX-Id: new\r\n" + length + "Keep-Alive: timeout=2\r\n\r\n";
+    http_client client;
+    for (qsizetype bytes = 0; bytes < head.size(); ++bytes) {
+        raw_peer peer(head.left(bytes));
+        const auto result = fetch(client, peer.address(), {}, method);
+        INFO(head.left(bytes).toStdString());
+        CHECK_FALSE(result.isComplete);
+        CHECK(result.failure.mayHaveReachedPeer);
+    }
+}
+
 TEST_CASE("test_connection_with_bytes_after_the_answer_is_not_used_again")
 {
     raw_peer peer("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyesHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno");
