--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -79,8 +79,9 @@
     if (m_decoded.text)
         m_parts = partNames(*m_decoded.text);
     m_services.log.write(log_event::request_taken,
-        { { "request", m_decoded.id }, { "digest", m_digest }, { "account", m_account }, { "route", m_routeName },
-            { "service", request.service }, { "version", request.configuration->version() },
+        { { "request", m_decoded.id }, { "connection", m_caller->connectionNumber() }, { "digest", m_digest },
+            { "account", m_account }, { "route", m_routeName }, { "service", request.service },
+            { "version", request.configuration->version() },
             { "left_ms", m_decoded.timeLeft ? milliseconds(*m_decoded.timeLeft) : -1 },
             { "until_exit_ms", untilExitMilliseconds() },
             { "tokens", m_decoded.text ? m_decoded.text->inputTokens : 0 }, { "parts", m_parts },
@@ -550,10 +551,10 @@
         return finish(flow_end::cut, answerFor(kind).type);
     }
     m_services.log.write(log_event::request_refused,
-        { { "request", m_decoded.id }, { "route", m_routeName }, { "kind", answerFor(kind).type },
-            { "retry_after_ms", milliseconds(command.retryAfter) }, { "held_ms", millisecondsSince(m_startedAt) },
-            { "waiting", m_services.decisions.waiting() }, { "for_limits", command.isForLimits },
-            { "on_arrival", command.isOnArrival },
+        { { "request", m_decoded.id }, { "connection", m_caller->connectionNumber() }, { "route", m_routeName },
+            { "kind", answerFor(kind).type }, { "retry_after_ms", milliseconds(command.retryAfter) },
+            { "held_ms", millisecondsSince(m_startedAt) }, { "waiting", m_services.decisions.waiting() },
+            { "for_limits", command.isForLimits }, { "on_arrival", command.isOnArrival },
             { "predicted_wait_ms", command.predictedWait ? milliseconds(*command.predictedWait) : -1 } });
     m_services.counters.count("tamarack_refused_total", { { "kind", std::string(answerFor(kind).type) } });
     if (command.isOnArrival)
@@ -614,8 +615,8 @@
                 { "longest_pause_ms", milliseconds(m_longestGap) } });
     } else if (end != flow_end::refused) {
         m_services.log.write(log_event::request_failed,
-            { { "request", m_decoded.id }, { "route", m_routeName }, { "outcome", name },
-                { "detail", std::string(detail) }, { "first_ms", m_firstMs },
+            { { "request", m_decoded.id }, { "connection", m_caller->connectionNumber() }, { "route", m_routeName },
+                { "outcome", name }, { "detail", std::string(detail) }, { "first_ms", m_firstMs },
                 { "took_ms", millisecondsSince(m_startedAt) }, { "events", m_events }, { "attempts", m_attempts },
                 { "attempt_ends", m_attemptEnds }, { "cause", end == flow_end::cut ? toString(cutCause()) : "" },
                 { "until_exit_ms", untilExitMilliseconds() }, { "longest_pause_ms", milliseconds(m_longestGap) } });
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -36,6 +36,8 @@
 
     /// Interval of the periodic work, such as timeouts and waiting requests; the end of a response is handled at once.
     constexpr auto decisionInterval = 20ms;
+    /// A longer time between two rounds of the periodic work is logged.
+    constexpr duration maxUsualInterval = 200ms;
     /// Time left before the stop bound when the process exits by itself.
     constexpr duration stopMargin = 700ms;
     /// From the end of listening to process exit, so that buffered bytes are sent.
@@ -116,6 +118,8 @@
     void assignDuties(instant now);
     void assignStoreReading(serving::node_state me, const std::vector<serving::node_state>& alive, instant now);
     void logReadiness();
+    /// Logs that the event loop has not run for a while, for lack of processor time or because of long work.
+    void logLateness(instant now);
     void logLostPeers(const std::vector<serving::lost_node>& lost);
     void logHealth(const serving::health_change& change);
     void logPaths(instant now);
@@ -158,6 +162,7 @@
     std::uint64_t announcedPaths = 0; // generation of the paths that peers were told
     instant nextDutiesAt;
     instant startedAt = boot_clock::now();
+    instant lastTickAt = startedAt;
     std::string encodedStateText; // last encoded state, served to peers
     instant encodedStateAt;
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true); // checks of paths may end after this object
@@ -481,6 +486,7 @@
 void gateway::state::tick()
 {
     const auto now = boot_clock::now();
+    logLateness(now);
     view.tick(now);
     logLostPeers(nodes.tick(now));
     for (const auto& change : decisions.takeHealthChanges())
@@ -651,6 +657,13 @@
             { "all_bytes", static_cast<std::int64_t>(callers.unsentBytesHeld()) } });
 }
 
+void gateway::state::logLateness(instant now)
+{
+    const auto interval = now - std::exchange(lastTickAt, now);
+    if (interval > maxUsualInterval)
+        log.write(log_event::event_loop_late, { { "late_ms", milliseconds(interval - decisionInterval) } });
+}
+
 void gateway::state::logReadiness()
 {
     if (wasReady == isReady())
@@ -668,7 +681,9 @@
         return;
     isDraining = true;
     drainingSince = boot_clock::now();
-    log.write(log_event::drain_started, { { "held", decisions.held() }, { "connections", callers.connectionCount() } });
+    log.write(log_event::drain_started,
+        { { "held", decisions.held() }, { "connections", callers.connectionCount() },
+            { "late_ms", milliseconds(drainingSince - lastTickAt) } });
     decisions.stop(stopTimes());
     callers.beginDrain();
     detours.beginDrain();
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -68,6 +68,8 @@
 
     bool isOpen() const { return m_connection != nullptr; }
     bool hasStarted() const { return m_started; }
+    /// Distinguishes the connections of a server, for logs. Numbers start at 1.
+    std::uint64_t connectionNumber() const { return m_connectionNumber; }
     /// Returns the number of bytes accepted by write() but not yet passed to the kernel.
     std::size_t bytesQueued() const;
     /// Returns how many bytes may be queued before the source of the response stops reading, until onDrained is called.
@@ -82,6 +84,7 @@
 private:
     friend class detail::server_connection;
     detail::server_connection* m_connection; // null once the response or the connection has ended
+    std::uint64_t m_connectionNumber;
     bool m_started = false;
 };
 
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -13,6 +13,7 @@
 
 response_writer::response_writer(detail::server_connection* connection)
     : m_connection(connection)
+    , m_connectionNumber(connection->number())
 {
 }
 
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -54,6 +54,7 @@
 
 server_connection::server_connection(int descriptor, std::shared_ptr<server_shared> shared)
     : m_shared(std::move(shared))
+    , m_number(++m_shared->connectionsAccepted)
     , m_socket(descriptor, *this)
     , m_reader(m_shared->limits.headerBytes, m_shared->limits.bodyBytes)
 {
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -20,6 +20,7 @@
     std::function<void()> onUnsentExceeded; ///< what is held exceeds the total; set by the server
     unsent_bytes unsent;
     int connections = 0;
+    std::uint64_t connectionsAccepted = 0;
     std::uint64_t totalBodyBytes = 0; ///< size of all bodies being received
     bool isDraining = false;
 };
@@ -33,6 +34,7 @@
     void flushHead();
     void sendBody(std::string_view bytes);
     void finishAnswer();
+    std::uint64_t number() const { return m_number; }
     std::size_t bytesQueued() const { return m_socket.bytesQueued(); }
     std::size_t queueLimit() const { return m_shared->unsent.queueLimit(); }
     /// Resets the connection because its caller reads too slowly. A response in progress ends as if the caller had
@@ -76,6 +78,7 @@
     std::shared_ptr<response_writer> detachWriter();
 
     std::shared_ptr<server_shared> m_shared;
+    const std::uint64_t m_number;
     stream_socket m_socket;
     request_reader m_reader;
     std::string m_input; // received, not yet parsed
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -22,6 +22,7 @@
     node_started,
     drain_started,
     drain_finished,
+    event_loop_late,
     settings_reloaded,
     settings_invalid,
     registered,
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -13,8 +13,9 @@
     constexpr std::array<log_event_info, static_cast<std::size_t>(log_event::count)> table { {
         { log_event::node_started, "node_started", info, lifecycle,
             "availability_zone callers caller_port address first_start" },
-        { log_event::drain_started, "drain_started", info, lifecycle, "held connections" },
+        { log_event::drain_started, "drain_started", info, lifecycle, "held connections late_ms" },
         { log_event::drain_finished, "drain_finished", info, lifecycle, "held connections unsent_bytes after_ms" },
+        { log_event::event_loop_late, "event_loop_late", warning, lifecycle, "late_ms" },
         { log_event::settings_reloaded, "settings_reloaded", info, lifecycle, "seeds" },
         { log_event::settings_invalid, "settings_invalid", error, lifecycle, "field message" },
         { log_event::registered, "registered", info, lifecycle, "incarnation" },
@@ -74,9 +75,10 @@
         { log_event::order_answered, "order_answered", info, belief, "target order status" },
         { log_event::order_unanswered, "order_unanswered", warning, belief, "target order may_have_reached reason" },
         { log_event::request_refused, "request_refused", info, failed,
-            "request route kind retry_after_ms held_ms waiting for_limits on_arrival predicted_wait_ms version" },
+            "request connection route kind retry_after_ms held_ms waiting for_limits on_arrival predicted_wait_ms "
+            "version" },
         { log_event::request_failed, "request_failed", warning, failed,
-            "request route outcome detail first_ms took_ms events attempts attempt_ends cause until_exit_ms "
+            "request connection route outcome detail first_ms took_ms events attempts attempt_ends cause until_exit_ms "
             "longest_pause_ms" },
         { log_event::request_held_at_exit, "request_held_at_exit", warning, failed,
             "request route took_ms running_ms began events attempts" },
@@ -90,7 +92,8 @@
         { log_event::slow_caller_cut, "slow_caller_cut", warning, failed, "bytes all_bytes" },
         { log_event::foreign_answer_dropped, "foreign_answer_dropped", warning, failed, "request target" },
         { log_event::request_taken, "request_taken", info, served,
-            "request digest account route service version left_ms until_exit_ms tokens parts last_event first_call "
+            "request connection digest account route service version left_ms until_exit_ms tokens parts last_event "
+            "first_call "
             "aim_ms gap_aim_ms" },
         { log_event::stream_taken_up, "stream_taken_up", info, served, "request first_call origin build waited_ms" },
         { log_event::request_waits, "request_waits", info, served, "request waiting" },
