--- a/libs/serving/tests/test_begun_answers.cpp
+++ b/libs/serving/tests/test_begun_answers.cpp
@@ -20,6 +20,9 @@
 constexpr duration eventInterval = 100ms;
 constexpr duration rejectionTime = 5ms;
 constexpr duration arrivalInterval = 90ms;
+/// All engines stand still at the same time, once in each interval.
+constexpr duration hushInterval = 6s;
+constexpr duration hushLength = 1300ms;
 constexpr duration callsEndAt = 45s;
 constexpr duration stopAt = 30s;
 constexpr duration stopLength = 7300ms; ///< from the signal to the last answer
@@ -30,6 +33,8 @@
     bool stops = false;
     double rejections = 0.3; ///< share of the attempts that their target doesn't take
     double silences = 0.3; ///< share of the streams with one silence
+    duration calmUntil = duration::zero(); ///< no stream that begins earlier has a silence
+    bool hasHushes = false;
 };
 
 /// A node, and engines that work on what they have taken until it ends or its attempt is cancelled.
@@ -111,19 +116,26 @@
         ++held.attempts;
         moved += held.attempts > 1;
         if (m_random.unit() < m_options.rejections)
-            return m_happenings.push({ now + rejectionTime, start.request, start.attempt, step::reject, false });
-        auto when = now + fromSeconds(0.05 + 0.25 * m_random.unit());
+            return m_happenings.push(
+                { afterHush(now + rejectionTime), start.request, start.attempt, step::reject, false });
+        auto when = afterHush(now + fromSeconds(0.05 + 0.25 * m_random.unit()));
         const int events = 5 + static_cast<int>(m_random.below(15));
-        const bool isSilent = m_random.unit() < m_options.silences;
+        const bool isSilent = m_random.unit() < m_options.silences && now >= at(m_options.calmUntil);
         const auto silentAfter = static_cast<int>(m_random.below(static_cast<std::uint64_t>(events)));
         const auto silence = fromSeconds(1 + 2.5 * m_random.unit());
         for (int i = 0; i < events; ++i) {
             m_happenings.push({ when, start.request, start.attempt, step::event, i == 0 });
-            when += isSilent && i == silentAfter ? silence : eventInterval;
+            when = afterHush(when + (isSilent && i == silentAfter ? silence : eventInterval));
         }
         m_happenings.push({ when, start.request, start.attempt, step::end, false });
     }
 
+    instant afterHush(instant when) const
+    {
+        const auto sinceHush = (when - at(hushInterval)) % hushInterval;
+        return m_options.hasHushes && sinceHush < hushLength ? when - sinceHush + hushLength : when;
+    }
+
     void deliver(instant now)
     {
         while (!m_happenings.empty() && m_happenings.top().at <= now) {
@@ -211,3 +223,26 @@
     SECTION("a third of the attempts is rejected") { }
     checkSeeds(options);
 }
+
+// Guards against streams that the exit cuts because their targets fall silent before it, after quick answers.
+TEST_CASE("test_exit_cuts_no_stream_of_targets_that_fall_silent_late_in_the_stop")
+{
+    begun_answers_options options;
+    options.stops = true;
+    options.silences = 0.8;
+    options.calmUntil = stopAt + excusedTime;
+    SECTION("targets take everything") { options.rejections = 0; }
+    SECTION("a third of the attempts is rejected") { }
+    checkSeeds(options);
+}
+
+// Guards against requests that end, or count as run, because all targets that could take them fall silent at once.
+TEST_CASE("test_silence_of_all_targets_ends_no_answer_and_no_rejected_request_counts_as_run")
+{
+    begun_answers_options options;
+    options.silences = 0;
+    options.hasHushes = true;
+    SECTION("without a stop") { }
+    SECTION("around a stop") { options.stops = true; }
+    checkSeeds(options);
+}
