A request whose silent target rejects it in the end has not run

Callers got 504 and no time to return where both targets had rejected the request, one of them after a silence: an attempt counted as one that may have run from the moment another one was started beside it. Now only an attempt that is cancelled, breaks off or fails counts; while it goes on, it is looked at itself.

--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -111,9 +111,10 @@
 
 bool dispatcher::hasRunOrMayRun(std::size_t row) const
 {
-    const auto& current = m_book.current[row];
-    const bool isAtTarget = current.id.isValid() && current.stage != attempt_stage::prefill;
-    return isAtTarget || m_book.progress[row].mayHaveRun;
+    const auto isAtTarget = [](const current_attempt& attempt) {
+        return attempt.id.isValid() && attempt.stage != attempt_stage::prefill;
+    };
+    return isAtTarget(m_book.current[row]) || isAtTarget(m_book.silent[row]) || m_book.progress[row].mayHaveRun;
 }
 
 void dispatcher::stopAttempts(std::size_t row, stop_reason reason, command_list& out)
--- a/libs/serving/src/dispatch_silence.cpp
+++ b/libs/serving/src/dispatch_silence.cpp
@@ -70,7 +70,6 @@
     auto& progress = m_book.progress[row];
     progress.avoid = current.target;
     progress.hasFailed = true;
-    progress.mayHaveRun = true;
     m_book.silent[row] = std::exchange(current, {});
     start(row, choice, now, out);
 }
@@ -88,6 +87,7 @@
     } else if (auto& cache = m_book.progress[row].cache; !cache.name.empty()) {
         m_delayed.push_back(release_cache { std::exchange(cache, {}) });
     }
+    m_book.progress[row].mayHaveRun |= silent.stage != attempt_stage::prefill;
     m_delayed.push_back(stop_attempt { m_book.idOf(row), silent.id, reason });
     abandonAttempt(row, silent, now);
     releaseAttempt(silent);
@@ -109,6 +109,9 @@
     auto& silent = m_book.silent[row];
     if (result == attempt_result::rejected)
         m_health.recordRejection(silent.target, now);
+    const bool hasNotRun = result == attempt_result::rejected || result == attempt_result::misdirected
+        || result == attempt_result::unreached || result == attempt_result::not_passed_on;
+    m_book.progress[row].mayHaveRun |= !hasNotRun;
     releaseAttempt(silent);
 }
 
