A stopping node begins no stream that its exit might cut

Callers saw streams of a resumable route with a status whose connection closed before the end, at the exit of a stopping node beside targets that had fallen silent.

Cause: what a stopping node takes goes by the longest answers of the last one to two minutes. A silence that comes later is not among them; a begun stream is then cut 7.3 s after the signal, also if it was sent more than 3 s after it.

Change: the first event goes to the caller only if the rest of the usual answer and two pauses as long as callers bear fit before the exit, or the deadline does. Otherwise the events are kept until the answer is whole. What the exit finds unfinished then has not begun and ends with an error, which is a whole answer. A kept stream whose target breaks off is repeated from its start.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -319,9 +319,26 @@
     beginAnswer(attempt);
     m_caller->write(attempt->body);
     attempt->body = {};
+    if (!attempt->lastBufferedEvent.empty())
+        m_lastEvent = attempt->lastBufferedEvent;
+    for (; attempt->bufferedEvents > 0; --attempt->bufferedEvents)
+        recordEvent();
     applyBackPressure();
 }
 
+bool caller_flow::keepsEvent(const attempt_ptr& attempt, const stream_event& event)
+{
+    const bool isFull = attempt->body.size() + event.bytes.size() > maxBufferedBytes;
+    if (attempt->isRelayed || isFull || m_services.decisions.mayBeginAnswer(m_id, boot_clock::now()))
+        return false;
+    if (attempt->bufferedEvents++ == 0)
+        m_services.counters.count("tamarack_streams_kept_until_whole_total");
+    attempt->body += event.bytes;
+    if (!event.idText.empty())
+        attempt->lastBufferedEvent = std::string(event.idText);
+    return true;
+}
+
 void caller_flow::beginAnswer(const attempt_ptr& attempt)
 {
     attempt->isRelayed = true;
@@ -343,15 +360,19 @@
         return;
     requestBegan();
     goOnWith(attempt);
-    if (!attempt->isRelayed) {
+    if (attempt->firstMs < 0) {
         attempt->firstMs = millisecondsSince(attempt->startedAt);
         m_services.decisions.firstByteReceived(m_id, attempt->command.attempt, boot_clock::now());
-        beginAnswer(attempt);
     }
     m_services.decisions.streamEventReceived(m_id, attempt->command.attempt, boot_clock::now());
     const auto last = parseNumber(m_lastEvent);
-    if (event.id && last && *event.id <= *last)
-        return; // duplicate: already sent during an earlier attempt
+    const bool isDuplicate = event.id && last && *event.id <= *last; // already sent during an earlier attempt
+    if (!isDuplicate && keepsEvent(attempt, event))
+        return;
+    if (!attempt->isRelayed)
+        relayBuffered(attempt);
+    if (isDuplicate)
+        return;
     if (!event.idText.empty())
         m_lastEvent = std::string(event.idText);
     recordEvent();
@@ -394,17 +415,16 @@
     // A stream that ends within an event was truncated, even if the connection was closed cleanly. So was one without
     // an event whose end nothing else marks: a target that crashes after the head closes the connection in the same
     // way.
-    const bool isEmptyStream = isEventStream(attempt) && !attempt->isRelayed && !attempt->answer.isDelimited;
+    const bool isEmptyStream
+        = isEventStream(attempt) && !attempt->isRelayed && attempt->body.empty() && !attempt->answer.isDelimited;
     if (attempt->splitter.hasPartial() || isEmptyStream) {
         if (!attempt->answer.isDelimited)
             m_services.decisions.targetClosedConnection(m_id, attempt->command.attempt, boot_clock::now());
         return conclude(attempt, m_caller->hasStarted() ? attempt_result::cut : attempt_result::broken);
     }
     goOnWith(attempt);
-    if (!attempt->isRelayed) {
-        beginAnswer(attempt);
-        m_caller->write(attempt->body);
-    }
+    if (!attempt->isRelayed)
+        relayBuffered(attempt);
     if (attempt->answer.isDelimited)
         m_services.decisions.wholeAnswerReceived(m_id, attempt->command.attempt, boot_clock::now());
     conclude(attempt, attempt_result::answered);
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -85,7 +85,9 @@
         serving::start_attempt command;
         std::shared_ptr<http_exchange> exchange;
         target_answer answer;
-        std::string body; // buffered until it is known whether the response is relayed
+        std::string body; // buffered until it is known whether the response is relayed; of a stream, its events
+        std::string lastBufferedEvent; // id
+        int bufferedEvents = 0;
         event_splitter splitter;
         std::size_t unreadBytes = 0; // relayed after the caller had left
         bool isRelayed = false; // part of the response was sent to the caller
@@ -118,6 +120,8 @@
     /// Called when the target shows that it runs the request; only the first call counts.
     void requestBegan();
     void relayBuffered(const attempt_ptr& attempt);
+    /// Whether the event is kept until the stream may begin.
+    bool keepsEvent(const attempt_ptr& attempt, const stream_event& event);
     void beginAnswer(const attempt_ptr& attempt);
     /// The attempt may have run and gives no whole answer.
     void concludeBroken(const attempt_ptr& attempt);
--- a/libs/gateway/tests/test_flow_table.cpp
+++ b/libs/gateway/tests/test_flow_table.cpp
@@ -116,3 +116,56 @@
     CHECK(peer.calls == 2);
     CHECK(world.decisions.takeHealthReports(boot_clock::now()).size() == 2);
 }
+
+// Guards against begun streams that the exit of a stopping node cuts.
+TEST_CASE("test_stream_that_the_exit_might_cut_begins_only_once_it_is_whole")
+{
+    flow_world world(true);
+    world.decisions.targetLeaves("leaving");
+    world.staying.isStream = true;
+    world.services.onRequestBegan = [&](const std::string&) {
+        const auto now = boot_clock::now();
+        world.decisions.stop({ now + 1s, now });
+    };
+    std::optional<http_response> answer;
+    bool isDone = false;
+    world.send([&](const http_response* response) {
+        isDone = true;
+        if (response)
+            answer = *response;
+    });
+    spinUntil([&] { return world.decisions.untilExit(boot_clock::now()).has_value(); });
+    SECTION("it becomes whole in time")
+    {
+        world.staying.openStream->write("id: 2\ndata: b\n\n");
+        world.staying.openStream->finish();
+        spinUntil([&] { return isDone; });
+        REQUIRE(answer);
+        CHECK(answer->status == 200);
+        CHECK(answer->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    }
+    SECTION("its target is silent until the exit")
+    {
+        serving::command_list commands;
+        world.decisions.endAll(boot_clock::now() + 1s, commands);
+        world.flows.execute(std::move(commands));
+        spinUntil([&] { return isDone; });
+        REQUIRE(answer);
+        CHECK(answer->status == 503);
+    }
+    SECTION("its target breaks off and another one writes it")
+    {
+        const auto first = world.staying.openStream;
+        world.decisions.stop({ boot_clock::now() + 10s, boot_clock::now() });
+        world.services.onRequestBegan = [](const std::string&) {};
+        fake_target other;
+        other.isStream = true;
+        world.list("other", other);
+        first->abort();
+        spinUntil([&] { return other.openStream != nullptr; });
+        other.openStream->finish();
+        spinUntil([&] { return isDone; });
+        REQUIRE(answer);
+        CHECK(answer->body == "id: 1\ndata: a\n\n");
+    }
+}
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -102,6 +102,9 @@
     void streamEventReceived(request_id request, attempt_id attempt, instant now);
     /// Reading from the target was paused because the caller receives too slowly, or was resumed.
     void readingPaused(request_id request, attempt_id attempt, bool isPaused, instant now);
+    /// Whether the caller may get an answer before it is whole. A stopping process keeps an answer that its exit might
+    /// cut until it is whole, since what has not begun can still end with an error.
+    bool mayBeginAnswer(request_id request, instant now) const;
     /// Part of the response is about to be sent to the caller. Messages of origins() have to leave before it.
     void responseStarted(request_id request, attempt_id attempt, instant now);
     /// The target has sent an answer that is certainly complete. Called before attemptEnded().
@@ -247,6 +250,8 @@
     void recordAnswerTime(std::size_t row, instant now);
     /// The time to allow for a whole answer if the attempt is started now; `choice` may have no target.
     duration timeToAnswer(std::size_t row, const target_choice& choice, instant now) const;
+    /// The time to allow from the first byte of the answer to its end. `choice` may have no target.
+    std::optional<duration> timeFromBegin(std::size_t row, const target_choice& choice, instant now) const;
     /// Ends the request if the process is stopping and the answer would come after that. Returns whether it did.
     bool refuseIfStopping(std::size_t row, duration needed, instant now, command_list& out);
     /// The same whatever target is chosen.
--- a/libs/serving/src/dispatch_stop.cpp
+++ b/libs/serving/src/dispatch_stop.cpp
@@ -13,6 +13,8 @@
     constexpr duration deliveryTime = 100ms;
     /// From the exit of a process to the time at which its successor takes calls.
     constexpr duration restartTime = 1s;
+    /// A target may be silent so often in an answer, each time for as long as callers wait, before the exit cuts it.
+    constexpr int allowedPauses = 2;
 
 }
 
@@ -42,7 +44,6 @@
     if (!allowed)
         return left;
     auto toBegin = std::max(allowed->toBegin, fromSeconds(choice.seconds));
-    auto fromBegin = seconds(allowed->fromBegin);
     if (choice.stage == attempt_stage::prefill) {
         // The prediction ends with the prefill.
         const auto decode = m_answerTimes.allowance(request.route->name, attempt_stage::decode, now);
@@ -50,12 +51,39 @@
             return left;
         toBegin = std::max(allowed->toBegin, fromSeconds(choice.seconds) + decode->toBegin);
     }
+    return std::min(left, toBegin + *timeFromBegin(row, choice, now) + deliveryTime);
+}
+
+std::optional<duration> dispatcher::timeFromBegin(std::size_t row, const target_choice& choice, instant now) const
+{
+    const auto& request = m_book.request[row];
+    const auto allowed = m_answerTimes.allowance(request.route->name, choice.stage, now);
+    if (!allowed)
+        return std::nullopt;
+    auto out = seconds(allowed->fromBegin);
     if (request.text && allowed->outputTokens > 0)
-        fromBegin *= std::max(
+        out *= std::max(
             1.0, static_cast<double>(request.text->outputTokens) / static_cast<double>(allowed->outputTokens));
     if (request.text && choice.target.isValid())
-        fromBegin *= std::max(1.0, m_pace.slowness(choice.target, now));
-    return std::min(left, toBegin + fromSeconds(fromBegin) + deliveryTime);
+        out *= std::max(1.0, m_pace.slowness(choice.target, now));
+    return fromSeconds(out);
+}
+
+bool dispatcher::mayBeginAnswer(request_id request, instant now) const
+{
+    const auto held = m_book.row(request);
+    if (!m_stop || held < 0)
+        return true;
+    const auto row = static_cast<std::size_t>(held);
+    const auto& current = m_book.current[row];
+    target_choice choice;
+    choice.target = current.target;
+    choice.stage = current.stage;
+    duration needed = m_book.times[row].answerDeadline - now;
+    if (const auto rest = timeFromBegin(row, choice, now))
+        needed = std::min<duration>(
+            needed, *rest + allowedPauses * abandonedGap(*m_book.request[row].route) + deliveryTime);
+    return m_book.progress[row].hasStarted || now + needed <= m_stop->lastAnswerAt;
 }
 
 bool dispatcher::refuseIfStopping(std::size_t row, duration needed, instant now, command_list& out)
