The target list is confirmed from when peers sent their position, not from its arrival

Reported from other systems: streams taken up at a machine out of step went on at a target of another build. Here the list counted as confirmed by the age of the peers' heartbeats since their arrival. Heartbeats that had waited in the socket of a frozen node, or at a link, were fresh then and named an old end of the list, so that an only build could count although a second one had been listed since.

Each heartbeat is now accompanied by list_position, which has the sender's boot clock; peer_clock converts it, as for read_progress, so that a wait beyond the least delay of the last one to two minutes counts as age. A new kind of message: nodes of the former version drop it, and while one is there the list is confirmed by readers of the store only.

test_list_position_that_waited_in_a_socket_counts_from_when_it_was_sent: 20 messages of up to 4 s before are read at once; the former longestSilence() was 0 there.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -533,11 +533,11 @@
     decisions.setOthersTakeCalls(
         std::any_of(alive.begin(), alive.end(), [](const auto& node) { return node.isReady && !node.isStopping; }));
     limits.setNodes(me, alive, view.knowsNodes() ? nodes.knownCount() : 0, nodes.peerTimeout());
-    // A heartbeat names the last change of the target list that its sender has read. So as long as all are heard, none
-    // knew more when the oldest of the heartbeats was sent.
-    const auto silence = nodes.longestSilence(now);
-    if (view.hasTargets() && !view.isBehindTargets() && silence)
-        decisions.origins().listConfirmed(now - *silence - heartbeatTransit);
+    // Each node tells the last change of the target list that it has read. So as long as all are heard, none knew more
+    // when the oldest of these messages was sent.
+    const auto toldAt = nodes.oldestListPosition(now);
+    if (view.hasTargets() && !view.isBehindTargets() && toldAt)
+        decisions.origins().listConfirmed(*toldAt - heartbeatTransit);
     logPaths(now);
     caches.tick(me, alive, now);
     roles.tick(me, alive, now);
--- a/libs/gateway/src/node_messages.cpp
+++ b/libs/gateway/src/node_messages.cpp
@@ -327,6 +327,11 @@
     archive(m.node, m.startedAt, m.sentAt, m.configurationVersion, m.configurationAt, m.lastTargetChange, m.targetsAt);
 }
 
+template <class Archive> void serialize(Archive& archive, list_position& m)
+{
+    archive(m.node, m.startedAt, m.sentAt, m.lastTargetChange);
+}
+
 template <class Archive> void serialize(Archive& archive, cache_snapshot& m) { archive(m.parts, m.isComplete); }
 
 template <class Archive> void serialize(Archive& archive, node_probe& m) { archive(m.sender, m.expectsReply); }
--- a/libs/gateway/src/node_messages.h
+++ b/libs/gateway/src/node_messages.h
@@ -83,6 +83,15 @@
     std::int64_t targetsAt = 0; ///< 0: never read
 };
 
+/// Sent with each heartbeat. Times are in microseconds of the sender's boot clock, so that the receiver can tell how
+/// long the message was on its way.
+struct list_position {
+    std::uint32_t node = 0; ///< shortHash() of the sender's VM
+    std::int64_t startedAt = 0; ///< start time of the sender's process; changes on restart
+    std::int64_t sentAt = 0;
+    std::int64_t lastTargetChange = -1; ///< applied by the sender
+};
+
 /// Sent to known nodes from which nothing is received, and as a reply to nodes that look for this one.
 struct node_probe {
     serving::node_state sender;
@@ -124,7 +133,7 @@
 /// the end: nodes that do not know a kind drop messages of this kind only.
 using peer_datagram = std::variant<node_heartbeat, job_announcement, serving::target_update_batch, node_probe,
     cache_update_batch, read_progress, quarantine_note, usage_report, serving::path_report, serving::origin_notes,
-    serving::origin_question, serving::origin_reply, limit_note, permit_request, permit_reply>;
+    serving::origin_question, serving::origin_reply, limit_note, permit_request, permit_reply, list_position>;
 
 /// Encodes a message. Heartbeats are truncated to stay below the usual path MTU.
 std::string encodeDatagram(peer_datagram message);
--- a/libs/gateway/src/peer_messenger.cpp
+++ b/libs/gateway/src/peer_messenger.cpp
@@ -35,6 +35,8 @@
     /// A report may be lost, so the return of all paths is reported with so many heartbeats.
     constexpr int pathReportsAfterReturn = 3;
 
+    instant instantOf(std::int64_t microseconds) { return instant(duration(microseconds)); }
+
 }
 
 peer_messenger::peer_messenger(dependencies parts)
@@ -63,6 +65,9 @@
     m_fullHeartbeatsLeft = std::max(0, m_fullHeartbeatsLeft - 1);
     ++m_heartbeatCount;
     broadcast(encodeDatagram(heartbeat(isFull, now)), serving::send_pace::batched);
+    broadcast(encodeDatagram(list_position {
+                  m_ownHash, m_startedAt, now.time_since_epoch().count(), m_parts.view.lastTargetChange() }),
+        serving::send_pace::batched);
     if (m_pathReportsLeft > 0 || decisions.paths().hasLost())
         broadcastPaths();
     logReachablePeers();
@@ -227,6 +232,8 @@
         m_parts.caches.applyPeerUpdates(caches->caches);
     else if (const auto* read = std::get_if<read_progress>(&message))
         onReadProgress(*read);
+    else if (const auto* position = std::get_if<list_position>(&message))
+        onListPosition(*position);
     else if (const auto* quarantine = std::get_if<quarantine_note>(&message))
         m_parts.onQuarantine(quarantine->records);
     else if (const auto* usage = std::get_if<usage_report>(&message))
@@ -316,13 +323,27 @@
 {
     if (message.node == m_ownHash)
         return;
-    auto& sender = m_peerProcesses[message.node];
-    if (sender.startedAt != message.startedAt)
-        sender = { message.startedAt, {} };
-    const auto at = [](std::int64_t count) { return instant(duration(count)); };
-    sender.clock.observed(at(message.sentAt), boot_clock::now());
+    const auto& clock = clockOf(message.node, message.startedAt, message.sentAt);
     m_parts.view.onPeerReadProgress(
-        message, sender.clock.toLocal(at(message.configurationAt)), sender.clock.toLocal(at(message.targetsAt)));
+        message, clock.toLocal(instantOf(message.configurationAt)), clock.toLocal(instantOf(message.targetsAt)));
+}
+
+void peer_messenger::onListPosition(const list_position& message)
+{
+    if (message.node == m_ownHash)
+        return;
+    const auto sentAt = clockOf(message.node, message.startedAt, message.sentAt).toLocal(instantOf(message.sentAt));
+    m_parts.view.onPeerTargetChange(message.lastTargetChange);
+    m_parts.nodes.applyListPosition(message.node, sentAt);
+}
+
+serving::peer_clock& peer_messenger::clockOf(std::uint32_t node, std::int64_t startedAt, std::int64_t sentAt)
+{
+    auto& sender = m_peerProcesses[node];
+    if (sender.startedAt != startedAt)
+        sender = { startedAt, {} };
+    sender.clock.observed(instantOf(sentAt), boot_clock::now());
+    return sender.clock;
 }
 
 // The reply is necessary because a node that has just started knows no relay and would receive nothing.
--- a/libs/gateway/src/peer_messenger.h
+++ b/libs/gateway/src/peer_messenger.h
@@ -80,6 +80,9 @@
     void onProbe(const node_probe& message);
     void onJobs(const job_announcement& message);
     void onReadProgress(const read_progress& message);
+    void onListPosition(const list_position& message);
+    /// The clock of the peer's process, after a message from it that has just arrived.
+    serving::peer_clock& clockOf(std::uint32_t node, std::int64_t startedAt, std::int64_t sentAt);
     /// A peer that counted as lost is reachable again.
     void onPeerReachable(const serving::node_state& peer);
     void logRelay();
--- a/libs/serving/include/serving/node_directory.h
+++ b/libs/serving/include/serving/node_directory.h
@@ -119,8 +119,12 @@
     std::vector<node_state> takeNodesToProbe(instant now);
     /// Number of known nodes, including this one.
     int knownCount() const { return static_cast<int>(m_nodes.size()) + 1; }
-    /// The time since the oldest of the last heartbeats of all other known nodes; nothing if one of them is not alive.
-    std::optional<duration> longestSilence(instant now) const;
+    /// The node, given as shortHash() of its VM, has told at `sentAt` up to where it has applied the target list. The
+    /// time is that of sending: a message may have waited on its way or in this node's socket.
+    void applyListPosition(std::uint32_t node, instant sentAt);
+    /// When the oldest of the last list positions of all other known nodes was sent; `now` if there is no other node,
+    /// nothing if one of them is not alive or has sent none.
+    std::optional<instant> oldestListPosition(instant now) const;
     /// Whether no known node, nor this one with the incarnation `own`, has had an earlier process that registered. The
     /// store numbers all registrations from 1 on.
     bool haveAllStartedOnce(std::uint64_t own) const;
@@ -137,6 +141,7 @@
     struct known_node {
         node_state state;
         instant lastHeartbeatAt;
+        std::optional<instant> listPositionAt; // sent then
         instant knownSince;
         instant lastProbeAt; // time of the last heartbeat sent to the unreachable node
         bool hasHeartbeat = false;
--- a/libs/serving/src/node_directory.cpp
+++ b/libs/serving/src/node_directory.cpp
@@ -172,13 +172,21 @@
     return newest;
 }
 
-std::optional<duration> node_directory::longestSilence(instant now) const
+void node_directory::applyListPosition(std::uint32_t node, instant sentAt)
 {
-    duration out = duration::zero();
+    const auto name = m_byHash.find(node);
+    const auto found = name == m_byHash.end() ? m_nodes.end() : m_nodes.find(name->second);
+    if (found != m_nodes.end())
+        found->second.listPositionAt = std::max(sentAt, found->second.listPositionAt.value_or(sentAt));
+}
+
+std::optional<instant> node_directory::oldestListPosition(instant now) const
+{
+    auto out = now;
     for (const auto& [vm, node] : m_nodes) {
-        if (!isAlive(node, now))
+        if (!isAlive(node, now) || !node.listPositionAt)
             return std::nullopt;
-        out = std::max(out, now - node.lastHeartbeatAt);
+        out = std::min(out, *node.listPositionAt);
     }
     return out;
 }
--- a/libs/serving/tests/test_node_directory.cpp
+++ b/libs/serving/tests/test_node_directory.cpp
@@ -2,6 +2,7 @@
 #include "serving_fixture.h"
 
 #include "serving/node_directory.h"
+#include "serving/peer_clock.h"
 
 using namespace tamarack;
 using namespace tamarack::serving;
@@ -136,16 +137,41 @@
     CHECK_FALSE(nodes.haveAllStartedOnce(1));
 }
 
-TEST_CASE("test_longest_silence_is_known_while_all_nodes_are_alive")
+TEST_CASE("test_list_positions_are_known_while_all_nodes_are_alive")
 {
     node_directory nodes("n0", {});
-    CHECK(nodes.longestSilence(at(0s)) == duration::zero());
-    nodes.applyHeartbeat(node("n1"), at(1s));
-    nodes.applyHeartbeat(node("n2"), at(1200ms));
-    CHECK(nodes.longestSilence(at(1300ms)) == 300ms);
-    CHECK_FALSE(nodes.longestSilence(at(1800ms)));
-    nodes.applyHeartbeat(node("n1"), at(1800ms));
-    CHECK(nodes.longestSilence(at(1800ms)) == 600ms);
+    const auto heard = [&](const std::string& vm, instant now) {
+        nodes.applyHeartbeat(node(vm), now);
+        nodes.applyListPosition(shortHash(vm), now);
+    };
+    CHECK(nodes.oldestListPosition(at(0s)) == at(0s));
+    heard("n1", at(1s));
+    heard("n2", at(1200ms));
+    CHECK(nodes.oldestListPosition(at(1300ms)) == at(1s));
+    CHECK_FALSE(nodes.oldestListPosition(at(1800ms)));
+    heard("n1", at(1800ms));
+    CHECK(nodes.oldestListPosition(at(1800ms)) == at(1200ms));
     nodes.applyRegistration(node("n3"), at(1800ms));
-    CHECK_FALSE(nodes.longestSilence(at(1800ms)));
+    CHECK_FALSE(nodes.oldestListPosition(at(1800ms)));
+}
+
+// Guards against an old state of the target list that counts as the present one because its message waited on its way.
+TEST_CASE("test_list_position_that_waited_in_a_socket_counts_from_when_it_was_sent")
+{
+    node_directory nodes("n0", {});
+    peer_clock clock;
+    const auto offset = 40s; // between the clocks of the two nodes
+    const auto arrives = [&](instant sentAt, instant now) {
+        clock.observed(sentAt + offset, now);
+        nodes.applyHeartbeat(node("n1"), now);
+        nodes.applyListPosition(shortHash("n1"), clock.toLocal(sentAt + offset));
+    };
+    arrives(at(1s), at(1s) + 2ms);
+    REQUIRE(nodes.oldestListPosition(at(1100ms)));
+    for (int i = 1; i <= 20; ++i)
+        arrives(at(1s) + i * 100ms, at(5s)); // read at once by a process that was frozen
+    REQUIRE(nodes.oldestListPosition(at(5s)));
+    CHECK(*nodes.oldestListPosition(at(5s)) <= at(3s) + 2ms);
+    arrives(at(5100ms), at(5101ms));
+    CHECK(*nodes.oldestListPosition(at(5101ms)) >= at(5100ms));
 }
