--- a/libs/http/tests/test_http_server.cpp
+++ b/libs/http/tests/test_http_server.cpp
@@ -387,6 +387,19 @@
     CHECK(answer.contains("Connection: close"));
 }
 
+// Guards against a request that a stopping server has read behind another one and closes its connection without an
+// answer.
+TEST_CASE("test_request_that_a_draining_server_has_read_is_answered_before_the_close")
+{
+    counting_server server;
+    server.server.beginDrain();
+    const QByteArray requests = "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto answers = server.send(requests);
+    CHECK(answers.contains("/first"));
+    CHECK(answers.contains("/second"));
+    CHECK(answers.count("Connection: close") == 1);
+}
+
 TEST_CASE("test_total_size_of_incoming_bodies_is_bounded")
 {
     // Guards against the operating system killing the process for its memory use. Many callers send long bodies at the
