Kept streams also drop repeated events, and blank lines are no next request

Read once more: a target that repeats events after a stopping node took a stream up would have begun an answer that has to wait, and an empty line behind a request would have kept its connection open.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -326,11 +326,13 @@
     applyBackPressure();
 }
 
-bool caller_flow::keepsEvent(const attempt_ptr& attempt, const stream_event& event)
+bool caller_flow::keepsEvent(const attempt_ptr& attempt, const stream_event& event, bool isDuplicate)
 {
     const bool isFull = attempt->body.size() + event.bytes.size() > maxBufferedBytes;
     if (attempt->isRelayed || isFull || m_services.decisions.mayBeginAnswer(m_id, boot_clock::now()))
         return false;
+    if (isDuplicate)
+        return true;
     if (attempt->bufferedEvents++ == 0)
         m_services.counters.count("tamarack_streams_kept_until_whole_total");
     attempt->body += event.bytes;
@@ -367,7 +369,7 @@
     m_services.decisions.streamEventReceived(m_id, attempt->command.attempt, boot_clock::now());
     const auto last = parseNumber(m_lastEvent);
     const bool isDuplicate = event.id && last && *event.id <= *last; // already sent during an earlier attempt
-    if (!isDuplicate && keepsEvent(attempt, event))
+    if (keepsEvent(attempt, event, isDuplicate))
         return;
     if (!attempt->isRelayed)
         relayBuffered(attempt);
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -121,7 +121,7 @@
     void requestBegan();
     void relayBuffered(const attempt_ptr& attempt);
     /// Whether the event is kept until the stream may begin.
-    bool keepsEvent(const attempt_ptr& attempt, const stream_event& event);
+    bool keepsEvent(const attempt_ptr& attempt, const stream_event& event, bool isDuplicate);
     void beginAnswer(const attempt_ptr& attempt);
     /// The attempt may have run and gives no whole answer.
     void concludeBroken(const attempt_ptr& attempt);
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -170,7 +170,8 @@
     if (framing == response_framing::chunked && m_isHttp10)
         m_framing = response_framing::until_close;
     // What has been read of a next request is answered before the close.
-    if (m_framing == response_framing::until_close || (m_shared->isDraining && m_input.empty()))
+    const bool hasNextRequest = m_input.find_first_not_of("\r\n") != std::string::npos;
+    if (m_framing == response_framing::until_close || (m_shared->isDraining && !hasNextRequest))
         m_keepsAlive = false;
     if (m_framing == response_framing::chunked && head.status != 204)
         appendHeader(text, "Transfer-Encoding", "chunked");
