Log lines are cut at what a client sends

Callers saw nothing; 30 clients with ids of 9 KB made 11 MB of log in 8 s.

Cause: text values stand in log lines at full length, with six characters for a byte that is not plain text. The rate limit counts lines, not bytes.

Change: a text value is cut at 512 bytes, and the line says how many are left out. Ids, routes, names and parts of sound requests are shorter.

`test_long_values_are_cut_in_log_lines` had 63,152 bytes for one line before (8,000 allowed).

--- a/libs/observe/src/logger.cpp
+++ b/libs/observe/src/logger.cpp
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -22,6 +23,8 @@
 
     constexpr std::array<std::string_view, 4> levelNames { "debug", "info", "warning", "error" };
     constexpr auto rateWindowLength = std::chrono::seconds(1);
+    /// Bytes of a text value that are logged. Longer ones are sent by clients or targets.
+    constexpr std::size_t maxTextBytes = 512;
 
     class output_backend
         : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::concurrent_feeding> {
@@ -40,6 +43,8 @@
 
     void appendText(std::string& line, std::string_view text)
     {
+        const auto left = text.size() - std::min(text.size(), maxTextBytes);
+        text = text.substr(0, maxTextBytes);
         line += '"';
         for (const char c : text) {
             const auto byte = static_cast<unsigned char>(c);
@@ -54,6 +59,8 @@
                 line += c;
             }
         }
+        if (left > 0)
+            line += "... (" + std::to_string(left) + " more bytes)";
         line += '"';
     }
 
--- a/libs/observe/tests/test_logger.cpp
+++ b/libs/observe/tests/test_logger.cpp
@@ -80,6 +80,24 @@
     CHECK(lines[0]["topic"].get<std::string>().starts_with("a \"quoted\"\nname"));
 }
 
+// Guards against log lines as long as what a client sends.
+TEST_CASE("test_long_values_are_cut_in_log_lines")
+{
+    pipe_pair pipe;
+    const logger log(optionsFor(pipe.ends[1]));
+    const std::string path(9'000, 'x');
+    const std::string odd(9'000, '\xff');
+    log.write(
+        log_event::request_without_route, { { "path", path }, { "host", odd }, { "request", "0123456789abcdef" } });
+    const auto text = pipe.readAll();
+    constexpr std::size_t maxLineBytes = 8'000;
+    CHECK(text.size() <= maxLineBytes);
+    const auto lines = linesOf(text);
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0]["path"].get<std::string>().starts_with("xxxx"));
+    CHECK(lines[0]["request"] == "0123456789abcdef");
+}
+
 TEST_CASE("test_stalled_reader_causes_dropped_lines_and_no_blocking")
 {
     // Guards against requests that time out because a log write blocks: the reader of standard output stops reading,
