Requests that make a target close its connection do not block its service

Callers saw 503 for up to 4 s at a service with one target, because three clients sent requests under which it closes the connection without an answer, each request different.

Cause: `target_health` blocks a target after two failures in a row, and a closed connection counts like silence. The quarantine finds such requests by their text or its parts, which differ here. With no other target to go to, the block helps nobody: it turns a fault of some requests into one of all.

Ruled out: to need failures of several clients; a client can use many ids and connections.

Change: a connection that the target has closed does not block the last target of its service and role that accepts work. Its share of failures counts as before, and so do connections that cannot be made, and silence.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -311,6 +311,7 @@
     void blameAbandoned(target_id target, instant now);
     void releaseCache(std::size_t row, command_list& out);
     /// Records what an attempt that did not reach its target says of the target's health.
+    void recordBroken(const current_attempt& attempt, instant now);
     void judgeUnreached(const current_attempt& attempt, instant now);
     void checkTimes(std::size_t row, instant now, command_list& out);
     bool hasRunOrMayRun(std::size_t row) const;
--- a/libs/serving/include/serving/in_flight_requests.h
+++ b/libs/serving/include/serving/in_flight_requests.h
@@ -42,6 +42,7 @@
     attempt_stage stage = attempt_stage::whole;
     std::string detour; ///< VM of the peer that passes it on; empty: none
     bool hasTargetFailed = false; ///< as the peer of its detour has said
+    bool isClosedByTarget = false; ///< the target has closed the connection without a whole answer
     bool hasLostPath = false; ///< its failure was the first one on the direct path to the target
     bool isFirstPrefill = false; ///< the prefill that does not count as a send
     bool isPrefilling = false; ///< its prompt is in the engine's queue
--- a/libs/serving/include/serving/target_health.h
+++ b/libs/serving/include/serving/target_health.h
@@ -32,6 +32,9 @@
     void recordSuccess(target_id id, instant now);
     /// Records that the connection to the target failed or broke off.
     void recordFailure(target_id id, instant now);
+    /// Records that the target has closed a connection without a whole answer. A request can cause that, so it does not
+    /// block the last target of its service and role that accepts work.
+    void recordClosed(target_id id, instant now);
     /// Records the same for this node only: its path to the target may be at fault, so the peers get no report.
     void recordUnreached(target_id id, instant now);
     /// Records that the target has no capacity; it is blocked only briefly.
@@ -70,6 +73,7 @@
     static evidence decayedTo(const evidence& item, instant now);
     void recordOutcome(target_id id, double failure, instant now);
     void blockIfFailedInARow(target_id id, instant now);
+    bool isLastOfService(target_id id, instant now) const;
     void add(target_id id, double answers, double failures, instant now);
     void block(target_id id, instant now, duration length, std::string_view reason);
 
--- a/libs/serving/src/dispatch_outcomes.cpp
+++ b/libs/serving/src/dispatch_outcomes.cpp
@@ -182,7 +182,8 @@
     if (!isCurrent(request, attempt))
         return;
     const auto row = static_cast<std::size_t>(m_book.row(request));
-    const auto& held = attemptOf(row, attempt);
+    auto& held = attemptOf(row, attempt);
+    held.isClosedByTarget = true;
     const auto instance = m_fleet.instanceHash[held.target.value];
     forSuspects(row, held, [&](const request_trait& trait, const attempt_evidence& evidence) {
         m_quarantine.targetEnded(trait, instance, now, evidence);
@@ -256,6 +257,14 @@
     blameAbandoned(attempt.target, now);
 }
 
+void dispatcher::recordBroken(const current_attempt& attempt, instant now)
+{
+    if (attempt.isClosedByTarget)
+        m_health.recordClosed(attempt.target, now);
+    else
+        m_health.recordFailure(attempt.target, now);
+}
+
 void dispatcher::attemptEnded(request_id request, attempt_id attempt, attempt_result result,
     const std::string& cacheName, instant now, command_list& out)
 {
@@ -332,7 +341,7 @@
         return remove(row, out);
     case attempt_result::broken:
         if (isTargetAtFault)
-            m_health.recordFailure(attempt.target, now);
+            recordBroken(attempt, now);
         progress.mayHaveRun |= couldRun;
         if (attempt.isFirstPrefill)
             countArrival(row, now); // it is unknown whether the prefill was accepted, and only then it is not counted
@@ -342,7 +351,7 @@
         return retryOrEnd(row, true, error_kind::attempt_timeout, now, out);
     case attempt_result::cut:
         if (isTargetAtFault)
-            m_health.recordFailure(attempt.target, now);
+            recordBroken(attempt, now);
         progress.mayHaveRun = true;
         releaseCache(row, out);
         // Only events tell where another target has to go on.
--- a/libs/serving/src/target_health.cpp
+++ b/libs/serving/src/target_health.cpp
@@ -119,6 +119,21 @@
     blockIfFailedInARow(id, now);
 }
 
+void target_health::recordClosed(target_id id, instant now)
+{
+    recordOutcome(id, lostWeight, now);
+    if (!isLastOfService(id, now))
+        blockIfFailedInARow(id, now);
+}
+
+bool target_health::isLastOfService(target_id id, instant now) const
+{
+    const auto& rows = m_fleet.rowsOf(m_fleet.service[id.value]);
+    return std::none_of(rows.begin(), rows.end(), [&](std::uint32_t row) {
+        return row != id.value && m_fleet.role[row] == m_fleet.role[id.value] && m_fleet.acceptsWork({ row }, now);
+    });
+}
+
 void target_health::recordUnreached(target_id id, instant now)
 {
     add(id, 1, lostWeight, now);
--- a/libs/serving/tests/test_target_health.cpp
+++ b/libs/serving/tests/test_target_health.cpp
@@ -143,3 +143,23 @@
     CHECK(health.takeReports(at(3s)).size() == 1);
     CHECK(health.takeReports(at(3s)).empty()); // reported once
 }
+
+// Guards against requests that make targets close their connections and so take a service from all callers.
+TEST_CASE("test_closed_connections_do_not_block_the_last_target_of_a_service")
+{
+    fleet_table fleet("a");
+    target_health health(fleet);
+    const auto first = fleet.upsert(targetRecord("p1", "plain", target_role::plain, 6));
+    const auto second = fleet.upsert(targetRecord("p2", "plain", target_role::plain, 6));
+    fleet.upsert(targetRecord("q1", "other", target_role::plain, 6));
+    for (int i = 0; i < 3; ++i)
+        health.recordClosed(first, at(0s));
+    CHECK(!fleet.acceptsWork(first, at(0s)));
+    for (int i = 0; i < 20; ++i)
+        health.recordClosed(second, at(0s));
+    CHECK(fleet.acceptsWork(second, at(0s)));
+    // Other failures block it as before.
+    health.recordFailure(second, at(0s));
+    health.recordFailure(second, at(0s));
+    CHECK(!fleet.acceptsWork(second, at(0s)));
+}
