Pending parts of prompts are bounded for each engine

Found while listing what is held for clients; nobody has reported it. A head of 16 KB names some 2,700 parts of 512 tokens. Each became an entry of the engine's map when the prompt was sent, and an entry ends only with a cache event or the engine: parts that no engine ever reads stayed for ever.

Change: the oldest pending part is forgotten beyond 4,096 for an engine, which has memory for some hundreds.

`test_pending_parts_of_an_engine_are_bounded` knew all 12,288 parts before by the code; it was written with the fix and not run without it.

--- a/libs/serving/include/serving/prompt_cache_map.h
+++ b/libs/serving/include/serving/prompt_cache_map.h
@@ -6,6 +6,7 @@
 #include "serving/serving_request.h"
 
 #include <cstdint>
+#include <deque>
 #include <unordered_map>
 #include <vector>
 
@@ -17,11 +18,15 @@
     std::int64_t tokens = 0; ///< cached after the event; 0: the part was evicted
 };
 
+/// Callers name the parts, so what is pending at an engine is bounded; beyond that, other pending parts are forgotten.
+///
 /// Parts shorter than `minPartTokens` are not tracked: there are very many of them, and prefilling one again takes only
 /// some milliseconds. Events arrive late and a few are lost, so the map can be wrong in both directions.
 class prompt_cache_map {
 public:
     static constexpr std::int64_t minPartTokens = 512;
+    /// Pending parts of an engine. It has room for some hundreds.
+    static constexpr std::size_t maxPendingParts = 4096;
 
     /// Records that this node has sent the prompt to the engine, which will prefill it before any prompt sent later.
     void addPendingPrompt(target_id engine, const prompt& text);
@@ -52,9 +57,11 @@
     using part_map = std::unordered_map<std::uint64_t, part_state>;
 
     part_map& partsOf(target_id engine);
+    void addPending(target_id engine, const prompt_part& part);
     std::int64_t countTokens(target_id engine, const prompt& text, bool onlyCached) const;
 
     std::vector<part_map> m_byRow;
+    std::vector<std::deque<std::uint64_t>> m_pendingByAge; // by row; some are cached or forgotten meanwhile
 };
 
 }
--- a/libs/serving/src/prompt_cache_map.cpp
+++ b/libs/serving/src/prompt_cache_map.cpp
@@ -12,14 +12,27 @@
     return m_byRow[engine.value];
 }
 
+void prompt_cache_map::addPending(target_id engine, const prompt_part& part)
+{
+    auto& parts = partsOf(engine);
+    m_pendingByAge.resize(m_byRow.size());
+    if (part.tokens < minPartTokens || !parts.try_emplace(part.id, part_state { part.tokens, false }).second)
+        return;
+    auto& byAge = m_pendingByAge[engine.value];
+    byAge.push_back(part.id);
+    if (byAge.size() <= maxPendingParts)
+        return;
+    const auto oldest = parts.find(byAge.front());
+    if (oldest != parts.end() && !oldest->second.isCached)
+        parts.erase(oldest);
+    byAge.pop_front();
+}
+
 // The last part belongs to this request only and will not be requested again.
 void prompt_cache_map::addPendingPrompt(target_id engine, const prompt& text)
 {
-    auto& parts = partsOf(engine);
-    for (std::size_t i = 0; i + 1 < text.parts.size(); ++i) {
-        if (text.parts[i].tokens >= minPartTokens)
-            parts.try_emplace(text.parts[i].id, part_state { text.parts[i].tokens, false });
-    }
+    for (std::size_t i = 0; i + 1 < text.parts.size(); ++i)
+        addPending(engine, text.parts[i]);
 }
 
 prompt_part prompt_cache_map::longestUncachedPart(target_id engine, const prompt& text) const
@@ -33,11 +46,7 @@
     return longest;
 }
 
-void prompt_cache_map::addPendingPart(target_id engine, const prompt_part& part)
-{
-    if (part.tokens >= minPartTokens)
-        partsOf(engine).try_emplace(part.id, part_state { part.tokens, false });
-}
+void prompt_cache_map::addPendingPart(target_id engine, const prompt_part& part) { addPending(engine, part); }
 
 void prompt_cache_map::markCached(target_id engine, const prompt& text)
 {
@@ -112,6 +121,8 @@
 {
     if (engine.value < m_byRow.size())
         m_byRow[engine.value].clear();
+    if (engine.value < m_pendingByAge.size())
+        m_pendingByAge[engine.value].clear();
 }
 
 }
--- a/libs/serving/tests/test_prompt_cache.cpp
+++ b/libs/serving/tests/test_prompt_cache.cpp
@@ -60,3 +60,20 @@
     caches.markCached(engine, text);
     CHECK(caches.reusableTokens(engine, text) == 3000);
 }
+
+// Guards against parts of prompts that callers name and that are kept for ever, since no engine ever reads them.
+TEST_CASE("test_pending_parts_of_an_engine_are_bounded")
+{
+    prompt_cache_map caches;
+    const auto real = chained({ { 1, 2000 }, { 9, 500 } });
+    caches.markCached(engine, real);
+    constexpr std::uint64_t named = 3 * prompt_cache_map::maxPendingParts;
+    for (std::uint64_t id = 100; id < 100 + named; ++id)
+        caches.addPendingPrompt(engine, chained({ { id, 600 }, { 9, 500 } }));
+    std::size_t known = 0;
+    for (std::uint64_t id = 100; id < 100 + named; ++id)
+        known += caches.reusableTokens(engine, chained({ { id, 600 }, { 9, 500 } })) > 0;
+    CHECK(known == prompt_cache_map::maxPendingParts);
+    CHECK(caches.reusableTokens(engine, real) == 2000);
+    CHECK(caches.reusableTokens(engine, chained({ { 99 + named, 600 }, { 9, 500 } })) == 600);
+}
