Chunk lines, trailers and heads are bounded while they are unfinished

The users saw a process end for lack of memory: trailers without end behind a chunked body. A chunk line without end, at any listener, does the same.

Cause: the parser leaves the bytes of an unfinished line, or of unfinished trailers, in the input of the connection, which had no bound. The fields of a head were parsed one by one as they came, and each takes some 85 bytes more than its text, so that unfinished heads within the limit took eight times their size and more.

Change: a reader that leaves more than the limit of a head in its input refuses the request (431; no request after it is read). A head is parsed once it is whole, and is searched for its end from where the last search ended. The limit applies to the request line, to the fields, and to each chunk line or all trailers, so that no head is refused that was taken before.

--- a/libs/http/include/http/http_message.h
+++ b/libs/http/include/http/http_message.h
@@ -30,6 +30,8 @@
     std::string body;
 
     std::string_view path() const;
+    /// Memory that the request holds.
+    std::size_t bytesHeld() const;
 };
 
 struct http_response_head {
--- a/libs/http/src/http_message.cpp
+++ b/libs/http/src/http_message.cpp
@@ -38,6 +38,24 @@
     entries.push_back({ std::move(name), std::move(value) });
 }
 
+namespace {
+
+    std::size_t bytesOf(const std::string& text)
+    {
+        return text.capacity() > std::string().capacity() ? text.capacity() : 0;
+    }
+
+}
+
+std::size_t http_request::bytesHeld() const
+{
+    std::size_t out
+        = bytesOf(method) + bytesOf(target) + body.size() + headers.entries.capacity() * sizeof(http_header);
+    for (const auto& entry : headers.entries)
+        out += bytesOf(entry.name) + bytesOf(entry.value);
+    return out;
+}
+
 std::string_view http_request::path() const
 {
     const std::string_view whole = target;
--- a/libs/http/src/request_reader.cpp
+++ b/libs/http/src/request_reader.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <boost/beast/http/impl/error.ipp>
+#include <iterator>
+#include <utility>
 
 namespace tamarack::detail {
 
@@ -10,6 +12,9 @@
 
 namespace {
 
+    /// Memory that the parser takes for a field in addition to its name and value.
+    constexpr std::size_t fieldOverheadBytes = 88;
+
     // Skips empty lines before a request, which some clients send after a body.
     void skipBlankLines(std::string& input)
     {
@@ -22,9 +27,12 @@
 void request_reader::restart(std::uint32_t headerBytes, std::uint64_t bodyBytes)
 {
     m_state = reader_state::empty;
-    m_isHeadChecked = false;
+    m_headerBytes = headerBytes;
+    m_scanned = 0;
+    m_fieldBytes = 0;
+    m_hasRequestLine = false;
     m_parser.emplace();
-    m_parser->header_limit(headerBytes);
+    m_parser->header_limit(headerBytes + 1); // feed() applies the limit
     m_parser->body_limit(bodyBytes);
     m_parser->eager(true);
 }
@@ -81,26 +89,87 @@
 {
     if (m_state == reader_state::empty)
         skipBlankLines(input);
-    while (!input.empty() && m_state != reader_state::complete && m_state != reader_state::refused) {
-        boost::system::error_code error;
-        const auto used = m_parser->put(boost::asio::buffer(input), error);
-        input.erase(0, used);
-        if (error && error != beast_http::error::need_more)
-            return refuse(error);
-        m_state = m_parser->is_header_done() ? reader_state::body : reader_state::head;
-        if (m_state == reader_state::body && !m_isHeadChecked) {
-            m_isHeadChecked = true;
-            if (auto fault = findHeadError(); !fault.empty())
-                return refuse(error_kind::bad_request, std::move(fault));
-        }
-        if (m_parser->is_done())
-            m_state = reader_state::complete;
-        if (used == 0)
-            break;
-    }
+    bool isGoingOn = true;
+    while (isGoingOn && !input.empty() && m_state != reader_state::complete && m_state != reader_state::refused)
+        isGoingOn = m_parser->is_header_done() ? feedBody(input) : feedHead(input);
     return m_state;
 }
 
+std::size_t request_reader::parse(std::string& input, std::size_t bytes)
+{
+    boost::system::error_code error;
+    const auto used = m_parser->put(boost::asio::buffer(input.data(), bytes), error);
+    input.erase(0, used);
+    m_scanned = 0;
+    if (error && error != beast_http::error::need_more)
+        refuse(error);
+    return used;
+}
+
+std::size_t request_reader::findEndOfFields(const std::string& input)
+{
+    if (input.starts_with("\r\n"))
+        return 2;
+    for (auto end = input.find('\n', m_scanned); end != std::string::npos; end = input.find('\n', end + 1)) {
+        const auto next = std::string_view(input).substr(end + 1);
+        if (next.starts_with('\n'))
+            return end + 2;
+        if (next.starts_with("\r\n"))
+            return end + 3;
+    }
+    constexpr std::size_t longestPartOfEnd = 2; // of a line feed, a carriage return and a line feed
+    m_scanned = input.size() - std::min(input.size(), longestPartOfEnd);
+    return 0;
+}
+
+bool request_reader::feedHead(std::string& input)
+{
+    m_state = reader_state::head;
+    std::size_t end = 0;
+    if (m_hasRequestLine) {
+        end = findEndOfFields(input);
+    } else {
+        end = input.find('\n', m_scanned) + 1; // 0 if there is none
+        m_scanned = input.size();
+    }
+    if (std::max(end, end == 0 ? input.size() : 0) > m_headerBytes) {
+        refuse(error_kind::header_too_large,
+            m_hasRequestLine ? "the header fields are too long" : "the request line is too long");
+        return false;
+    }
+    if (end == 0)
+        return false;
+    const auto used = parse(input, end);
+    if (m_state == reader_state::refused)
+        return false;
+    if (used != end) {
+        refuse(error_kind::bad_request, "a line of the head has no end");
+        return false;
+    }
+    if (!std::exchange(m_hasRequestLine, true))
+        return true;
+    m_state = reader_state::body;
+    for (const auto& field : m_parser->get())
+        m_fieldBytes += field.name_string().size() + field.value().size() + fieldOverheadBytes;
+    if (auto fault = findHeadError(); !fault.empty())
+        refuse(error_kind::bad_request, std::move(fault));
+    else if (m_parser->is_done())
+        m_state = reader_state::complete;
+    return true;
+}
+
+bool request_reader::feedBody(std::string& input)
+{
+    const auto used = parse(input, input.size());
+    if (m_state == reader_state::refused)
+        return false;
+    if (m_parser->is_done())
+        m_state = reader_state::complete;
+    else if (input.size() > m_headerBytes)
+        refuse(error_kind::header_too_large, "the line of a chunk or the trailers are too long");
+    return used > 0;
+}
+
 bool request_reader::awaitsContinue() const
 {
     if (m_state != reader_state::body)
@@ -111,6 +180,8 @@
 
 std::size_t request_reader::bodyBytesBuffered() const { return m_parser->get().body().size(); }
 
+std::size_t request_reader::bytesHeld() const { return m_fieldBytes + bodyBytesBuffered(); }
+
 http_request request_reader::take()
 {
     auto message = m_parser->release();
@@ -119,6 +190,7 @@
     http_request request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
+    request.headers.entries.reserve(static_cast<std::size_t>(std::distance(message.begin(), message.end())));
     for (const auto& field : message)
         request.headers.entries.push_back({ std::string(field.name_string()), std::string(field.value()) });
     request.body = std::move(message.body());
