A body that trickles is ended

A client that sends a byte now and then kept its connection, its body and its place for ever: the time for a body began anew with each read, and a chunk line or trailers had no time of their own.

Change: from the end of the head on, a body has `bodyReadTimeout` (10 s) and one second more for each 1,000 bytes that have come. Chunk lines and trailers earn nothing. The refusal is 408: not run.

--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -21,6 +21,9 @@
     /// disconnect of the caller is no longer detected. A caller that waits for its responses does not reach it.
     constexpr std::size_t maxPipelinedBytes = 64 * 1024;
 
+    /// A body that arrives more slowly than this, after the first `bodyReadTimeout`, is not waited for.
+    constexpr double minBodyBytesPerSecond = 1000;
+
     std::string statusLine(int status)
     {
         const auto reason = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
@@ -115,13 +118,20 @@
     restartReadTimer(before);
 }
 
+// Neither a byte now and then nor a chunk line or trailers without end keep a connection.
 void server_connection::restartReadTimer(reader_state before)
 {
     const auto state = m_reader.state();
     if (state == reader_state::head && before == reader_state::empty)
         m_timer.start(milliseconds(m_shared->limits.headerTimeout));
-    if (state == reader_state::body)
-        m_timer.start(milliseconds(m_shared->limits.bodyReadTimeout));
+    if (state != reader_state::body)
+        return;
+    const auto now = boot_clock::now();
+    if (before != reader_state::body)
+        m_bodySince = now;
+    const auto& limit = m_shared->limits.bodyReadTimeout;
+    const auto earned = fromSeconds(static_cast<double>(m_reader.bodyBytesBuffered()) / minBodyBytesPerSecond);
+    m_timer.start(milliseconds(std::clamp<duration>(m_bodySince + limit + earned - now, 0s, limit)));
 }
 
 void server_connection::dispatch()
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -90,6 +90,7 @@
     std::string m_unsentHead; // sent in one packet with the first bytes of the body
     std::uint64_t m_bodyBytesLeft = 0; // unsent rest of a response with a known length
     std::size_t m_bodyBytes = 0; // this connection's part of server_shared::totalBodyBytes
+    instant m_bodySince; // when the head of the request that is being received was whole
     response_framing m_framing = response_framing::no_body;
     bool m_keepsAlive = true;
     bool m_isHttp10 = false;
