What is read behind a request in progress does not grow with each request

1,500 clients with further requests behind the one in progress took 314 MB. A client that is answered faster than it reads ahead took any amount.

Cause: the bound of 64 KB was looked at after a read of 64 KB, and only while a request was in progress. Reading began again with each answer, so each request of such a client added a read to the input, which lost one request: 271 KB after some cycles, 512 KB of memory, and no end.

Change: nothing is read while 16 KB of further requests are there, and reads are 16 KB except within a body. A caller that waits for its answers never has more than one request there.

--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -19,7 +19,9 @@
     constexpr duration idleMargin = 1s;
     /// Maximum bytes of further requests to buffer while one is being handled. Beyond this limit, reading stops and a
     /// disconnect of the caller is no longer detected. A caller that waits for its responses does not reach it.
-    constexpr std::size_t maxPipelinedBytes = 64 * 1024;
+    constexpr std::size_t maxPipelinedBytes = 16 * 1024;
+    /// Bytes of one read, except within a body. What comes behind a request stays in the input until it has ended.
+    constexpr std::size_t headReadBytes = 16 * 1024;
 
     /// A body that arrives more slowly than this, after the first `bodyReadTimeout`, is not waited for.
     constexpr double minBodyBytesPerSecond = 1000;
@@ -85,12 +87,17 @@
 
 void server_connection::onReadable()
 {
-    const auto end = m_socket.read(m_input);
+    // Requests that were read before come first: a client that sends faster than it is answered would fill the input.
+    const bool isBetweenRequests = m_writer || m_reader.state() == reader_state::empty;
+    if (!m_isLingering && isBetweenRequests && m_input.size() >= maxPipelinedBytes)
+        return m_writer ? m_socket.setReading(false) : process();
+    const bool isBody = !m_writer && m_reader.state() == reader_state::body;
+    const auto end = m_socket.read(m_input, isBody || m_isLingering ? stream_socket::maxReadBytes : headReadBytes);
     if (m_isLingering)
         discardInput();
     if (end != stream_end::none)
         return handleClosed();
-    if (m_writer && m_input.size() > maxPipelinedBytes)
+    if (m_writer && m_input.size() >= maxPipelinedBytes)
         m_socket.setReading(false);
     process();
 }
--- a/libs/http/src/stream_socket.cpp
+++ b/libs/http/src/stream_socket.cpp
@@ -23,8 +23,6 @@
     // this bound for abandoned orders.
     constexpr unsigned userTimeoutMilliseconds = 10'000;
 
-    constexpr std::size_t readBufferBytes = 64 * 1024;
-
     // Only keep-alive probes detect an idle connection that was lost by a device between the two ends.
     constexpr int keepAliveIdleSeconds = 5;
     constexpr int keepAliveIntervalSeconds = 2;
@@ -134,13 +132,13 @@
         flush();
 }
 
-stream_end stream_socket::read(std::string& out)
+stream_end stream_socket::read(std::string& out, std::size_t maxBytes)
 {
     // Shared by all sockets: everything runs on one thread, and no call on a socket runs during the recv() of another.
-    static std::array<char, readBufferBytes> buffer;
+    static std::array<char, maxReadBytes> buffer;
     if (m_state != state::open)
         return stream_end::none;
-    const auto count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    const auto count = ::recv(m_descriptor, buffer.data(), std::min(buffer.size(), maxBytes), 0);
     if (count > 0)
         out.append(buffer.data(), static_cast<std::size_t>(count));
     if (count > 0 || (count < 0 && (errno == EAGAIN || errno == EINTR)))
--- a/libs/http/src/stream_socket.h
+++ b/libs/http/src/stream_socket.h
@@ -52,9 +52,11 @@
 
     void setListener(stream_listener& listener) { m_listener = &listener; }
     bool isConnected() const { return m_state == state::open; }
-    /// Appends received bytes to `out`, not necessarily all of them. Returns the end of the connection only after all
-    /// bytes before it have been read.
-    stream_end read(std::string& out);
+    static constexpr std::size_t maxReadBytes = 64 * 1024;
+
+    /// Appends received bytes to `out`, `maxBytes` and `maxReadBytes` at most. Returns the end of the connection only
+    /// after all bytes before it have been read.
+    stream_end read(std::string& out, std::size_t maxBytes = maxReadBytes);
     /// Whether unread bytes or the end of the connection have arrived, which the event loop may not have noticed yet.
     bool hasInput() const;
     /// Passes to the kernel what it accepts now, and queues the rest.
