A server rests while the process has no descriptor for a connection

Without a free descriptor a pending connection keeps the listening socket readable.

Change: a listening socket of our own, which pauses for 100 ms, and tells its server, so that a place can be freed.

`test_server_rests_while_descriptors_are_short_and_accepts_again` (50 turns allowed) failed before.

--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -1,9 +1,9 @@
 // Implements the server's listening socket. The handling of a connection is in server_connection.
 #include "http/http_server.h"
 
+#include "listening_socket.h"
 #include "server_connection.h"
 
-#include <QTcpServer>
 #include <QTimer>
 #include <array>
 #include <unistd.h>
@@ -75,25 +75,10 @@
     return m_connection ? m_connection->queueLimit() : unsent_bytes::maxQueue;
 }
 
-namespace {
-
-    constexpr int listenBacklog = 1024;
-
-    /// Passes accepted file descriptors on without creating Qt socket objects.
-    class descriptor_server : public QTcpServer {
-    public:
-        std::function<void(int)> onAccepted;
-
-    protected:
-        void incomingConnection(qintptr descriptor) override { onAccepted(static_cast<int>(descriptor)); }
-    };
-
-}
-
 struct http_server::state {
     std::shared_ptr<detail::server_shared> shared = std::make_shared<detail::server_shared>();
     QObject connections; // parent of all connections, which are destroyed with the server
-    descriptor_server server;
+    detail::listening_socket socket;
     slow_caller_handler onSlowCaller;
     bool isCutDue = false; // cutSlowCallers() is scheduled
 
@@ -152,25 +137,20 @@
     m_state->shared->onRequest = std::move(onRequest);
     m_state->shared->onRefusal = std::move(onRefusal);
     m_state->shared->onDiscarded = std::move(onDiscarded);
-    m_state->server.onAccepted = [this](int descriptor) { m_state->accepted(descriptor); };
+    m_state->socket.onAccepted = [this](int descriptor) { m_state->accepted(descriptor); };
 }
 
 http_server::~http_server() = default;
 
-bool http_server::listen(const QHostAddress& address, quint16 port)
-{
-    m_state->server.setListenBacklogSize(listenBacklog);
-    return m_state->server.listen(address, port);
-}
+bool http_server::listen(const QHostAddress& address, quint16 port) { return m_state->socket.listen(address, port); }
 
-quint16 http_server::port() const { return m_state->server.serverPort(); }
+quint16 http_server::port() const { return m_state->socket.port(); }
 
 // The kernel may have connections that the event loop has not accepted yet. Closing the listening socket resets them.
 void http_server::stopListening()
 {
-    if (m_state->server.isListening())
-        m_state->server.waitForNewConnection(0); // accepts all of them
-    m_state->server.close();
+    m_state->socket.acceptAll();
+    m_state->socket.close();
 }
 
 void http_server::setLimits(const http_server_limits& limits)
--- a/libs/http/tests/test_hostile_clients.cpp
+++ b/libs/http/tests/test_hostile_clients.cpp
@@ -105,3 +105,33 @@
     }
     CHECK(node.requests == 0);
 }
+
+// Guards against a listener that takes the processor while descriptors are short, or accepts nothing any more
+// afterwards.
+TEST_CASE("test_server_rests_while_descriptors_are_short_and_accepts_again")
+{
+    answering_server node;
+    CHECK(exchangeWhole(node.server.port()).startsWith("HTTP/1.1 200"));
+    const int client = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int turns = 0;
+    {
+        const descriptor_shortage shortage;
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(node.server.port());
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::connect(client, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+        QObject counted;
+        QObject::connect(
+            QAbstractEventDispatcher::instance(), &QAbstractEventDispatcher::awake, &counted, [&] { ++turns; });
+        bool hasPassed = false;
+        QTimer::singleShot(200, [&] { hasPassed = true; });
+        QEventLoop loop;
+        while (!hasPassed)
+            loop.processEvents(QEventLoop::WaitForMoreEvents);
+    }
+    constexpr int maxTurns = 50;
+    CHECK(turns <= maxTurns);
+    CHECK(exchangeWhole(node.server.port()).startsWith("HTTP/1.1 200"));
+    ::close(client);
+}
