One account of what a process holds for the clients of all its listeners

Callers lost their requests with a node that was killed for its memory, were closed or reset while silent connections kept all places, and a node whose other ports were full had no descriptor for targets, the store and peers.

Cause: bytes that a client chose are held, and no sum counts them. Each server counted bodies while they were received and for itself: not the fields of heads, not what was read ahead, not requests that wait or run, and four listeners had the defaults of 64 MB and 20,000 connections each, whatever the machine has. At its limit a server refused who came last, so those that held most stayed.

Change: `client_budget`, one for the process. Each connection charges what it has received; the charge moves with the request (in `response_writer`, and in the body, which attempts now share instead of copying it) and ends with its last holder; unsent responses charge it as well. When the sum is above 0.6 of the memory, those go that hold most of what no handler has, with a 503 that is true; small requests have a twentieth more. Three quarters of the descriptors are for accepted connections of all listeners, each of which has a share; the place of a connection that has longest been without a request goes to the next caller: those that are only to be closed first, then those that never brought a request, then idle ones. The endpoints besides the callers' get the limits of the configuration. `client_pressure` and `tamarack_client_pressure_total` tell of it.

`test_total_size_of_incoming_bodies_is_bounded` sets the same bound of 1,000 bytes in the budget, since the setting it used is gone; what it sends and wants is unchanged.

--- a/libs/gateway/src/caller_flow.cpp
+++ b/libs/gateway/src/caller_flow.cpp
@@ -63,6 +63,9 @@
     , m_lastEvent(m_decoded.lastEventId)
     , m_startedAt(boot_clock::now())
 {
+    m_body = m_caller->shareBody(std::move(m_request.body));
+    m_request.body = {};
+    m_headBytes = m_request.bytesHeld();
 }
 
 caller_flow::~caller_flow()
@@ -136,6 +139,7 @@
     auto attempt = std::make_shared<attempt_state>();
     attempt->command = command;
     TAMARACK_ASSERT(!m_silent, "a request has two attempts at most");
+    TAMARACK_ASSERT(m_body != nullptr, "no attempt may start once a plain answer has begun");
     m_silent = std::exchange(m_attempt, attempt);
     ++m_attempts;
     m_isPaused = false;
@@ -187,8 +191,9 @@
             { fleet.instance[command.target.value], command.detour->key, m_decoded.id, command.longestIdle });
         m_services.counters.count("tamarack_detours_total");
     }
-    attempt->exchange
-        = m_services.client.start(parseEndpoint(address), request, attemptOptions(command), std::move(handlers));
+    auto options = attemptOptions(command);
+    options.body = m_body;
+    attempt->exchange = m_services.client.start(parseEndpoint(address), request, options, std::move(handlers));
 }
 
 std::string_view caller_flow::viaOf(const attempt_state& attempt)
@@ -292,7 +297,7 @@
     }
     attempt->body += bytes;
     if (attempt->body.size() <= maxBufferedBytes)
-        return;
+        return updateHeld();
     const bool mayRelay = attempt->command.stage != attempt_stage::prefill && !isFailure(attempt->answer);
     if (mayRelay)
         return relayBuffered(attempt);
@@ -318,7 +323,8 @@
 {
     beginAnswer(attempt);
     m_caller->write(attempt->body);
-    attempt->body = {};
+    std::string().swap(attempt->body); // an assignment of an empty string would keep the memory
+    updateHeld();
     if (!attempt->lastBufferedEvent.empty())
         m_lastEvent = attempt->lastBufferedEvent;
     for (; attempt->bufferedEvents > 0; --attempt->bufferedEvents)
@@ -336,6 +342,7 @@
     if (attempt->bufferedEvents++ == 0)
         m_services.counters.count("tamarack_streams_kept_until_whole_total");
     attempt->body += event.bytes;
+    updateHeld();
     if (!event.idText.empty())
         attempt->lastBufferedEvent = std::string(event.idText);
     return true;
@@ -344,6 +351,8 @@
 void caller_flow::beginAnswer(const attempt_ptr& attempt)
 {
     attempt->isRelayed = true;
+    if (!m_isStream)
+        m_body = nullptr;
     m_services.decisions.responseStarted(m_id, attempt->command.attempt, boot_clock::now());
     if (m_isStream)
         m_services.onStreamBegan();
@@ -391,6 +400,14 @@
     m_lastEventAt = now;
 }
 
+void caller_flow::updateHeld()
+{
+    auto bytes = m_headBytes;
+    for (const auto& attempt : { m_attempt, m_silent, m_failure })
+        bytes += attempt ? attempt->body.size() : 0;
+    m_caller->setRequestBytes(bytes);
+}
+
 void caller_flow::applyBackPressure()
 {
     if (!m_attempt || !m_attempt->exchange || m_isFinished)
@@ -479,6 +496,7 @@
         attempt->exchange->cancel();
     if (result == attempt_result::failure_answer)
         m_failure = attempt;
+    updateHeld();
     recordEnd(*attempt, nameOf(resultNames, result), attempt->command.detour ? cut_cause::peer : cut_cause::target);
     const auto& fleet = m_services.decisions.fleet();
     m_services.counters.count("tamarack_target_attempts_total",
--- a/libs/gateway/src/caller_flow.h
+++ b/libs/gateway/src/caller_flow.h
@@ -132,6 +132,8 @@
     /// caller.
     void recordEvent();
     void applyBackPressure();
+    /// Counts what the flow holds of answers that are not relayed.
+    void updateHeld();
     /// Records, for the log, how an attempt ended, and `cause` in case the answer ends here.
     void recordEnd(const attempt_state& attempt, std::string_view how, cut_cause cause);
     /// Why an attempt is being ended together with its request.
@@ -143,7 +145,9 @@
     bool isEventStream(const attempt_ptr& attempt) const;
 
     flow_services& m_services;
-    http_request m_request; // as received from the caller
+    http_request m_request; // as received from the caller, without the body
+    std::shared_ptr<const std::string> m_body; // null once no further attempt can need it
+    std::size_t m_headBytes = 0; // memory of m_request
     caller_request m_decoded;
     std::string m_digest; // for the log
     std::string m_parts; // shared parts of the prompt, for the log
--- a/libs/gateway/src/detour_server.cpp
+++ b/libs/gateway/src/detour_server.cpp
@@ -62,7 +62,8 @@
     bool isFinished = false;
 };
 
-detour_server::detour_server(dependencies parts, std::size_t maxCalls, std::string key)
+detour_server::detour_server(
+    dependencies parts, std::size_t maxCalls, std::string key, std::shared_ptr<client_budget> budget)
     : m_parts(parts)
     , m_maxCalls(maxCalls)
     , m_key(std::move(key))
@@ -83,7 +84,8 @@
               m_parts.log.write(log_event::slow_caller_cut,
                   { { "bytes", static_cast<std::int64_t>(held) },
                       { "all_bytes", static_cast<std::int64_t>(m_server.unsentBytesHeld()) } });
-          })
+          },
+          std::move(budget))
 {
 }
 
--- a/libs/gateway/src/detour_server.h
+++ b/libs/gateway/src/detour_server.h
@@ -30,7 +30,8 @@
     };
 
     /// At most `maxCalls` calls are in progress; further ones are refused, and so are calls that do not name `key`.
-    detour_server(dependencies parts, std::size_t maxCalls, std::string key);
+    detour_server(
+        dependencies parts, std::size_t maxCalls, std::string key, std::shared_ptr<client_budget> budget = nullptr);
 
     /// Returns false if the address cannot be bound.
     bool listen(const endpoint& address);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -48,15 +48,25 @@
     constexpr int maxCachedLifetimes = 3;
     /// Share of the file descriptors for callers; the others are for targets, the store and peers.
     constexpr double callerDescriptorShare = 0.6;
-    /// Share of the process's memory for request bodies.
-    constexpr double bodyMemoryShare = 0.25;
-    /// Share of the process's memory for responses that callers have not read. With the shares for bodies and for calls
-    /// that are passed on, two fifths are left for everything else.
+    /// Share of the process's memory for what clients of all endpoints hold, and for small requests in addition. A
+    /// third is left for everything else.
+    constexpr double clientMemoryShare = 0.6;
+    constexpr double reservedMemoryShare = 0.05;
+    /// Share of the process's memory for responses that callers have not read, which is a part of the former.
     constexpr double unsentMemoryShare = 0.2;
     /// Shares of the descriptors and of the memory for calls that are passed on for peers. Each takes two descriptors.
     constexpr double passedCallShare = 0.05;
-    constexpr double passedBodyMemoryShare = 0.1;
     constexpr double passedUnsentMemoryShare = 0.05;
+    /// Share of the descriptors for accepted connections of all endpoints. The others are for targets, the store, peers
+    /// and files.
+    constexpr double acceptedConnectionShare = 0.75;
+    /// Shares of the descriptors for the endpoints besides callers and passed calls.
+    constexpr double entryConnectionShare = 0.05;
+    constexpr double stateConnectionShare = 0.1;
+    constexpr double probeConnectionShare = 0.02;
+    constexpr int minConnections = 8;
+    /// Share of the process's memory for responses of each of these endpoints.
+    constexpr double pageUnsentMemoryShare = 0.1;
     /// Idle connections of peers count as well. Calls above their limit are refused long before this one is reached,
     /// since a connection that is closed at once leaves the peer in doubt whether its call was taken.
     constexpr double passedConnectionShare = 0.2;
@@ -100,6 +110,10 @@
     std::uint64_t memoryFor(double share) const;
     http_server_limits callerLimits() const;
     http_server_limits detourLimits() const;
+    /// Limits of an endpoint whose requests have no body.
+    http_server_limits pageLimits(double connectionShare) const;
+    /// Sets the limits of all that clients may send and hold.
+    void applyLimits();
     serving::node_state self() const;
     bool isReady() const;
     const std::string& encodedState();
@@ -128,6 +142,7 @@
     void checkPaths(instant now);
     void logDiscarded(const discarded_input& input);
     void logSlowCaller(std::size_t held);
+    void logLetGo(pressure kind, std::size_t bytes);
 
     gateway_settings settings;
     gateway_ports ports;
@@ -148,6 +163,7 @@
     processor_load processor; // as detourKey
     peer_messenger peers;
     limit_sharing limits;
+    std::shared_ptr<client_budget> budget = std::make_shared<client_budget>();
     http_server callers;
     detour_server detours;
     node_endpoints pages;
@@ -275,17 +291,19 @@
               return ports.callers.refusal(kind, detail, answerFor(kind).retryAfter);
           },
           [this](const discarded_input& input) { logDiscarded(input); },
-          [this](std::size_t held) { logSlowCaller(held); })
-    , detours({ client, ports.targets, decisions, notices, counters, log }, maxPassedCalls(settings), detourKey)
+          [this](std::size_t held) { logSlowCaller(held); }, budget)
+    , detours({ client, ports.targets, decisions, notices, counters, log }, maxPassedCalls(settings), detourKey, budget)
     , pages({ ports.callers, nodes, counters, [this] { return self(); }, [this] { return encodedState(); },
-          [this] { return encodeState(view.exportConfiguration()); },
-          [this] { return encodeCaches(caches.snapshot(boot_clock::now())); },
-          [this] { return quarantine.describe(boot_clock::now()); },
-          [this](const request_trait& trait) { return release(trait); },
-          [this](const std::string& vm) {
-              const auto now = boot_clock::now();
-              return vm == settings.vm ? decisions.paths().isCutOff(now) : decisions.paths().isPeerCutOff(vm, now);
-          } })
+                [this] { return encodeState(view.exportConfiguration()); },
+                [this] { return encodeCaches(caches.snapshot(boot_clock::now())); },
+                [this] { return quarantine.describe(boot_clock::now()); },
+                [this](const request_trait& trait) { return release(trait); },
+                [this](const std::string& vm) {
+                    const auto now = boot_clock::now();
+                    return vm == settings.vm ? decisions.paths().isCutOff(now)
+                                             : decisions.paths().isPeerCutOff(vm, now);
+                } },
+          budget)
     , flows(services,
           [this] {
               peers.scheduleJobAnnouncement();
@@ -300,12 +318,12 @@
     , gauges({ decisions, nodes, view, callers, client, peers, processor, log, counters })
 {
     QObject::connect(&decisionTimer, &QTimer::timeout, [this] { tick(); });
+    budget->onLetGo = [this](pressure kind, std::size_t bytes) { logLetGo(kind, bytes); };
 }
 
 std::string gateway::state::start()
 {
-    callers.setLimits(callerLimits());
-    detours.setLimits(detourLimits());
+    applyLimits();
     if (!callers.listen(addressOf(settings.callers), settings.callers.port))
         return toString(settings.callers) + ": cannot listen on this address";
     if (const auto address = pages.listen(settings); !address.empty())
@@ -348,7 +366,6 @@
 {
     http_server_limits out;
     out.connections = static_cast<int>(settings.descriptors * callerDescriptorShare);
-    out.totalBodyBytes = memoryFor(bodyMemoryShare);
     out.totalUnsentBytes = memoryFor(unsentMemoryShare);
     if (!view.hasConfiguration())
         return out;
@@ -366,18 +383,38 @@
     const auto own = callerLimits();
     out.headerBytes = own.headerBytes + addedHeaderBytes;
     out.bodyBytes = own.bodyBytes;
-    out.totalBodyBytes = memoryFor(passedBodyMemoryShare);
     out.totalUnsentBytes = memoryFor(passedUnsentMemoryShare);
     out.connections = static_cast<int>(settings.descriptors * passedConnectionShare);
     out.idleTimeout = passedIdleTimeout;
     return out;
 }
 
-void gateway::state::configure(const std::shared_ptr<const serving::serving_configuration>& configuration)
+http_server_limits gateway::state::pageLimits(double connectionShare) const
 {
-    usage.configure(*configuration);
+    auto out = callerLimits();
+    out.bodyBytes = maxShortBodyBytes;
+    out.totalUnsentBytes = memoryFor(pageUnsentMemoryShare);
+    out.connections = std::max(static_cast<int>(settings.descriptors * connectionShare), minConnections);
+    return out;
+}
+
+void gateway::state::applyLimits()
+{
+    client_budget_limits all;
+    all.bytes = memoryFor(clientMemoryShare);
+    all.reservedBytes = memoryFor(reservedMemoryShare);
+    all.connections = static_cast<int>(settings.descriptors * acceptedConnectionShare);
+    budget->setLimits(all);
     callers.setLimits(callerLimits());
     detours.setLimits(detourLimits());
+    const auto probes = pageLimits(probeConnectionShare);
+    pages.setLimits({ probes, pageLimits(entryConnectionShare), pageLimits(stateConnectionShare), probes });
+}
+
+void gateway::state::configure(const std::shared_ptr<const serving::serving_configuration>& configuration)
+{
+    usage.configure(*configuration);
+    applyLimits();
     if (view.sharesReads())
         peers.sendHeartbeat(); // announces the version to peers at once
 }
@@ -658,6 +695,14 @@
             { "all_bytes", static_cast<std::int64_t>(callers.unsentBytesHeld()) } });
 }
 
+void gateway::state::logLetGo(pressure kind, std::size_t bytes)
+{
+    counters.count("tamarack_client_pressure_total", { { "kind", std::string(toString(kind)) } });
+    log.write(log_event::client_pressure,
+        { { "kind", toString(kind) }, { "bytes", static_cast<std::int64_t>(bytes) },
+            { "all_bytes", static_cast<std::int64_t>(budget->held()) }, { "connections", budget->connections() } });
+}
+
 void gateway::state::logLateness(instant now)
 {
     previousTickAt = lastTickAt;
@@ -754,7 +799,7 @@
     m_state->settings.stopBound = settings.stopBound;
     m_state->pull.setSeeds(settings.seeds);
     m_state->pages.setMaxEntryLifetime(settings.maxEntryLifetime);
-    m_state->callers.setLimits(m_state->callerLimits());
+    m_state->applyLimits();
     m_state->log.write(log_event::settings_reloaded);
 }
 
--- a/libs/gateway/src/node_endpoints.cpp
+++ b/libs/gateway/src/node_endpoints.cpp
@@ -45,24 +45,32 @@
 
 }
 
-node_endpoints::node_endpoints(sources from)
+node_endpoints::node_endpoints(sources from, std::shared_ptr<client_budget> budget)
     : m_sources(std::move(from))
     , m_ready(
           {}, [this](const http_request& request, const auto& writer) { answerReady(request, writer); },
-          malformedRequestResponse)
+          malformedRequestResponse, {}, {}, budget)
     , m_entries(
           {}, [this](const http_request& request, const auto& writer) { answerEntries(request, writer); },
-          malformedRequestResponse)
+          malformedRequestResponse, {}, {}, budget)
     , m_peers(
           {}, [this](const http_request& request, const auto& writer) { answerPeer(request, writer); },
-          malformedRequestResponse)
+          malformedRequestResponse, {}, {}, budget)
     , m_metrics(
           {}, [this](const http_request& request, const auto& writer) { answerMetrics(request, writer); },
-          malformedRequestResponse)
+          malformedRequestResponse, {}, {}, budget)
     , m_entryChoice(stableHash(m_sources.self().vm))
 {
 }
 
+void node_endpoints::setLimits(const limits& changed)
+{
+    m_ready.setLimits(changed.ready);
+    m_entries.setLimits(changed.entries);
+    m_peers.setLimits(changed.peers);
+    m_metrics.setLimits(changed.metrics);
+}
+
 duration node_endpoints::entryLifetime() { return defaultEntryLifetime; }
 
 std::string node_endpoints::listen(const gateway_settings& settings)
--- a/libs/gateway/src/node_endpoints.h
+++ b/libs/gateway/src/node_endpoints.h
@@ -34,10 +34,18 @@
         std::function<bool(const std::string& vm)> isCutOff = [](const std::string&) { return false; };
     };
 
-    explicit node_endpoints(sources from);
+    explicit node_endpoints(sources from, std::shared_ptr<client_budget> budget = nullptr);
 
     /// Returns an empty string, or the address on which listening failed.
     std::string listen(const gateway_settings& settings);
+    /// Limits of what clients send and hold, by endpoint.
+    struct limits {
+        http_server_limits ready;
+        http_server_limits entries;
+        http_server_limits peers;
+        http_server_limits metrics;
+    };
+    void setLimits(const limits& changed);
     void setMaxEntryLifetime(duration lifetime) { m_maxEntryLifetime = lifetime; }
     /// Time for which callers may cache entry addresses; some cache them three times as long.
     static duration entryLifetime();
--- a/libs/http/include/http/http_client.h
+++ b/libs/http/include/http/http_client.h
@@ -45,6 +45,9 @@
     duration maxIdleTime = std::chrono::seconds(60);
     /// Whether the connection may be reused for later exchanges.
     bool keepConnection = true;
+    /// The body of the request, in place of http_request::body. It is not copied, so that several attempts hold it
+    /// once.
+    std::shared_ptr<const std::string> body;
     exchange_limits limits;
 };
 
--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/error_kind.h"
+#include "http/client_budget.h"
 #include "http/http_message.h"
 
 #include <QHostAddress>
@@ -75,6 +76,12 @@
     /// Returns how many bytes may be queued before the source of the response stops reading, until onDrained is called.
     /// The value falls while callers of this server read slowly.
     std::size_t queueLimit() const;
+    /// Replaces what is counted in the budget for the request, in bytes. At first that is the request itself. The
+    /// count ends with this object, so whoever handles a request keeps the writer for as long as the request.
+    void setRequestBytes(std::size_t bytes) { m_charge.set(bytes); }
+
+    /// Takes the body of the request, which counts in the budget for as long as it is referred to.
+    std::shared_ptr<const std::string> shareBody(std::string body);
 
     /// Called once if the caller's connection ends before the response is complete.
     std::function<void()> onClosed;
@@ -85,21 +92,23 @@
     friend class detail::server_connection;
     detail::server_connection* m_connection; // null once the response or the connection has ended
     std::uint64_t m_connectionNumber;
+    budget_charge m_charge;
     bool m_started = false;
 };
 
 struct http_server_limits {
     std::uint32_t headerBytes = 16 * 1024;
     std::uint64_t bodyBytes = 8 * 1024 * 1024;
-    /// Maximum total size of all bodies being received at the same time; bounds the memory of the process.
-    std::uint64_t totalBodyBytes = 64 * 1024 * 1024;
     /// Maximum memory for bytes of responses that callers have not read; 0: none. Beyond it the connections that hold
     /// most are reset.
     std::uint64_t totalUnsentBytes = 0;
+    /// Beyond it, or beyond that of the budget, the connection goes that has waited longest for a request. If all have
+    /// requests in progress, the new one is closed.
     int connections = 20'000;
     /// Maximum time to receive the rest of a head after its first byte.
     duration headerTimeout = std::chrono::seconds(30);
-    /// Maximum time without received bytes in the middle of a body.
+    /// Maximum time without received bytes in the middle of a body, and from its first byte on for less than 1,000
+    /// bytes a second of it.
     duration bodyReadTimeout = std::chrono::seconds(10);
     /// A connection on which no request has started is kept for this time, and for as long as the last response on it
     /// says in `Keep-Alive`, which is this time in whole seconds when that response begins.
@@ -117,8 +126,10 @@
     /// bytes.
     using slow_caller_handler = std::function<void(std::size_t held)>;
 
+    /// Without a budget the server has one of its own, with the default limits.
     http_server(http_server_limits limits, request_handler onRequest, refusal_handler onRefusal,
-        discard_handler onDiscarded = {}, slow_caller_handler onSlowCaller = {});
+        discard_handler onDiscarded = {}, slow_caller_handler onSlowCaller = {},
+        std::shared_ptr<client_budget> budget = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/libs/http/include/http/unsent_bytes.h
+++ b/libs/http/include/http/unsent_bytes.h
@@ -1,11 +1,7 @@
 // Bounds what the connections of one server hold of responses because their callers read slowly.
 #pragma once
 
-#include <cstddef>
-#include <cstdint>
-#include <set>
-#include <unordered_map>
-#include <utility>
+#include "http/byte_ledger.h"
 
 namespace tamarack {
 
@@ -17,8 +13,7 @@
 /// add what one read from its target brings. From then on those that hold most are cut.
 class unsent_bytes {
 public:
-    /// Identifies a connection; never dereferenced here.
-    using connection_key = const void*;
+    using connection_key = byte_ledger::connection_key;
 
     /// What a response may queue while little is held. A target sends on until as much is queued, which covers several
     /// round trips.
@@ -29,20 +24,18 @@
     /// Sets the bound of the sum, in bytes; 0: none.
     void setTotal(std::uint64_t bytes) { m_total = bytes; }
     /// Replaces what the connection holds. Zero forgets it.
-    void update(connection_key connection, std::size_t bytes);
-    std::uint64_t held() const { return m_held; }
+    void update(connection_key connection, std::size_t bytes) { m_ledger.update(connection, bytes); }
+    std::uint64_t held() const { return m_ledger.sum(); }
     /// Bytes that a response may queue before its source stops reading. It resumes when nothing is queued.
     std::size_t queueLimit() const;
-    bool isExceeded() const { return m_total > 0 && m_held > m_total; }
+    bool isExceeded() const { return m_total > 0 && held() > m_total; }
     /// The connection that holds most; null if none holds anything.
-    connection_key largest() const { return m_order.empty() ? nullptr : m_order.rbegin()->second; }
-    std::size_t heldByLargest() const { return m_order.empty() ? 0 : m_order.rbegin()->first; }
+    connection_key largest() const { return m_ledger.largest(); }
+    std::size_t heldByLargest() const { return m_ledger.heldByLargest(); }
 
 private:
     std::uint64_t m_total = 0;
-    std::uint64_t m_held = 0; // sum over m_bytes
-    std::unordered_map<connection_key, std::size_t> m_bytes; // above zero
-    std::set<std::pair<std::size_t, connection_key>> m_order; // the same by size
+    byte_ledger m_ledger;
 };
 
 }
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -8,6 +8,7 @@
 #include "connection_pool.h"
 
 #include <QHostAddress>
+#include <algorithm>
 #include <boost/beast/http.hpp>
 #include <limits>
 #include <optional>
@@ -25,19 +26,22 @@
     /// peer has closed the connection.
     constexpr duration keepAliveMargin = 250ms;
     constexpr duration defaultIdleLimit = 60s;
+    /// Bytes of a shared body that are passed to the socket at a time.
+    constexpr std::size_t bodyPartBytes = 64 * 1024;
 
-    std::string serializeRequest(const endpoint& peer, const http_request& request)
+    std::string serializeRequest(const endpoint& peer, const http_request& request, const std::string* sharedBody)
     {
+        const std::string_view body = sharedBody ? *sharedBody : request.body;
         std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
         if (!request.headers.has("Host"))
             text += "Host: " + toString(peer) + "\r\n";
         for (const auto& header : request.headers.entries)
             text += header.name + ": " + header.value + "\r\n";
-        const bool hasNoBody = request.body.empty() && (request.method == "GET" || request.method == "HEAD");
+        const bool hasNoBody = body.empty() && (request.method == "GET" || request.method == "HEAD");
         if (!hasNoBody)
-            text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+            text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
         text += "\r\n";
-        text += request.body;
+        text += sharedBody ? body.substr(0, bodyPartBytes) : body;
         return text;
     }
 
@@ -86,7 +90,7 @@
             const exchange_options& options, exchange_handlers handlers, bool isCollected)
             : m_pool(&pool)
             , m_peer(std::move(peer))
-            , m_text(serializeRequest(m_peer, request))
+            , m_text(serializeRequest(m_peer, request, options.body.get()))
             , m_options(options)
             , m_handlers(std::make_shared<exchange_handlers>(std::move(handlers)))
             , m_meter(options.limits, isCollected)
@@ -151,8 +155,25 @@
             m_timer.start(milliseconds(m_options.silenceTimeout));
             m_socket->write(m_text);
             std::string().swap(m_text); // an assignment of an empty string would keep the memory
+            m_bodySent = m_options.body ? std::min(m_options.body->size(), bodyPartBytes) : 0;
+            sendBody();
         }
 
+        bool hasUnsentBody() const { return m_options.body && m_bodySent < m_options.body->size(); }
+
+        void sendBody()
+        {
+            while (m_socket && hasUnsentBody() && m_socket->bytesQueued() == 0) {
+                const auto part = std::string_view(*m_options.body).substr(m_bodySent, bodyPartBytes);
+                m_bodySent += part.size();
+                m_socket->write(part);
+            }
+            if (!hasUnsentBody())
+                m_options.body = nullptr;
+        }
+
+        void onWritten() override { sendBody(); }
+
         void onReadable() override
         {
             const auto keepAlive = shared_from_this(); // a handler may drop the last reference
@@ -240,7 +261,7 @@
             // A connection is not reused if bytes follow the response, since they belong to no request, or if part of
             // the request is unsent, since the peer would take the rest for another request.
             const bool reusable = m_options.keepConnection && m_parser->keep_alive() && m_buffer.empty()
-                && m_socket->bytesQueued() == 0;
+                && m_socket->bytesQueued() == 0 && !hasUnsentBody();
             const auto handlers = std::move(m_handlers);
             m_handlers = nullptr;
             release(reusable);
@@ -301,6 +322,7 @@
         std::shared_ptr<exchange_handlers> m_handlers; // null once the exchange has ended or was cancelled
         std::unique_ptr<detail::stream_socket> m_socket; // null before begin() and after the end
         std::optional<beast_http::response_parser<detail::appended_body>> m_parser;
+        std::size_t m_bodySent = 0; // bytes of the shared body that were passed to the socket
         std::string m_buffer; // at most one read beyond the limit of a head
         detail::answer_meter m_meter;
         QTimer m_timer;
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -11,6 +11,15 @@
 
 namespace tamarack {
 
+namespace {
+
+    struct counted_body {
+        std::string bytes;
+        budget_charge charge;
+    };
+
+}
+
 response_writer::response_writer(detail::server_connection* connection)
     : m_connection(connection)
     , m_connectionNumber(connection->number())
@@ -68,6 +77,14 @@
         m_connection->abortAnswer(true);
 }
 
+std::shared_ptr<const std::string> response_writer::shareBody(std::string body)
+{
+    auto out = std::make_shared<counted_body>();
+    out->bytes = std::move(body);
+    out->charge = m_charge.split(out->bytes.size());
+    return { out, &out->bytes };
+}
+
 std::size_t response_writer::bytesQueued() const { return m_connection ? m_connection->bytesQueued() : 0; }
 
 std::size_t response_writer::queueLimit() const
@@ -102,15 +119,31 @@
                 connection->cut();
                 break;
             }
-            shared->unsent.update(largest, 0); // it is deleted only later
+            shared->updateUnsent(static_cast<const detail::server_connection*>(largest), 0); // it is deleted only later
             if (onSlowCaller)
                 onSlowCaller(held);
         }
     }
 
+    bool hasPlace() const { return shared->connections < shared->limits.connections && shared->budget->hasPlace(); }
+
+    // A connection that has just been accepted is more likely to bring a request than one that has long sent none.
+    bool makePlace()
+    {
+        const bool isServerFull = shared->connections >= shared->limits.connections;
+        auto& among = isServerFull ? shared->waiting : shared->budget->waiting();
+        return hasPlace() || (shared->budget->freePlace(among) && hasPlace());
+    }
+
+    void shortOfDescriptors()
+    {
+        shared->budget->onLetGo(pressure::descriptors, 0);
+        shared->budget->freePlace(shared->budget->waiting());
+    }
+
     void accepted(int descriptor)
     {
-        if (shared->connections >= shared->limits.connections) {
+        if (!makePlace()) {
             ::close(descriptor);
             return;
         }
@@ -127,16 +160,18 @@
 }
 
 http_server::http_server(http_server_limits limits, request_handler onRequest, refusal_handler onRefusal,
-    discard_handler onDiscarded, slow_caller_handler onSlowCaller)
+    discard_handler onDiscarded, slow_caller_handler onSlowCaller, std::shared_ptr<client_budget> budget)
     : m_state(std::make_unique<state>())
 {
     m_state->shared->limits = limits;
+    m_state->shared->budget = budget ? std::move(budget) : std::make_shared<client_budget>();
     m_state->shared->unsent.setTotal(limits.totalUnsentBytes);
     m_state->shared->onUnsentExceeded = [this] { m_state->scheduleCut(); };
     m_state->onSlowCaller = std::move(onSlowCaller);
     m_state->shared->onRequest = std::move(onRequest);
     m_state->shared->onRefusal = std::move(onRefusal);
     m_state->shared->onDiscarded = std::move(onDiscarded);
+    m_state->socket.onShortage = [this] { m_state->shortOfDescriptors(); };
     m_state->socket.onAccepted = [this](int descriptor) { m_state->accepted(descriptor); };
 }
 
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -22,7 +22,6 @@
     constexpr std::size_t maxPipelinedBytes = 16 * 1024;
     /// Bytes of one read, except within a body. What comes behind a request stays in the input until it has ended.
     constexpr std::size_t headReadBytes = 16 * 1024;
-
     /// A body that arrives more slowly than this, after the first `bodyReadTimeout`, is not waited for.
     constexpr double minBodyBytesPerSecond = 1000;
 
@@ -64,25 +63,90 @@
     , m_reader(m_shared->limits.headerBytes, m_shared->limits.bodyBytes)
 {
     ++m_shared->connections;
+    m_shared->budget->opened();
     m_timer.setSingleShot(true);
     connect(&m_timer, &QTimer::timeout, this, [this] { onTimeout(); });
     beginIdle();
+    beginWaiting(waiting_connections::rank::unused, m_idleSince);
 }
 
 server_connection::~server_connection()
 {
-    --m_shared->connections;
-    updateBodyBytes(0);
-    m_shared->unsent.update(this, 0);
+    leave();
+    m_shared->updateUnsent(this, 0);
     if (const auto writer = detachWriter(); writer && writer->onClosed)
         writer->onClosed();
 }
 
-void server_connection::updateBodyBytes(std::size_t buffered)
+void server_connection::leave()
+{
+    if (!std::exchange(m_isCounted, false))
+        return;
+    --m_shared->connections;
+    m_shared->budget->closed();
+    m_shared->budget->setReceived(*this, 0);
+    updateWaiting();
+}
+
+void server_connection::beginWaiting(waiting_connections::rank first, instant since)
+{
+    m_waitsAs.emplace(first, since);
+    updateWaiting();
+}
+
+void server_connection::endWaiting()
 {
-    m_shared->totalBodyBytes += buffered;
-    m_shared->totalBodyBytes -= m_bodyBytes;
-    m_bodyBytes = buffered;
+    m_waitsAs.reset();
+    updateWaiting();
+}
+
+void server_connection::updateWaiting()
+{
+    for (auto* list : { &m_shared->waiting, &m_shared->budget->waiting() }) {
+        if (m_isCounted && m_waitsAs && m_socket.bytesQueued() == 0)
+            list->set(*this, m_waitsAs->first, m_waitsAs->second);
+        else
+            list->erase(*this);
+    }
+}
+
+void server_connection::updateReceived()
+{
+    constexpr std::size_t maxSlackFactor = 4;
+    if (m_input.empty())
+        std::string().swap(m_input); // an assignment of an empty string would keep the memory
+    else if (m_input.capacity() / maxSlackFactor > m_input.size())
+        m_input.shrink_to_fit();
+    const auto inInput = m_input.empty() ? 0 : m_input.capacity();
+    if (m_isCounted)
+        m_shared->budget->setReceived(*this, inInput + (m_writer ? 0 : m_reader.bytesHeld()));
+}
+
+bool server_connection::makeRoom()
+{
+    updateReceived();
+    return m_shared->budget->makeRoom(*this);
+}
+
+void server_connection::dropReceived()
+{
+    if (!m_writer && !m_isLingering)
+        return refuse(error_kind::overloaded, "there is no memory for more requests");
+    // Requests behind the one in progress were not begun. The close tells their client so.
+    m_keepsAlive = false;
+    m_socket.setReading(false);
+    m_input.clear();
+    updateReceived();
+}
+
+// A client that has sent a part of a request is told that it has not run.
+void server_connection::giveUpPlace()
+{
+    if (!m_isLingering && m_reader.state() != reader_state::empty)
+        refuse(error_kind::overloaded, "there is no place for more connections");
+    m_timer.stop();
+    m_socket.close();
+    handleClosed();
 }
 
 void server_connection::onReadable()
@@ -97,9 +161,12 @@
         discardInput();
     if (end != stream_end::none)
         return handleClosed();
-    if (m_writer && m_input.size() >= maxPipelinedBytes)
+    if (!m_writer || m_isLingering)
+        return process();
+    if (m_input.size() >= maxPipelinedBytes)
         m_socket.setReading(false);
-    process();
+    if (!makeRoom())
+        dropReceived();
 }
 
 void server_connection::process()
@@ -107,15 +174,16 @@
     if (m_writer || m_isLingering || m_input.empty())
         return;
     // A caller that sends requests without reading the responses would otherwise be answered into a growing queue.
-    if (m_socket.bytesQueued() > m_shared->unsent.queueLimit())
+    if (m_socket.bytesQueued() > m_shared->unsent.queueLimit()) {
+        updateReceived();
         return m_socket.setReading(false);
+    }
     const auto before = m_reader.state();
     const auto state = m_reader.feed(m_input);
     if (state == reader_state::refused)
         return refuse(m_reader.refusalKind(), m_reader.refusalDetail());
-    updateBodyBytes(m_reader.bodyBytesBuffered());
-    if (m_shared->totalBodyBytes > m_shared->limits.totalBodyBytes)
-        return refuse(error_kind::overloaded, "too many bytes of request bodies are held");
+    if (!makeRoom())
+        return refuse(error_kind::overloaded, "there is no memory for more requests");
     if (state == reader_state::complete)
         return dispatch();
     if (m_reader.awaitsContinue() && !m_sentContinue) {
@@ -145,21 +213,24 @@
 {
     m_timer.stop();
     http_request request = m_reader.take();
-    updateBodyBytes(0);
     m_keepsAlive = m_reader.keepsAlive();
     m_isHttp10 = m_reader.isHttp10();
     m_isHead = request.method == "HEAD";
     m_writer = std::make_shared<response_writer>(this);
+    m_writer->m_charge = budget_charge(m_shared->budget, request.bytesHeld());
+    endWaiting();
+    updateReceived();
     m_shared->onRequest(std::move(request), m_writer);
 }
 
 void server_connection::refuse(error_kind kind, std::string_view detail)
 {
     m_timer.stop();
-    updateBodyBytes(0);
     m_keepsAlive = false;
     m_isRefusing = true;
     m_input.clear();
+    m_reader.restart(m_shared->limits.headerBytes, m_shared->limits.bodyBytes);
+    updateReceived();
     m_writer = std::make_shared<response_writer>(this);
     const auto writer = m_writer;
     writer->sendWhole(m_shared->onRefusal(kind, detail));
@@ -223,7 +294,14 @@
         m_shared->onUnsentExceeded();
 }
 
-void server_connection::updateUnsent() { m_shared->unsent.update(this, m_socket.bytesAllocated()); }
+void server_connection::updateUnsent() { m_shared->updateUnsent(this, m_socket.bytesAllocated()); }
+
+void server_shared::updateUnsent(const server_connection* connection, std::size_t bytes)
+{
+    const auto before = unsent.held();
+    unsent.update(connection, bytes);
+    budget->addKept(static_cast<std::int64_t>(unsent.held()) - static_cast<std::int64_t>(before));
+}
 
 void server_connection::flushHead()
 {
@@ -265,6 +343,7 @@
     m_framing = response_framing::no_body;
     m_socket.setReading(true);
     beginIdle();
+    beginWaiting(waiting_connections::rank::used, m_idleSince);
     // Deferred, because a handler that responds immediately would otherwise recurse through pipelined requests.
     if (!m_input.empty())
         QTimer::singleShot(0, this, [this] { process(); });
@@ -304,6 +383,7 @@
     if (whenWritten && m_framing != response_framing::until_close)
         return closeGracefully(close_reason::truncated);
     m_socket.reset();
+    leave();
     updateUnsent();
     deleteLater();
 }
@@ -329,6 +409,8 @@
     m_closedAt = boot_clock::now();
     m_discarded.reason = reason;
     discardInput();
+    updateReceived();
+    beginWaiting(waiting_connections::rank::closing, m_closedAt);
     m_socket.finishWriting();
     m_socket.setReading(true);
     m_timer.start(lingerTime);
@@ -350,6 +432,7 @@
     m_discarded.bytes = 0;
     m_socket.reset();
     m_input.clear();
+    leave();
     updateUnsent();
     if (const auto writer = detachWriter(); writer && writer->onClosed)
         writer->onClosed();
@@ -359,6 +442,7 @@
 void server_connection::onWritten()
 {
     updateUnsent();
+    updateWaiting();
     const auto writer = m_writer;
     if (writer && writer->onDrained)
         return writer->onDrained();
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -1,6 +1,7 @@
 // Provides the server side of one caller's connection, which handles its requests one after the other.
 #pragma once
 
+#include "http/client_budget.h"
 #include "http/http_server.h"
 #include "http/unsent_bytes.h"
 #include "request_reader.h"
@@ -8,9 +9,13 @@
 
 #include <QObject>
 #include <QTimer>
+#include <optional>
+#include <utility>
 
 namespace tamarack::detail {
 
+class server_connection;
+
 /// The state shared by all connections of one server.
 struct server_shared {
     http_server_limits limits;
@@ -18,14 +23,18 @@
     http_server::refusal_handler onRefusal;
     http_server::discard_handler onDiscarded;
     std::function<void()> onUnsentExceeded; ///< what is held exceeds the total; set by the server
+    std::shared_ptr<client_budget> budget; ///< never null
+    waiting_connections waiting; ///< those of this server; the budget has those of all
     unsent_bytes unsent;
     int connections = 0;
     std::uint64_t connectionsAccepted = 0;
-    std::uint64_t totalBodyBytes = 0; ///< size of all bodies being received
     bool isDraining = false;
+
+    /// Replaces what the connection holds of responses, also in the budget.
+    void updateUnsent(const server_connection* connection, std::size_t bytes);
 };
 
-class server_connection : public QObject, private stream_listener {
+class server_connection : public QObject, private stream_listener, private budgeted_connection {
 public:
     server_connection(int descriptor, std::shared_ptr<server_shared> shared);
     ~server_connection() override;
@@ -57,6 +66,8 @@
     void onWritten() override;
     void onPartWritten() override { updateUnsent(); }
     void onEnded(stream_end) override { handleClosed(); }
+    void dropReceived() override;
+    void giveUpPlace() override;
 
     void sendBytes(std::string_view bytes);
     /// Closes the connection with an orderly TCP shutdown after all queued bytes have been sent.
@@ -69,7 +80,17 @@
     void readNextRequest();
     void beginIdle();
     void extendIdle();
-    void updateBodyBytes(std::size_t buffered);
+    /// Counts what is held of requests that no handler has, and returns memory that is no longer needed.
+    void updateReceived();
+    /// Counts the same and lets others go if it is too much. Returns false if this connection has to go.
+    bool makeRoom();
+    /// The connection waits for its client from now on. It may be closed for another one once all of the last response
+    /// was passed to the kernel.
+    void beginWaiting(waiting_connections::rank first, instant since);
+    void endWaiting();
+    void updateWaiting();
+    /// Ends the count of this connection, which is closed or about to be.
+    void leave();
     /// Passes bytes to the socket and counts what it holds of them.
     void send(std::string_view bytes);
     void updateUnsent();
@@ -89,8 +110,9 @@
     instant m_idleUntil; // the timer is due then while the connection waits for a request
     std::string m_unsentHead; // sent in one packet with the first bytes of the body
     std::uint64_t m_bodyBytesLeft = 0; // unsent rest of a response with a known length
-    std::size_t m_bodyBytes = 0; // this connection's part of server_shared::totalBodyBytes
     instant m_bodySince; // when the head of the request that is being received was whole
+    std::optional<std::pair<waiting_connections::rank, instant>> m_waitsAs; // not set while a request is in progress
+    bool m_isCounted = true; // in the numbers of connections
     response_framing m_framing = response_framing::no_body;
     bool m_keepsAlive = true;
     bool m_isHttp10 = false;
--- a/libs/http/src/stream_socket.cpp
+++ b/libs/http/src/stream_socket.cpp
@@ -227,6 +227,13 @@
         ::shutdown(m_descriptor, SHUT_WR);
 }
 
+void stream_socket::close()
+{
+    closeDescriptor();
+    std::string().swap(m_outgoing);
+    m_sent = 0;
+}
+
 void stream_socket::reset()
 {
     if (m_descriptor >= 0) {
--- a/libs/http/src/stream_socket.h
+++ b/libs/http/src/stream_socket.h
@@ -76,6 +76,9 @@
     void setReading(bool reading);
     /// Closes the sending side after all queued bytes have been sent.
     void finishWriting();
+    /// Closes the descriptor at once. Bytes that the kernel has accepted are still sent, unless the peer's bytes were
+    /// not all read.
+    void close();
     /// Resets the connection: discards the bytes queued here and in the kernel and sends a TCP reset.
     void reset();
 
--- a/libs/http/tests/test_hostile_clients.cpp
+++ b/libs/http/tests/test_hostile_clients.cpp
@@ -19,7 +19,7 @@
     int requests = 0;
     http_server server;
 
-    explicit answering_server(http_server_limits limits = {})
+    explicit answering_server(http_server_limits limits = {}, std::shared_ptr<client_budget> budget = nullptr)
         : server(
             limits,
             [this](http_request request, std::shared_ptr<response_writer> caller) {
@@ -28,7 +28,8 @@
             },
             [](error_kind kind, std::string_view detail) {
                 return http_response { answerFor(kind).status, {}, std::string(detail) };
-            })
+            },
+            {}, {}, std::move(budget))
     {
         REQUIRE(server.listen(QHostAddress::LocalHost, 0));
     }
@@ -135,3 +136,151 @@
     CHECK(exchangeWhole(node.server.port()).startsWith("HTTP/1.1 200"));
     ::close(client);
 }
+
+namespace {
+
+struct connected_client {
+    QTcpSocket socket;
+    QByteArray received;
+    bool isClosed = false;
+
+    explicit connected_client(quint16 port)
+    {
+        QObject::connect(&socket, &QTcpSocket::readyRead, [this] { received += socket.readAll(); });
+        QObject::connect(&socket, &QTcpSocket::disconnected, [this] { isClosed = true; });
+        socket.connectToHost(QHostAddress::LocalHost, port);
+        REQUIRE(socket.waitForConnected());
+    }
+    void send(const QByteArray& bytes) { socket.write(bytes); }
+};
+
+void spinUntil(const std::function<bool()>& condition)
+{
+    bool isDone = false;
+    QTimer poll;
+    QObject::connect(&poll, &QTimer::timeout, [&] { isDone = condition(); });
+    poll.start(1);
+    spin(isDone);
+}
+
+void runFor(std::chrono::milliseconds length)
+{
+    bool isOver = false;
+    QTimer::singleShot(length, [&] { isOver = true; });
+    spin(isOver);
+}
+
+const QByteArray keptRequest = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok";
+
+}
+
+// Guards against connections that send nothing and keep the places of callers that do.
+TEST_CASE("test_connection_without_a_request_makes_place_for_the_next_one")
+{
+    http_server_limits limits;
+    limits.connections = 3;
+    answering_server node(limits);
+    connected_client used(node.server.port());
+    used.send(keptRequest);
+    spinUntil([&] { return used.received.contains("200"); });
+    connected_client silent(node.server.port());
+    connected_client partial(node.server.port());
+    partial.send("POST / HT");
+    spinUntil([&] { return node.server.connectionCount() == 3; });
+    CHECK(exchangeWhole(node.server.port()).startsWith("HTTP/1.1 200"));
+    spinUntil([&] { return silent.isClosed; });
+    CHECK(silent.received.isEmpty());
+    connected_client next(node.server.port());
+    next.send(keptRequest);
+    spinUntil([&] { return next.received.contains("200"); });
+    connected_client last(node.server.port());
+    spinUntil([&] { return partial.isClosed; });
+    CHECK(partial.received.startsWith("HTTP/1.1 503"));
+    CHECK(!used.isClosed);
+    CHECK(node.server.connectionCount() <= 3);
+}
+
+// Guards against the same at several servers, which together take all descriptors.
+TEST_CASE("test_servers_of_one_budget_share_its_places")
+{
+    client_budget_limits few;
+    few.connections = 4;
+    const auto budget = std::make_shared<client_budget>(few);
+    answering_server first({}, budget);
+    answering_server second({}, budget);
+    std::vector<std::unique_ptr<connected_client>> silent;
+    for (int i = 0; i < 6; ++i)
+        silent.push_back(std::make_unique<connected_client>((i % 2 ? first : second).server.port()));
+    CHECK(exchangeWhole(first.server.port()).startsWith("HTTP/1.1 200"));
+    CHECK(exchangeWhole(second.server.port()).startsWith("HTTP/1.1 200"));
+    CHECK(budget->connections() <= 4);
+}
+
+// Guards against a request that is no longer counted once its handler has it, or for ever after its client has left.
+TEST_CASE("test_request_is_counted_until_its_handler_lets_it_go")
+{
+    const auto budget = std::make_shared<client_budget>();
+    std::shared_ptr<response_writer> held;
+    http_server server(
+        {}, [&](http_request, std::shared_ptr<response_writer> caller) { held = std::move(caller); },
+        [](error_kind, std::string_view) {
+            return http_response { 400, {}, {} };
+        },
+        {}, {}, budget);
+    REQUIRE(server.listen(QHostAddress::LocalHost, 0));
+    constexpr std::size_t bodyBytes = 300'000;
+    {
+        connected_client client(server.port());
+        client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n" + QByteArray(bodyBytes, 'b'));
+        spinUntil([&] { return held != nullptr; });
+        CHECK(budget->held() >= bodyBytes);
+        CHECK(budget->held() <= bodyBytes + 10'000);
+        client.socket.abort();
+    }
+    spinUntil([&] { return !held->isOpen(); });
+    CHECK(budget->held() >= bodyBytes);
+    held = nullptr;
+    CHECK(budget->held() == 0);
+}
+
+// Guards against an input that grows with each request of a client that sends faster than it is answered.
+TEST_CASE("test_requests_that_are_read_ahead_are_bounded")
+{
+    const auto budget = std::make_shared<client_budget>();
+    answering_server node({}, budget);
+    connected_client client(node.server.port());
+    constexpr int requests = 40'000;
+    client.send(keptRequest.repeated(requests));
+    std::uint64_t most = 0;
+    spinUntil([&] {
+        most = std::max(most, budget->held());
+        return node.requests >= requests / 4;
+    });
+    CHECK(most > 0);
+    CHECK(most <= 64 * 1024);
+}
+
+// Guards against a body that is sent from a copy of its own.
+TEST_CASE("test_shared_body_is_sent_whole_and_released")
+{
+    answering_server node;
+    http_client client;
+    std::string pattern;
+    for (int i = 0; pattern.size() < 3'000'000; ++i)
+        pattern += std::to_string(i);
+    auto body = std::make_shared<const std::string>(pattern);
+    exchange_options options;
+    options.body = body;
+    bool isDone = false;
+    std::string echoed;
+    client.fetch({ "127.0.0.1", node.server.port() }, { "POST", "/", {}, {} }, options,
+        [&](const http_response* response, const exchange_failure&) {
+            echoed = response ? response->body : "";
+            isDone = true;
+        });
+    spin(isDone);
+    CHECK(echoed == pattern);
+    options.body = nullptr;
+    runFor(std::chrono::milliseconds(20));
+    CHECK(body.use_count() == 1);
+}
--- a/libs/http/tests/test_http_server.cpp
+++ b/libs/http/tests/test_http_server.cpp
@@ -20,7 +20,7 @@
     std::vector<discarded_input> discarded;
     http_server server;
 
-    explicit counting_server(http_server_limits limits = {})
+    explicit counting_server(http_server_limits limits = {}, std::shared_ptr<client_budget> budget = nullptr)
         : server(
             limits,
             [this](http_request request, std::shared_ptr<response_writer> caller) {
@@ -30,7 +30,7 @@
             [](error_kind kind, std::string_view detail) {
                 return http_response { answerFor(kind).status, {}, std::string(detail) };
             },
-            [this](const discarded_input& input) { discarded.push_back(input); })
+            [this](const discarded_input& input) { discarded.push_back(input); }, {}, std::move(budget))
     {
         REQUIRE(server.listen(QHostAddress::LocalHost, 0));
     }
@@ -404,9 +404,10 @@
 {
     // Guards against the operating system killing the process for its memory use. Many callers send long bodies at the
     // same time; each body is within its own limit, but their sum is too large.
-    http_server_limits limits;
-    limits.totalBodyBytes = 1000;
-    counting_server server(limits);
+    client_budget_limits few;
+    few.bytes = 1000;
+    few.reservedBytes = 0;
+    counting_server server({}, std::make_shared<client_budget>(few));
     const auto answer
         = server.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n" + QByteArray(2000, 'b'));
     CHECK(answer.startsWith("HTTP/1.1 503"));
--- a/libs/observe/include/observe/log_event.h
+++ b/libs/observe/include/observe/log_event.h
@@ -81,6 +81,7 @@
     attempt_stopped,
     input_discarded,
     slow_caller_cut,
+    client_pressure,
     foreign_answer_dropped,
     request_taken,
     stream_taken_up,
--- a/libs/observe/src/log_event.cpp
+++ b/libs/observe/src/log_event.cpp
@@ -90,6 +90,7 @@
             "request digest target stage reason silent_ms events took_ms" },
         { log_event::input_discarded, "input_discarded", warning, failed, "reason bytes delay_ms" },
         { log_event::slow_caller_cut, "slow_caller_cut", warning, failed, "bytes all_bytes" },
+        { log_event::client_pressure, "client_pressure", warning, failed, "kind bytes all_bytes connections" },
         { log_event::foreign_answer_dropped, "foreign_answer_dropped", warning, failed, "request target" },
         { log_event::request_taken, "request_taken", info, served,
             "request connection digest account route service version left_ms until_exit_ms tokens parts last_event "
