--- a/libs/node/src/admin_api.cpp
+++ b/libs/node/src/admin_api.cpp
@@ -11,9 +11,28 @@
 
     using nlohmann::ordered_json;
 
-    QHttpServerResponse jsonResponse(const std::string& body)
+    constexpr int maxConnections = 128;
+
+    http_response textResponse(std::string body, const char* type = "text/plain")
+    {
+        http_response out { 200, {}, std::move(body) };
+        out.headers.set("Content-Type", type);
+        return out;
+    }
+
+    http_response jsonResponse(int status, std::string body)
+    {
+        http_response out { status, {}, std::move(body) };
+        out.headers.set("Content-Type", "application/json");
+        return out;
+    }
+
+    http_server_limits adminLimits()
     {
-        return QHttpServerResponse("application/json", QByteArray::fromStdString(body));
+        http_server_limits out;
+        out.bodyBytes = maxShortBodyBytes;
+        out.connections = maxConnections;
+        return out;
     }
 
     ordered_json nodeJson(const peer_state& node)
@@ -69,37 +88,76 @@
 
 }
 
+const admin_api::page admin_api::pages[] {
+    { "/health", false, &admin_api::health },
+    { "/status", false, &admin_api::statusPage },
+    { "/metrics", false, &admin_api::metricsPage },
+    { "/quarantine/release/", true, &admin_api::release },
+    { "/drain", true, &admin_api::drain },
+};
+
 admin_api::admin_api(const node_settings& settings, const control_plane& control, traffic_system& traffic,
-    const metrics& counters, std::function<void()> onDrain)
+    const metrics& counters, std::shared_ptr<client_budget> budget, std::function<void()> onDrain)
     : m_settings(settings)
     , m_control(control)
     , m_traffic(traffic)
     , m_counters(counters)
     , m_onDrain(std::move(onDrain))
+    , m_server(
+          adminLimits(),
+          [this](const http_request& request, const std::shared_ptr<response_writer>& writer) {
+              writer->sendWhole(answerTo(request));
+          },
+          [](error_kind kind, std::string_view detail) {
+              return http_response { answerFor(kind).status, {}, std::string(detail) + "\n" };
+          },
+          {}, {}, std::move(budget))
+{
+}
+
+http_response admin_api::answerTo(const http_request& request)
+{
+    constexpr int notFound = 404;
+    constexpr int methodNotAllowed = 405;
+    const auto path = request.path();
+    for (const auto& item : pages) {
+        const bool isMatch = item.path.ends_with('/') ? path.starts_with(item.path) : path == item.path;
+        if (!isMatch)
+            continue;
+        if (item.isPostOnly && request.method != "POST")
+            return { methodNotAllowed, {}, "this page takes POST\n" };
+        return (this->*item.answer)(path.substr(item.path.size()));
+    }
+    return { notFound, {}, "there is no such page\n" };
+}
+
+http_response admin_api::health(std::string_view) { return textResponse("ok\n"); }
+
+http_response admin_api::statusPage(std::string_view) { return jsonResponse(200, status()); }
+
+http_response admin_api::metricsPage(std::string_view)
+{
+    return textResponse(m_counters.text(), "text/plain; version=0.0.4");
+}
+
+http_response admin_api::release(std::string_view digestText)
+{
+    const auto digest = parseRequestTrait(digestText);
+    if (!digest || !m_traffic.quarantine().release(*digest, boot_clock::now()))
+        return jsonResponse(404, R"({"error":"no request with this digest is quarantined"})");
+    return jsonResponse(200, R"({"released":true})");
+}
+
+http_response admin_api::drain(std::string_view)
 {
-    m_server.route("/health", [] { return QHttpServerResponse("text/plain", "ok\n"); });
-    m_server.route("/status", [this] { return jsonResponse(status()); });
-    m_server.route("/metrics", [this] {
-        return QHttpServerResponse("text/plain; version=0.0.4", QByteArray::fromStdString(m_counters.text()));
-    });
-    m_server.route("/quarantine/release/<arg>", QHttpServerRequest::Method::Post, [this](const QString& text) {
-        const auto digest = parseRequestTrait(text.toStdString());
-        const bool isReleased = digest && m_traffic.quarantine().release(*digest, boot_clock::now());
-        if (!isReleased)
-            return QHttpServerResponse("application/json", R"({"error":"no request with this digest is quarantined"})",
-                QHttpServerResponse::StatusCode::NotFound);
-        return jsonResponse("{\"released\":true}");
-    });
-    m_server.route("/drain", QHttpServerRequest::Method::Post, [this] {
-        m_onDrain();
-        return jsonResponse("{\"draining\":true}");
-    });
+    m_onDrain();
+    return jsonResponse(200, R"({"draining":true})");
 }
 
 bool admin_api::listen()
 {
     const QHostAddress address(QString::fromStdString(m_settings.address));
-    return m_server.listen(address, static_cast<quint16>(m_settings.adminPort)) != 0;
+    return m_server.listen(address, static_cast<quint16>(m_settings.adminPort));
 }
 
 std::string admin_api::status() const
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -9,7 +9,9 @@
 
 #include "base/hash.h"
 
+#include <algorithm>
 #include <deque>
+#include <sys/resource.h>
 #include <unordered_map>
 
 namespace tamarack {
@@ -24,6 +26,24 @@
     constexpr duration targetSilence = 5s;
     constexpr duration keyHomeTimeout = 3s;
     constexpr duration releaseTimeout = 3s;
+    /// Share of the process's descriptors for accepted connections. The others are for targets, peers and files.
+    constexpr double acceptedConnectionShare = 0.75;
+    /// Share of the memory for clients that only small requests may use.
+    constexpr double reservedMemoryShare = 0.1;
+    constexpr double bytesPerMegabyte = 1'000'000;
+
+    client_budget_limits budgetLimits(const node_settings& settings)
+    {
+        client_budget_limits out;
+        const double bytes = settings.clientMemoryMegabytes * bytesPerMegabyte;
+        out.reservedBytes = static_cast<std::uint64_t>(bytes * reservedMemoryShare);
+        out.bytes = static_cast<std::uint64_t>(bytes) - out.reservedBytes;
+        rlimit descriptors {};
+        if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0)
+            out.connections = static_cast<int>(
+                std::min(static_cast<double>(descriptors.rlim_cur) * acceptedConnectionShare, double(out.connections)));
+        return out;
+    }
 
     logger_options loggerOptions(const node_settings& settings, const instance_id& instance)
     {
@@ -53,6 +73,7 @@
     void checkDrain(instant now);
     void handleCallerGone(request_id id);
     void logDiscarded(const discarded_input& input);
+    void logLetGo(pressure kind, std::size_t bytes);
     bool mayAccept(instant now) const;
 
     node_settings settings;
@@ -69,6 +90,7 @@
     idempotency_handler idempotency;
     relay_services services;
     caller_api api;
+    std::shared_ptr<client_budget> budget;
     http_server server;
     admin_api admin;
     std::unordered_map<request_id, std::shared_ptr<relay>> relays;
@@ -113,15 +135,17 @@
               submit(std::move(input), std::move(caller), std::move(onFinished));
           },
           [this] { return refusal(); })
+    , budget(std::make_shared<client_budget>(budgetLimits(settings)))
     , server(
           {},
           [this](http_request request, std::shared_ptr<response_writer> caller) {
               api.handle(std::move(request), std::move(caller));
           },
           [this](error_kind kind, std::string_view detail) { return api.refusal(kind, detail); },
-          [this](const discarded_input& input) { logDiscarded(input); })
-    , admin(settings, control, traffic, counters, [this] { drain(); })
+          [this](const discarded_input& input) { logDiscarded(input); }, {}, budget)
+    , admin(settings, control, traffic, counters, budget, [this] { drain(); })
 {
+    budget->onLetGo = [this](pressure kind, std::size_t bytes) { logLetGo(kind, bytes); };
     control.setKeyHandler([this](const peer_request& request, peer_transport::reply_sender reply) {
         idempotency.onPeerRequest(request, std::move(reply));
     });
@@ -230,6 +254,14 @@
         { { "reason", reason }, { "bytes", static_cast<std::int64_t>(input.bytes) }, { "delay_ms", delay.count() } });
 }
 
+void node::state::logLetGo(pressure kind, std::size_t bytes)
+{
+    counters.count("tamarack_client_pressure_total", { { "kind", std::string(toString(kind)) } });
+    log.write(log_event::client_pressure,
+        { { "kind", toString(kind) }, { "bytes", static_cast<std::int64_t>(bytes) },
+            { "all_bytes", static_cast<std::int64_t>(budget->held()) }, { "connections", budget->connections() } });
+}
+
 // Executing a command may produce further commands. They are queued here, which avoids recursion.
 void node::state::execute(traffic_commands commands)
 {
--- a/libs/node/src/relay.cpp
+++ b/libs/node/src/relay.cpp
@@ -66,6 +66,8 @@
     , m_trace(services.spanIds.child(m_input.callerTrace))
     , m_startedAt(wallNanoseconds())
 {
+    m_body = m_caller->shareBody(std::move(m_input.toTarget.body));
+    m_input.toTarget.body = {};
 }
 
 relay::~relay()
@@ -114,6 +116,7 @@
     // checkSilence() stops attempts earlier, and at the deadline at the latest.
     options.silenceTimeout = m_input.shape.deadline + m_services.silenceTimeout;
     options.freshConnection = attempt.isConnectionFresh;
+    options.body = m_body;
     return options;
 }
 
--- a/libs/node/src/relay.h
+++ b/libs/node/src/relay.h
@@ -116,6 +116,7 @@
 
     relay_services& m_services;
     relay_input m_input;
+    std::shared_ptr<const std::string> m_body; // of m_input.toTarget, held once for all attempts
     std::shared_ptr<response_writer> m_caller;
     request_id m_id;
     callbacks m_callbacks;
--- a/libs/settings/include/settings/node_settings.h
+++ b/libs/settings/include/settings/node_settings.h
@@ -32,6 +32,7 @@
     duration drainTimeout = std::chrono::seconds(60); ///< longest wait for in-flight requests on a planned stop
     duration keyMemory = std::chrono::seconds(600); ///< how long outcomes of non-idempotent requests are kept
     duration snapshotInterval = std::chrono::seconds(60); ///< must be well below the log's retention
+    int clientMemoryMegabytes = 128; ///< for requests, from their first byte to their end, and for unsent responses
     int maxRequests = 20'000;
 };
 
--- a/libs/settings/src/node_settings.cpp
+++ b/libs/settings/src/node_settings.cpp
@@ -12,7 +12,7 @@
     using detail::field;
     using s = node_settings;
 
-    const std::array<field<s>, 23> fields { {
+    const std::array<field<s>, 24> fields { {
         { "vm", &s::vm, true },
         { "region", &s::region, true },
         { "availability_zone", &s::availabilityZone, true },
@@ -36,6 +36,7 @@
         { "key_memory", &s::keyMemory, false, 1, 86400 },
         { "snapshot_interval", &s::snapshotInterval, false, 0.5, 86400 },
         { "max_requests", &s::maxRequests, false, 1, 1'000'000 },
+        { "client_memory", &s::clientMemoryMegabytes, false, 32, 1'000'000 },
     } };
 
     bool isIpAddress(const std::string& text)
