The port for peers takes no long questions and a bounded number of connections

Cause: questions and replies had one limit of 16 MB, and connections had none.

Change: a question may have 64 KB (it holds a key and names; heads of callers, which bring the keys, are shorter), the buffer of a socket as much, and beyond 256 connections the oldest is closed: a peer asks at once.

--- a/libs/peer/src/peer_transport.cpp
+++ b/libs/peer/src/peer_transport.cpp
@@ -1,6 +1,7 @@
 // Implements the transport with QUdpSocket and QTcpSocket. A TCP frame is a 32-bit big-endian length and a message.
 #include "peer/peer_transport.h"
 
+#include <QList>
 #include <QNetworkDatagram>
 #include <QPointer>
 #include <QTcpServer>
@@ -14,6 +15,10 @@
 namespace {
 
     constexpr quint32 maxFrameBytes = 16 * 1024 * 1024;
+    /// A question holds a key and the names of nodes. Heads of callers, with their keys, are shorter.
+    constexpr quint32 maxRequestBytes = 64 * 1024;
+    /// Beyond it the oldest connection is closed, since a peer asks at once.
+    constexpr qsizetype maxConnections = 256;
     constexpr int connectionTimeoutMilliseconds = 30'000;
 
     QByteArray frame(const std::string& bytes)
@@ -26,12 +31,12 @@
 
     enum class frame_state { partial, complete, invalid };
 
-    frame_state parseFrame(const QByteArray& buffer, std::string& out)
+    frame_state parseFrame(const QByteArray& buffer, std::string& out, quint32 maxBytes = maxFrameBytes)
     {
         if (buffer.size() < 4)
             return frame_state::partial;
         const auto length = qFromBigEndian<quint32>(buffer.constData());
-        if (length > maxFrameBytes)
+        if (length > maxBytes)
             return frame_state::invalid;
         if (buffer.size() < static_cast<qsizetype>(length) + 4)
             return frame_state::partial;
@@ -97,6 +102,7 @@
     handlers on;
     peer_counts counts;
     QUdpSocket udp;
+    QList<QTcpSocket*> connections; // accepted ones that are open, the oldest first
     QTcpServer tcp;
     QObject pendingRequests; // parent of all pending requests, so that they are destroyed with the transport
 
@@ -116,7 +122,14 @@
     void acceptConnections()
     {
         while (QTcpSocket* socket = tcp.nextPendingConnection()) {
-            QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+            socket->setReadBufferSize(maxRequestBytes);
+            QObject::connect(socket, &QTcpSocket::disconnected, socket, [this, socket] {
+                connections.removeOne(socket);
+                socket->deleteLater();
+            });
+            connections.push_back(socket);
+            if (connections.size() > maxConnections)
+                connections.front()->abort();
             auto buffer = std::make_shared<QByteArray>();
             QObject::connect(
                 socket, &QTcpSocket::readyRead, socket, [this, socket, buffer] { readRequest(socket, *buffer); });
@@ -130,7 +143,7 @@
         counts.bytesReceived += static_cast<std::uint64_t>(bytes.size());
         buffer += bytes;
         std::string body;
-        const auto frameState = parseFrame(buffer, body);
+        const auto frameState = parseFrame(buffer, body, maxRequestBytes);
         if (frameState == frame_state::partial)
             return;
         buffer.clear();
--- a/tests/process/test_hostile_clients.cpp
+++ b/tests/process/test_hostile_clients.cpp
@@ -63,6 +63,27 @@
     checkOrdinaryCall(*run, vm);
 }
 
+// Guards against long messages and silent connections without a bound at the port for peers.
+TEST_CASE("test_process_unfinished_messages_at_the_peer_port_take_no_memory")
+{
+    const auto run = startSmall("hostile_peers");
+    const auto vm = run->vms().front();
+    constexpr int crowd = 40;
+    constexpr std::size_t bytes = 10'000'000;
+    const std::string length("\0\xf0\0\0", 4); // 15 MB
+    hostile_clients clients;
+    clients.connect(run->peerAddress(vm), crowd, [&](int) { return endless(length, bytes); });
+    clients.sendAll();
+    checkNode(*run, vm);
+    constexpr int silentCrowd = 600;
+    constexpr int maxDescriptors = 400;
+    hostile_clients silent;
+    silent.connect(run->peerAddress(vm), silentCrowd, [](int) { return hostile_script {}; });
+    checkNode(*run, vm);
+    CHECK(harness::openDescriptors(run->pid(vm)) <= maxDescriptors);
+    checkOrdinaryCall(*run, vm);
+}
+
 // Guards against requests whose memory is no longer counted once they wait for a target or run.
 TEST_CASE("test_process_requests_for_silent_targets_stay_within_the_memory")
 {
