Outcomes of idempotency keys are bounded by their memory

Found while listing what is held for clients.

Change: beyond 32 MB the oldest outcomes are forgotten. So that none of them runs again, a key without an entry is only taken for new if its home was issued after the last outcome that was forgotten; else its outcome is unknown, as for homes that are older than the retention. Requests in progress are kept.

`test_outcomes_beyond_the_bound_are_forgotten_and_unknown` is new.

--- a/libs/decide/include/decide/key_registry.h
+++ b/libs/decide/include/decide/key_registry.h
@@ -6,9 +6,11 @@
 #include "base/ids.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace tamarack {
@@ -51,12 +53,15 @@
     instance_id movedTo; ///< for decision moved
 };
 
-/// The keys known to one instance, in memory only. After the process ends, the outcome of its keys is *unknown*.
+/// The keys known to one instance, in memory only. After the process ends, the outcome of its keys is *unknown*. So are
+/// the oldest outcomes while the keys and answers of callers take more than `maxBytes`.
 class key_registry {
 public:
+    static constexpr std::size_t defaultMaxBytes = 32 * 1024 * 1024;
+
     /// Outcomes are retained for at least `retention`. A key whose home was issued earlier than that is never treated
     /// as new.
-    key_registry(instance_id self, duration retention);
+    key_registry(instance_id self, duration retention, std::size_t maxBytes = defaultMaxBytes);
 
     /// Returns the home token to send to a caller now.
     key_home issue(instant now) const;
@@ -77,6 +82,7 @@
     /// Removes entries whose retention has ended.
     void tick(instant now);
     std::size_t size() const { return m_entries.size(); }
+    std::size_t bytes() const { return m_bytes; }
     const instance_id& self() const { return m_self; }
 
 private:
@@ -87,6 +93,11 @@
         instance_id delegatedTo; // for state delegated
     };
 
+    static std::size_t bytesOf(const std::string& key, const entry& known);
+    void store(const std::string& key, entry known);
+    void erase(const std::string& key);
+    /// Forgets the oldest outcomes until the rest is within the bound.
+    void forgetOldest();
     key_answer begin(const std::string& key, instant now);
     /// The result for a key that has an entry.
     key_answer describe(const entry& known) const;
@@ -95,7 +106,11 @@
 
     instance_id m_self;
     duration m_retention;
+    std::size_t m_maxBytes;
     std::unordered_map<std::string, entry> m_entries;
+    std::size_t m_bytes = 0; // over m_entries
+    std::deque<std::pair<instant, std::string>> m_byAge; // outcomes by their changes; some have changed again since
+    std::int64_t m_forgottenUntil = -1; // in milliseconds; keys of homes issued by then may have been forgotten
     instant m_lastSweep;
 };
 
--- a/libs/decide/src/key_registry.cpp
+++ b/libs/decide/src/key_registry.cpp
@@ -3,6 +3,7 @@
 
 #include "base/contract.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace tamarack {
@@ -33,9 +34,10 @@
     return home;
 }
 
-key_registry::key_registry(instance_id self, duration retention)
+key_registry::key_registry(instance_id self, duration retention, std::size_t maxBytes)
     : m_self(std::move(self))
     , m_retention(retention)
+    , m_maxBytes(maxBytes)
 {
 }
 
@@ -43,11 +45,11 @@
 
 // An entry is removed one retention time after its last change, which is never before its home was issued. If the home
 // was issued less than the retention time ago, a missing entry therefore proves that the key was never used here. With
-// an older home it proves nothing.
+// an older home it proves nothing, and neither does it with one that is older than an outcome that was forgotten.
 bool key_registry::isStale(const key_home& home, instant now) const
 {
     const auto age = std::chrono::milliseconds(milliseconds(now) - home.issuedAt);
-    return age >= m_retention || age < std::chrono::milliseconds(0);
+    return age >= m_retention || age < std::chrono::milliseconds(0) || home.issuedAt <= m_forgottenUntil;
 }
 
 key_answer key_registry::describe(const entry& known) const
@@ -65,9 +67,48 @@
     return { key_decision::unknown, {}, {} };
 }
 
+std::size_t key_registry::bytesOf(const std::string& key, const entry& known)
+{
+    constexpr std::size_t overheadBytes = 64; // of the table
+    return sizeof(entry) + overheadBytes + key.size() + known.storedAnswer.size();
+}
+
+void key_registry::erase(const std::string& key)
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end())
+        return;
+    m_bytes -= bytesOf(key, found->second);
+    m_entries.erase(found);
+}
+
+void key_registry::store(const std::string& key, entry known)
+{
+    erase(key);
+    m_bytes += bytesOf(key, known);
+    if (known.state != key_state::running)
+        m_byAge.emplace_back(known.changedAt, key);
+    m_entries[key] = std::move(known);
+    forgetOldest();
+}
+
+void key_registry::forgetOldest()
+{
+    while (m_bytes > m_maxBytes && !m_byAge.empty()) {
+        const auto [changedAt, key] = std::move(m_byAge.front());
+        m_byAge.pop_front();
+        const auto found = m_entries.find(key);
+        if (found == m_entries.end() || found->second.changedAt != changedAt
+            || found->second.state == key_state::running)
+            continue;
+        m_forgottenUntil = std::max(m_forgottenUntil, milliseconds(changedAt));
+        erase(key);
+    }
+}
+
 key_answer key_registry::begin(const std::string& key, instant now)
 {
-    m_entries[key] = { key_state::running, now, {}, {} };
+    store(key, { key_state::running, now, {}, {} });
     return { key_decision::run, {}, {} };
 }
 
@@ -93,7 +134,7 @@
     }
     if (isStale(home, now))
         return { key_decision::unknown, {}, {} };
-    m_entries[key] = { key_state::delegated, now, {}, asker };
+    store(key, { key_state::delegated, now, {}, asker });
     return { key_decision::run, {}, {} };
 }
 
@@ -106,14 +147,14 @@
 
 void key_registry::onAnswer(const std::string& key, std::string storedAnswer, instant now)
 {
-    m_entries[key] = { key_state::answered, now, std::move(storedAnswer), {} };
+    store(key, { key_state::answered, now, std::move(storedAnswer), {} });
 }
 
-void key_registry::onNotExecuted(const std::string& key) { m_entries.erase(key); }
+void key_registry::onNotExecuted(const std::string& key) { erase(key); }
 
 void key_registry::onOutcomeUnknown(const std::string& key, instant now)
 {
-    m_entries[key] = { key_state::unknown, now, {}, {} };
+    store(key, { key_state::unknown, now, {}, {} });
 }
 
 void key_registry::tick(instant now)
@@ -121,9 +162,14 @@
     if (now < m_lastSweep + m_retention / sweepsPerRetention)
         return;
     m_lastSweep = now;
-    std::erase_if(m_entries, [&](const auto& item) {
-        return item.second.state != key_state::running && now >= item.second.changedAt + m_retention;
-    });
+    while (!m_byAge.empty() && now >= m_byAge.front().first + m_retention) {
+        const auto [changedAt, key] = std::move(m_byAge.front());
+        m_byAge.pop_front();
+        const auto found = m_entries.find(key);
+        if (found != m_entries.end() && found->second.state != key_state::running
+            && found->second.changedAt == changedAt)
+            erase(key);
+    }
 }
 
 }
--- a/libs/decide/tests/test_key_registry.cpp
+++ b/libs/decide/tests/test_key_registry.cpp
@@ -33,6 +33,30 @@
     CHECK(again.storedAnswer == "answer");
 }
 
+// Guards against keys and answers of callers that are kept without a bound, and against a second run of those that were
+// forgotten.
+TEST_CASE("test_outcomes_beyond_the_bound_are_forgotten_and_unknown")
+{
+    constexpr std::size_t maxBytes = 100'000;
+    key_registry keys(home, 60s, maxBytes);
+    const auto token = keys.issue(at(0));
+    REQUIRE(keys.onRequest("running", token, at(1)).decision == key_decision::run);
+    const std::string answer(10'000, 'a');
+    for (int i = 0; i < 50; ++i) {
+        const auto key = std::to_string(i);
+        REQUIRE(keys.onRequest(key, keys.issue(at(2 + i * 0.1)), at(2 + i * 0.1)).decision == key_decision::run);
+        keys.onAnswer(key, answer, at(2.05 + i * 0.1));
+        CHECK(keys.bytes() <= maxBytes);
+    }
+    CHECK(keys.onRequest("49", keys.issue(at(2)), at(8)).decision == key_decision::replay);
+    CHECK(keys.onRequest("0", keys.issue(at(2)), at(8)).decision == key_decision::unknown);
+    CHECK(keys.onRequest("running", token, at(8)).decision == key_decision::join);
+    CHECK(keys.onRequest("new", keys.issue(at(8)), at(8)).decision == key_decision::run);
+    keys.onAnswer("running", answer, at(9));
+    keys.tick(at(200));
+    CHECK(keys.size() == 1); // that of the request that still runs
+}
+
 TEST_CASE("test_key_given_away_does_not_run_at_home")
 {
     // The caller's first attempt is delayed on the way to the home, a retry runs at another node, and then the first
