A client that does not read its last response keeps its place only as the last one

Connections whose last response is complete but not read were never closed for another caller, so clients that read nothing could keep all places for the idle timeout. They go after all others now, and are reset, so that the rest of a response that ends with its connection does not look complete.

--- a/libs/http/include/http/client_budget.h
+++ b/libs/http/include/http/client_budget.h
@@ -49,7 +49,8 @@
     enum class rank : unsigned char {
         closing, ///< the last response is complete; only the client's close is missing
         unused, ///< no whole request has come
-        used ///< a request has been answered
+        used, ///< a request has been answered
+        unread ///< the client has not read all of the last response yet
     };
 
     void set(budgeted_connection& connection, rank first, instant since);
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -103,8 +103,9 @@
 void server_connection::updateWaiting()
 {
     for (auto* list : { &m_shared->waiting, &m_shared->budget->waiting() }) {
-        if (m_isCounted && m_waitsAs && m_socket.bytesQueued() == 0)
-            list->set(*this, m_waitsAs->first, m_waitsAs->second);
+        if (m_isCounted && m_waitsAs)
+            list->set(*this, m_socket.bytesQueued() > 0 ? waiting_connections::rank::unread : m_waitsAs->first,
+                m_waitsAs->second);
         else
             list->erase(*this);
     }
@@ -145,7 +146,9 @@
     if (!m_isLingering && m_reader.state() != reader_state::empty)
         refuse(error_kind::overloaded, "there is no place for more connections");
     m_timer.stop();
-    m_socket.close();
+    // A response that is cut must not look complete, which an orderly close may make it.
+    if (m_socket.bytesQueued() == 0)
+        m_socket.close();
     handleClosed();
 }
 
--- a/libs/http/src/server_connection.h
+++ b/libs/http/src/server_connection.h
@@ -84,8 +84,7 @@
     void updateReceived();
     /// Counts the same and lets others go if it is too much. Returns false if this connection has to go.
     bool makeRoom();
-    /// The connection waits for its client from now on. It may be closed for another one once all of the last response
-    /// was passed to the kernel.
+    /// The connection waits for its client from now on, and may be closed for another one.
     void beginWaiting(waiting_connections::rank first, instant since);
     void endWaiting();
     void updateWaiting();
