--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -11,6 +11,10 @@
 
 DECIDE = "libs/decide/src/"
 MUTATIONS = [
+    ("outcomes-of-keys-without-a-bound", DECIDE + "key_registry.cpp",
+     "    while (m_bytes > m_maxBytes && !m_byAge.empty()) {\n", "    while (false) {\n"),
+    ("forgotten-keys-taken-for-new", DECIDE + "key_registry.cpp",
+     " || home.issuedAt <= m_forgottenUntil;", ";"),
     # Each entry: name, file, text to replace, replacement.
     ("claim-without-compare-and-set", DECIDE + "replicated_state.cpp",
      "    if (held.last != body.previous)\n        return verdict::stale_previous;\n", ""),
@@ -91,6 +95,7 @@
 ]
 
 SERVING = "libs/serving/"
+HOSTILE = "test_*client*,test_body_that_trickles*,test_server*,test_connection*,test_request*,test_shared_body*,test_small_requests*,test_charge*,test_each_unfinished*,test_total_size*"
 PARTS = "test_harmful_part*,test_harmless_parts*,test_part_*,test_trial_of*,test_request_with_a_quarantined*"
 BUILDS = "test_nodes_that_have*,*build*,*stream*,*origin*,*notes*,*node_that*,*peers_know*"
 STOPS = "test_stopping*,test_request_that_waits_at*,test_decode_that*,test_what_a_node*,test_callers_of_a_stopping*,test_node_with_a_long*"
@@ -99,6 +104,10 @@
 LIMITS = "*limit*,*permit*,test_old_answer*,test_rate_grows*"
 # Mutations of the decisions for the users' platform, each with the test cases to run.
 SERVING_MUTATIONS = [
+    ("last-target-blocked-by-closes", SERVING + "src/target_health.cpp",
+     "    if (!isLastOfService(id, now))\n        blockIfFailedInARow(id, now);", "    blockIfFailedInARow(id, now);", "test_closed_connections*"),
+    ("pending-parts-without-a-bound", SERVING + "src/prompt_cache_map.cpp",
+     "    if (byAge.size() <= maxPendingParts)\n        return;\n", "    if (!byAge.empty())\n        return;\n", "test_pending_parts*"),
     ("declared-leaving-ignored", SERVING + "include/serving/fleet_table.h",
      "isDraining[id.value] || saidLeaving[id.value]", "isDraining[id.value]", "*leav*"),
     ("declaration-forgotten-with-the-row", SERVING + "src/fleet_table.cpp",
@@ -254,16 +263,43 @@
 ENDLESS = "test_endless*,test_announced*,test_stream_event_that*"
 # Mutations of what connections hold, each with the test cases to run.
 HTTP_MUTATIONS = [
+    ("lines-without-a-bound", "libs/http/src/request_reader.cpp",
+     "    else if (input.size() > m_headerBytes)\n", "    else if (false)\n", HOSTILE),
+    ("heads-without-a-bound", "libs/http/src/request_reader.cpp",
+     "    if (std::max(end, end == 0 ? input.size() : 0) > m_headerBytes) {\n", "    if (false) {\n", HOSTILE),
+    ("fields-parsed-as-they-come", "libs/http/src/request_reader.cpp",
+     "    if (end == 0)\n        return false;\n    const auto used = parse(input, end);",
+     "    if (end == 0)\n        end = input.size();\n    const auto used = parse(input, end);", HOSTILE),
+    ("body-time-begins-anew", "libs/http/src/server_connection.cpp",
+     "    if (before != reader_state::body)\n        m_bodySince = now;", "    m_bodySince = now;", HOSTILE),
+    ("read-ahead-without-a-bound", "libs/http/src/server_connection.cpp",
+     "    if (!m_isLingering && isBetweenRequests && m_input.size() >= maxPipelinedBytes)\n", "    if (false)\n", HOSTILE),
+    ("count-ends-at-the-dispatch", "libs/http/src/server_connection.cpp",
+     "    m_writer->m_charge = budget_charge(m_shared->budget, request.bytesHeld());\n", "", HOSTILE),
+    ("body-not-counted-for-its-holders", "libs/http/src/http_server.cpp",
+     "    out->charge = m_charge.split(out->bytes.size());\n", "    m_charge.split(out->bytes.size());\n", HOSTILE),
+    ("last-comer-goes", "libs/http/src/client_budget.cpp",
+     "        if (largest == &connection)\n", "        if (largest)\n", HOSTILE),
+    ("no-memory-kept-for-small-requests", "libs/http/src/client_budget.cpp",
+     "received <= m_limits.smallBytes ? m_limits.reservedBytes : 0;", "received <= m_limits.smallBytes ? 0 : 0;", HOSTILE),
+    ("places-are-kept", "libs/http/src/http_server.cpp",
+     "hasPlace() || (shared->budget->freePlace(among) && hasPlace());", "hasPlace() || !shared;", HOSTILE),
+    ("places-of-all-servers-not-counted", "libs/http/include/http/client_budget.h",
+     "return m_connections < m_limits.connections;", "return m_connections < 1000 * m_limits.connections;", HOSTILE),
+    ("no-pause-without-descriptors", "libs/http/src/listening_socket.cpp",
+     "            m_notifier->setEnabled(false);\n            m_pause", "            m_pause", HOSTILE),
+    ("body-copied-by-each-attempt", "libs/http/src/http_client.cpp",
+     "            if (!hasUnsentBody())\n                m_options.body = nullptr;\n", "", HOSTILE),
     ("slow-callers-without-a-total", "libs/http/include/http/unsent_bytes.h",
-     "return m_total > 0 && m_held > m_total;", "return m_total > 0 && m_held > 100 * m_total;", SLOW),
+     "return m_total > 0 && held() > m_total;", "return m_total > 0 && held() > 100 * m_total;", SLOW),
     ("queues-that-never-shrink", "libs/http/src/unsent_bytes.cpp",
-     "    const std::uint64_t spare = half > m_held ? half - m_held : 0;", "    const std::uint64_t spare = half;", SLOW),
+     "    const std::uint64_t spare = half > held() ? half - held() : 0;", "    const std::uint64_t spare = half;", SLOW),
     ("memory-of-sent-bytes-kept", "libs/http/src/stream_socket.cpp",
      "    std::string().swap(m_outgoing); // an", "    m_outgoing = std::string(); // an", SLOW),
     ("answered-into-a-growing-queue", "libs/http/src/server_connection.cpp",
-     "    if (m_socket.bytesQueued() > m_shared->unsent.queueLimit())\n", "    if (false)\n", SLOW),
+     "    if (m_socket.bytesQueued() > m_shared->unsent.queueLimit()) {\n", "    if (false) {\n", SLOW),
     ("read-bytes-still-counted", "libs/http/src/server_connection.cpp",
-     "    updateUnsent();\n    const auto writer = m_writer;", "    const auto writer = m_writer;", SLOW),
+     "    updateUnsent();\n    updateWaiting();\n    const auto writer", "    updateWaiting();\n    const auto writer", SLOW),
     ("announced-lengths-refused", "libs/http/src/http_client.cpp",
      "m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());", "m_parser->body_limit(boost::none);", "test_body_that_arrives*"),
     ("heads-without-a-bound", "libs/http/src/answer_meter.cpp",
