Bytes after a refusal are not kept, and entries have more places

A connection whose response was complete kept the buffer of what it discarded, up to 64 KB for the second in which it closes, and that was not counted. It is freed now.

The listener for entries had a twentieth of the descriptors, 205 on the users' VMs. Callers that keep their connections there within the idle timeout could be more, and would have met the limit.

--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -61,7 +61,7 @@
     /// and files.
     constexpr double acceptedConnectionShare = 0.75;
     /// Shares of the descriptors for the endpoints besides callers and passed calls.
-    constexpr double entryConnectionShare = 0.05;
+    constexpr double entryConnectionShare = 0.3;
     constexpr double stateConnectionShare = 0.1;
     constexpr double probeConnectionShare = 0.02;
     constexpr int minConnections = 8;
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -424,7 +424,7 @@
     if (m_discarded.bytes == 0)
         m_discarded.delay = boot_clock::now() - m_closedAt;
     m_discarded.bytes += m_input.size();
-    m_input.clear();
+    std::string().swap(m_input); // an assignment of an empty string would keep the memory
 }
 
 void server_connection::handleClosed()
