--- a/libs/http/tests/test_hostile_clients.cpp
+++ b/libs/http/tests/test_hostile_clients.cpp
@@ -243,6 +243,32 @@
     CHECK(budget->held() == 0);
 }
 
+// Guards against a body that attempts share and nobody counts.
+TEST_CASE("test_shared_body_is_counted_until_its_last_holder_lets_it_go")
+{
+    const auto budget = std::make_shared<client_budget>();
+    std::shared_ptr<const std::string> body;
+    http_server server(
+        {},
+        [&](http_request request, const std::shared_ptr<response_writer>& caller) {
+            body = caller->shareBody(std::move(request.body));
+            caller->sendWhole({ 200, {}, {} });
+        },
+        [](error_kind, std::string_view) {
+            return http_response { 400, {}, {} };
+        },
+        {}, {}, budget);
+    REQUIRE(server.listen(QHostAddress::LocalHost, 0));
+    connected_client client(server.port());
+    constexpr std::size_t bodyBytes = 300'000;
+    client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n" + QByteArray(bodyBytes, 'b'));
+    spinUntil([&] { return client.received.contains("200"); });
+    CHECK(body->size() == bodyBytes);
+    CHECK(budget->held() == bodyBytes);
+    body = nullptr;
+    CHECK(budget->held() == 0);
+}
+
 // Guards against an input that grows with each request of a client that sends faster than it is answered.
 TEST_CASE("test_requests_that_are_read_ahead_are_bounded")
 {
