--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -265,7 +265,7 @@
 HTTP_MUTATIONS = [
     ("lines-without-a-bound", "libs/http/src/request_reader.cpp",
      "    else if (input.size() > m_headerBytes)\n", "    else if (false)\n", HOSTILE),
-    ("heads-without-a-bound", "libs/http/src/request_reader.cpp",
+    ("request-heads-without-a-bound", "libs/http/src/request_reader.cpp",
      "    if (std::max(end, end == 0 ? input.size() : 0) > m_headerBytes) {\n", "    if (false) {\n", HOSTILE),
     ("fields-parsed-as-they-come", "libs/http/src/request_reader.cpp",
      "    if (end == 0)\n        return false;\n    const auto used = parse(input, end);",
