--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,8 @@
-"""Users upload reports of 4.1 to 4.19 MB in chunks; at times 1.9 times as many come at once.
+"""Three nodes in one zone. The store is silent for 4.5 s and then well again. 4.5 s later the node that reads the target
+list loses power for 3.5 s, and 1.2 s after that a runner's entry is removed, as that of a runner that never reports
+`draining`. The runner goes on serving.
 
-The platform ends a process whose memory exceeds `memoryMb` and starts it again. The rule is broken if this happens
-three times on each of the two machines in use.
+The rule is broken if a request that was sent to another node reaches the runner later than `drainMs` after the removal.
 """
 import asyncio
 import os
@@ -13,128 +14,115 @@
 from standins import *  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-USUAL_CLIENTS, MORE_CLIENTS = 45, 40  # of each machine; 85 are 1.89 times 45
-BURSTS = [(10, 20), (32, 42), (54, 64)]
-LENGTH = 74
-LIMIT_KIB = 260_000_000 // 1024  # `memoryMb` of the settings
-PARTS, PART_PAUSE = 50, 0.06  # of an upload
+DRAIN_S, CONTACT_S = 2.0, 3.0
+OUTAGE_S, CALM_S, LOSS_TO_REMOVAL_S, POWER_OFF_S = 4.5, 4.5, 1.2, 3.5
 RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 
 
-async def upload(ip, record):
-    """One report. Returns the status, or why there is none."""
-    size = random.randint(4_100_000, 4_190_000)
-    attempt = attempt_id()
-    writer = None
-    try:
-        reader, writer = await asyncio.open_connection(ip, CALLER_PORT)
-        writer.write((f"POST /report/x HTTP/1.1\r\nHost: {HOST}\r\nTamarackrelay-Attempt-Id: {attempt}\r\n"
-                      "Tamarackrelay-Deadline-Ms: 10000\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
-        left = size
-        while left > 0:
-            part = min(left, size // PARTS + 1)
-            writer.write(b"%x\r\n" % part + b"x" * part + b"\r\n")
-            await writer.drain()
-            left -= part
-            await asyncio.sleep(PART_PAUSE)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        line, _ = await read_head(reader)
-        outcome = line.split(" ")[1]
-    except (OSError, asyncio.IncompleteReadError) as fault:
-        outcome = type(fault).__name__
-    finally:
-        if writer:
-            writer.close()
-    record.write("client", attempt, "sent", size, "bytes, answered", outcome)
-    return outcome
-
-
-async def client(ip, record, load_began, begin, end):
-    """Uploads one report after the other from `begin` to `end`, seconds after the start of the load."""
-    await asyncio.sleep(begin + random.random() * 2)
-    until = load_began + end
-    while now() < until:
-        if await upload(ip, record) != "200":
-            await asyncio.sleep(1)
-
-
-async def clients(ip, started):
-    record = Record(RECORD, float(started))
-    began = now()
-    tasks = [client(ip, record, began, 0, LENGTH) for _ in range(USUAL_CLIENTS)]
-    if TROUBLE:
-        tasks += [client(ip, record, began, begin, end) for begin, end in BURSTS for _ in range(MORE_CLIENTS)]
-    await asyncio.gather(*tasks)
-
-
-async def runner(ip, store_ip, started):
-    record = Record(RECORD, float(started))
-    served = Runner("app", ip, store_ip, slots=64, on_run=lambda attempt: record.write("runner", ip, "runs", attempt))
-    await served.start()
-    await asyncio.sleep(3600)
+def reader_of(nodes):
+    """The node whose log says last that it reads the target list for its zone."""
+    last = None
+    for node in nodes:
+        with open(os.path.join(node.deployment.folder, node.name + ".log")) as file:
+            for line in file:
+                event = json.loads(line) if line.startswith("{") else {}
+                if event.get("event") == "store_reading_changed":
+                    key = (event["ts_ms"], node)
+                    if event["for_zone"] and (last is None or key[0] > last[0]):
+                        last = key
+    return last[1] if last else None
+
+
+async def client(ip, record, sent):
+    while True:
+        attempt = attempt_id()
+        sent[attempt] = (now(), ip)
+        headers = [("Host", HOST), ("Tamarackrelay-Attempt-Id", attempt), ("Tamarackrelay-Deadline-Ms", "1500")]
+        try:
+            reader, writer = await asyncio.open_connection(ip, CALLER_PORT)
+            try:
+                writer.write(encode_request("GET", "/look/x", headers))
+                line, answer = await asyncio.wait_for(read_head(reader), 2)
+                await read_body(reader, answer)
+                outcome = line.split(" ")[1]
+            finally:
+                writer.close()
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as fault:
+            outcome = type(fault).__name__
+        record.write("client", attempt, "sent to", ip, "answered", outcome)
+        await asyncio.sleep(0.05 + 0.05 * random.random())
 
 
 async def platform(deployment):
+    record = Record(RECORD)
     store = Store()
     await store.start(deployment.store_ip)
     store.put("keyed.op", "config", configuration(
-        1, [route("report", "/report/", "non_idempotent", "app", timeoutMs=10000, targetLatencyMs=5000)],
-        [{"name": "app", "healthPath": "/healthz", "maxConns": 360}]))
-    addresses = [f"{deployment.block}.2.{i}" for i in (1, 2)]
-    seeds = [f"{ip}:{ADMIN_PORT}" for ip in addresses]
-    nodes = [Node(deployment, f"edge-{zone}-1", ip, zone, seeds) for zone, ip in zip("ab", addresses)]
-    record = Record(RECORD)
-
-    def helper(*words):
-        deployment.launch([sys.executable, "-B", os.path.abspath(__file__), *words])
-
+        1, [route("look", "/look/", "idempotent", "app", maxAttempts=2)],
+        [{"name": "app", "healthPath": "/healthz", "maxConns": 110}]))
+    runs = []
+    runners = []
     for i in (1, 2, 3):
-        helper("runner", f"{deployment.block}.1.{i}", deployment.store_ip, str(record.started))
+        ip = f"{deployment.block}.1.{i}"
+        served = Runner("app", ip, deployment.store_ip)
+        served.on_run = lambda attempt, served=served: (runs.append((now(), served, attempt)),
+                                                        record.write("runner", served.id, "runs", attempt))
+        await served.start()
+        runners.append(served)
+    addresses = [f"{deployment.block}.2.{i}" for i in (1, 2, 3)]
+    seeds = [f"{ip}:{ADMIN_PORT}" for ip in addresses]
+    nodes = [Node(deployment, f"edge-a-{i + 1}", ip, "a", seeds) for i, ip in enumerate(addresses)]
     for node in nodes:
         node.start()
     for node in nodes:
         if not await node.is_ready():
             print("a node does not become ready")
             return 2
-    await asyncio.sleep(2)
-    load_began = now()
-    record.write("platform: the load begins")
-    for node in nodes:
-        helper("clients", node.ip, str(record.started))
-    ends = {node.name: 0 for node in nodes}
-    peak = {node.name: 0 for node in nodes}
-    restart_at = {}
-    while now() < load_began + LENGTH:
-        await asyncio.sleep(0.05)
-        for node in nodes:
-            if node.name in restart_at:
-                if now() >= restart_at[node.name]:
-                    del restart_at[node.name]
-                    node.start()
-                continue
-            memory = node.memory_kib()
-            peak[node.name] = max(peak[node.name], memory)
-            if memory > LIMIT_KIB:
-                node.process.send_signal(signal.SIGKILL)
-            elif node.process.poll() is None:
-                continue
-            node.process.wait()
-            ends[node.name] += 1
-            record.write("platform:", node.name, "ended with", memory, "KiB; limit", LIMIT_KIB)
-            restart_at[node.name] = now() + 0.5
-    for name in ends:
-        line = f"{name}: ended {ends[name]} times, most memory {peak[name]} KiB, limit {LIMIT_KIB} KiB"
-        record.write("platform:", line)
-        print(line)
-    return 1 if all(count >= 3 for count in ends.values()) else 0
+    sent = {}
+    tasks = [asyncio.create_task(client(node.ip, record, sent)) for node in nodes for _ in range(2)]
+    await asyncio.sleep(4)
+    if TROUBLE:
+        record.write("store: silent")
+        store.mode = "silent"
+        await asyncio.sleep(OUTAGE_S)
+        store.mode = "up"
+        record.write("store: well again")
+    await asyncio.sleep(CALM_S)
+    lost = reader_of(nodes)
+    if not lost:
+        print("no node says that it reads the target list")
+        return 2
+    if TROUBLE:
+        record.write("platform:", lost.name, "loses power")
+        lost.process.kill()
+        lost.process.wait()
+    await asyncio.sleep(LOSS_TO_REMOVAL_S)
+    gone = runners[0]
+    store.put("keyed.servers", gone.id, b"")
+    removed_at = now()
+    record.write("store: the entry of", gone.id, "is removed")
+    await asyncio.sleep(POWER_OFF_S - LOSS_TO_REMOVAL_S)
+    if TROUBLE:
+        record.write("platform: starts", lost.name)
+        lost.start()
+    await asyncio.sleep(4)
+    for task in tasks:
+        task.cancel()
+    late = []
+    for at, served, attempt in runs:
+        sent_at, ip = sent[attempt]
+        if served is gone and at > removed_at + DRAIN_S and not (TROUBLE and ip == lost.ip):
+            late.append((at - removed_at, attempt, ip))
+            record.write("late:", attempt, "sent to", ip, "reached", gone.id, f"{at - removed_at:.3f} s after its removal")
+    after = sum(1 for at, served, _ in runs if served is gone and removed_at < at)
+    line = f"{len(late)} requests reached the runner later than {DRAIN_S} s after the removal of its entry, " \
+           f"the last after {max([item[0] for item in late], default=0):.3f} s; {after} after the removal in all"
+    record.write(line)
+    print(line)
+    return 1 if late else 0
 
 
 def main():
-    if sys.argv[1:2] == ["clients"]:
-        return asyncio.run(clients(*sys.argv[2:]))
-    if sys.argv[1:2] == ["runner"]:
-        return asyncio.run(runner(*sys.argv[2:]))
     deployment = Deployment()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
